--- /dev/null
+++ b/base/params.go
@@ -0,0 +1,81 @@
+package base
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/proto/wire"
+)
+
+func LoadParams(file string, into proto.Message) error {
+	if file == "" {
+		return nil
+	}
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "params")
+	}
+	return errors.Wrap(protojson.Unmarshal(body, into), "params")
+}
+
+func UsualBounds(b *wire.Bounds) *wire.Bounds {
+	if b == nil {
+		b = &wire.Bounds{}
+	}
+	usual := func(at **durationpb.Duration, d time.Duration) {
+		if *at == nil {
+			*at = durationpb.New(d)
+		}
+	}
+	usual(&b.InForce, 2*time.Second)
+	usual(&b.SlideBack, 250*time.Millisecond)
+	usual(&b.Leaving, 2*time.Second)
+	usual(&b.Grace, 6*time.Second)
+	usual(&b.Recovery, 15*time.Second)
+	return b
+}
+
+func CheckBounds(b *wire.Bounds) error {
+	within := func(low, high time.Duration) validation.Rule {
+		return validation.By(func(value any) error {
+			d := value.(*durationpb.Duration).AsDuration()
+			return validation.Validate(d, validation.Min(low), validation.Max(high))
+		})
+	}
+	return validation.ValidateStruct(b,
+		validation.Field(&b.InForce, within(200*time.Millisecond, time.Minute)),
+		validation.Field(&b.SlideBack, within(20*time.Millisecond, 10*time.Second)),
+		validation.Field(&b.Leaving, within(200*time.Millisecond, time.Minute)),
+		validation.Field(&b.Grace, within(time.Second, 5*time.Minute)),
+		validation.Field(&b.Recovery, within(time.Second, 5*time.Minute)),
+	)
+}
+
+func Mishaps(err error) []string {
+	var many validation.Errors
+	if !errors.As(err, &many) {
+		return []string{err.Error()}
+	}
+	var lines []string
+	for name, each := range many {
+		for _, line := range Mishaps(each) {
+			lines = append(lines, fmt.Sprintf("%s: %s", name, line))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+func Complain(program string, err error) {
+	fmt.Fprintf(os.Stderr, "%s: bad params\n  %s\n", program, strings.Join(Mishaps(err), "\n  "))
+	os.Exit(2)
+}
--- /dev/null
+++ b/base/program.go
@@ -0,0 +1,44 @@
+package base
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+const Version = "0.1.0"
+
+const journalBound = 20000
+
+func NewScope(program, node, folder, level string) (Scope, error) {
+	disk, err := RealDisk(folder)
+	if err != nil {
+		return Scope{}, err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: program, Level: hclog.LevelFromString(level), Output: os.Stderr, JSONFormat: true}).With("node", node)
+	return Scope{
+		Context: context.Background(), Node: node, Clock: RealClock(), Net: RealNet(), Disk: disk, Rand: RealRand(), Log: log,
+		Journal: NewJournal(journalBound, logView{log}),
+	}, nil
+}
+
+type logView struct{ log hclog.Logger }
+
+func (v logView) Fold(event Event) {
+	v.log.Debug(event.Topic, "subject", event.Subject, "detail", event.Detail)
+}
+
+func Signals(stop func(), reload func()) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for each := range signals {
+		if each != syscall.SIGHUP {
+			stop()
+			return
+		}
+		reload()
+	}
+}
--- /dev/null
+++ b/cmd/drill/day.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"curlewreach/base"
+	"curlewreach/mime"
+	"curlewreach/proto/wire"
+)
+
+type summary struct {
+	Calls    int                `json:"calls"`
+	Whole    int                `json:"whole"`
+	NotRun   int                `json:"notRun"`
+	Unknown  int                `json:"unknown"`
+	Broken   int                `json:"broken"`
+	Samples  []string           `json:"brokenSamples,omitempty"`
+	Ran      int                `json:"ranAtUpstreams"`
+	Repeated int                `json:"ranMoreThanOnce"`
+	TiedWell int                `json:"tiedToTheRightParent"`
+	TiedElse int                `json:"notTiedToTheRightParent"`
+	InForce  string             `json:"secondBundleInForceAfter"`
+	Kept     uint64             `json:"spansRecorded"`
+	Odds     map[string]float64 `json:"odds"`
+}
+
+func (f *fleet) day(s base.Scope, length time.Duration, rate float64) (*summary, error) {
+	history := mime.NewHistory(s.Clock)
+	bounded, cancel := s.Within(length)
+	defer cancel()
+	var crew base.Crew
+	for _, each := range f.vanes {
+		visitors := &mime.Visitors{Scope: s, Name: each.Name, To: each.at(visitorsPort), Rate: rate / float64(len(f.vanes)), Habits: f.plan, History: history}
+		crew.Go(func() { visitors.Run(bounded) })
+	}
+	base.Await(bounded, length/2)
+	sum := &summary{Odds: map[string]float64{}}
+	begun := time.Now()
+	outcome, err := f.change(s, "second", 1)
+	if err != nil {
+		return nil, err
+	}
+	if outcome.Verdict != wire.Verdict_TAKEN {
+		return nil, errors.Errorf("the second bundle was not taken: %s", outcome)
+	}
+	acked := time.Now()
+	if err := f.until(s, "the second bundle in force", func() bool { return f.allOn(2) }); err != nil {
+		return nil, err
+	}
+	sum.InForce = fmt.Sprintf("%dms after its ack, %dms after its draft", time.Since(acked).Milliseconds(), time.Since(begun).Milliseconds())
+	crew.Wait()
+	for _, call := range history.Calls() {
+		sum.Calls++
+		switch {
+		case call.Broken != "":
+			sum.Broken++
+			sum.Samples = append(sum.Samples, call.Route+" "+call.Broken)
+		case call.Outcome == "not-run":
+			sum.NotRun++
+		case call.Outcome != "":
+			sum.Unknown++
+		default:
+			sum.Whole++
+		}
+	}
+	sum.Samples = sum.Samples[:min(len(sum.Samples), 5)]
+	for _, each := range f.seats {
+		var counts mime.Counts
+		response, err := f.web.Get("http://" + each.address + "/mime/counts")
+		if err != nil {
+			return nil, err
+		}
+		err = json.NewDecoder(response.Body).Decode(&counts)
+		_ = response.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		sum.Ran += counts.Ran
+		sum.Repeated += counts.Repeated
+		sum.TiedWell += counts.TiedWell
+		sum.TiedElse += counts.TiedElse
+	}
+	learning, err := f.clerk.Odds(s)
+	if err != nil {
+		return nil, err
+	}
+	for _, belief := range learning.Beliefs {
+		sum.Odds[belief.Identifier] = belief.Odds
+		sum.Kept += belief.Samples
+	}
+	return sum, nil
+}
+
+func (f *fleet) allOn(serial uint64) bool {
+	for _, each := range f.vanes {
+		if at, ready := f.ready(each, opsPort); !ready || at < serial {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *summary) verdict() error {
+	switch {
+	case s.Calls == 0:
+		return errors.New("no call was made")
+	case s.Broken > 0:
+		return errors.Errorf("%d answers were not whole", s.Broken)
+	case s.Repeated > 0:
+		return errors.Errorf("%d requests ran more than once", s.Repeated)
+	case s.Whole*100 < s.Calls*99:
+		return errors.Errorf("only %d of %d calls got their answer", s.Whole, s.Calls)
+	case len(s.Odds) == 0:
+		return errors.New("nothing was learned")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/drill/fleet.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/helm"
+	"curlewreach/mime"
+	"curlewreach/proto/wire"
+)
+
+const (
+	visitorsPort  = 7002
+	upstreamsPort = 7003
+	opsPort       = 7004
+	operatorsPort = 7005
+	seatPort      = 8001
+	raising       = 30 * time.Second
+)
+
+type machine struct {
+	*wire.Machine
+	process *exec.Cmd
+}
+
+func (m *machine) at(port int) string {
+	return fmt.Sprintf("%s:%d", netip.MustParseAddrPort(m.Address).Addr(), port)
+}
+
+type seat struct {
+	Machine  string `json:"machine"`
+	Service  string `json:"service"`
+	Capacity int    `json:"capacity"`
+	address  string
+	process  *exec.Cmd
+}
+
+type fleet struct {
+	args    args
+	bundle  *wire.Bundle
+	keels   []*machine
+	vanes   []*machine
+	seats   []*seat
+	plan    []mime.Habitual
+	key     ed25519.PrivateKey
+	keyFile string
+	clerk   *helm.Clerk
+	web     *http.Client
+}
+
+func readJSON(file string, into any) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(body, into), file)
+}
+
+func raise(s base.Scope, a args) (f *fleet, mishap error) {
+	f = &fleet{args: a, bundle: &wire.Bundle{}, web: &http.Client{Timeout: 5 * time.Second}}
+	body, err := os.ReadFile(filepath.Join(a.Example, "bundle.json"))
+	if err != nil {
+		return nil, err
+	}
+	if err := protojson.Unmarshal(body, f.bundle); err != nil {
+		return nil, err
+	}
+	if err := readJSON(filepath.Join(a.Example, "seats.json"), &f.seats); err != nil {
+		return nil, err
+	}
+	if err := readJSON(filepath.Join(a.Example, "plan.json"), &f.plan); err != nil {
+		return nil, err
+	}
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, err
+	}
+	f.key, f.keyFile = private, filepath.Join(a.Folder, "signer.key")
+	if err := os.WriteFile(f.keyFile, []byte(base64.StdEncoding.EncodeToString(private.Seed())), 0o600); err != nil {
+		return nil, err
+	}
+	trusted := []string{base64.StdEncoding.EncodeToString(public)}
+	var seeds, operators []string
+	for _, each := range f.bundle.Common.Machines {
+		at := &machine{Machine: each}
+		if each.Core {
+			f.keels = append(f.keels, at)
+			seeds = append(seeds, each.Address)
+			operators = append(operators, at.at(operatorsPort))
+		} else {
+			f.vanes = append(f.vanes, at)
+		}
+	}
+	f.clerk = &helm.Clerk{Web: f.web, Keels: operators}
+	defer func() {
+		if mishap != nil {
+			f.fell()
+		}
+	}()
+	for _, each := range f.keels {
+		params := &wire.KeelParams{Name: each.Name, Zone: each.Zone, Mates: each.Address, Operators: each.at(operatorsPort), Seeds: seeds, Folder: f.folder(each.Name), Trusted: trusted, Log: a.Log}
+		if each.process, err = f.start("keel", each.Name, params); err != nil {
+			return nil, err
+		}
+	}
+	for _, each := range f.vanes {
+		params := &wire.VaneParams{
+			Name: each.Name, Zone: each.Zone, Mates: each.Address, Visitors: each.at(visitorsPort), Upstreams: each.at(upstreamsPort),
+			Ops: each.at(opsPort), Seeds: seeds, Folder: f.folder(each.Name), Trusted: trusted, Log: a.Log,
+		}
+		if each.process, err = f.start("vane", each.Name, params); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.until(s, "keels ready", func() bool { return f.allReady(f.keels, operatorsPort) }); err != nil {
+		return nil, err
+	}
+	for _, each := range f.seats {
+		if err := f.seat(each); err != nil {
+			return nil, err
+		}
+	}
+	outcome, err := f.clerk.Apply(s, "first", &wire.DraftRequest{Bundle: f.bundle}, f.key)
+	if err != nil {
+		return nil, err
+	}
+	if outcome.Verdict != wire.Verdict_TAKEN {
+		return nil, errors.Errorf("the first bundle was not taken: %s", outcome)
+	}
+	if err := f.until(s, "vanes ready", func() bool { return f.allReady(f.vanes, opsPort) }); err != nil {
+		return nil, err
+	}
+	return f, f.until(s, "upstreams known", func() bool {
+		reply, err := f.clerk.Nodes(s)
+		count := 0
+		for _, sighting := range reply.GetSightings() {
+			count += len(sighting.Roster.Seats)
+		}
+		return err == nil && count == len(f.seats)
+	})
+}
+
+func (f *fleet) operators() string { return strings.Join(f.clerk.Keels, ",") }
+
+func (f *fleet) folder(name string) string { return filepath.Join(f.args.Folder, name) }
+
+func (f *fleet) start(program, name string, params proto.Message) (*exec.Cmd, error) {
+	body, err := protojson.MarshalOptions{Multiline: true}.Marshal(params)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(f.args.Folder, name+".json")
+	if err := os.WriteFile(file, body, 0o644); err != nil {
+		return nil, err
+	}
+	return f.spawn(name, program, "--params", file)
+}
+
+func (f *fleet) spawn(name, program string, rest ...string) (*exec.Cmd, error) {
+	log, err := os.OpenFile(filepath.Join(f.args.Folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	process := exec.Command(filepath.Join(f.args.Bin, program), rest...)
+	process.Stdout, process.Stderr = log, log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return process, errors.Wrap(process.Start(), program)
+}
+
+func (f *fleet) seat(each *seat) error {
+	var home *machine
+	for _, at := range f.vanes {
+		if at.Name == each.Machine {
+			home = at
+		}
+	}
+	if home == nil {
+		return errors.Errorf("seats: no machine %q", each.Machine)
+	}
+	each.address = home.at(seatPort)
+	var err error
+	each.process, err = f.spawn(each.Machine+"-upstream", "mime", "upstream", "--service", each.Service, "--address", each.address,
+		"--reports", home.at(upstreamsPort), "--zone", home.Zone, "--capacity", fmt.Sprint(each.Capacity), "--habits", filepath.Join(f.args.Example, "habits.json"))
+	return err
+}
+
+func (f *fleet) fell() {
+	for _, each := range f.processes() {
+		_ = each.Process.Kill()
+		_ = each.Wait()
+	}
+}
+
+func (f *fleet) processes() []*exec.Cmd {
+	var all []*exec.Cmd
+	for _, each := range f.seats {
+		all = append(all, each.process)
+	}
+	for _, each := range append(append([]*machine{}, f.vanes...), f.keels...) {
+		all = append(all, each.process)
+	}
+	started := all[:0]
+	for _, each := range all {
+		if each != nil && each.Process != nil {
+			started = append(started, each)
+		}
+	}
+	return started
+}
+
+func (f *fleet) ready(m *machine, port int) (serial uint64, ready bool) {
+	response, err := f.web.Get("http://" + m.at(port) + "/ready")
+	if err != nil {
+		return 0, false
+	}
+	defer response.Body.Close()
+	var said struct{ Serial uint64 }
+	_ = json.NewDecoder(response.Body).Decode(&said)
+	return said.Serial, response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) allReady(machines []*machine, port int) bool {
+	for _, each := range machines {
+		if _, ready := f.ready(each, port); !ready {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) until(s base.Scope, what string, reached func() bool) error {
+	bounded, cancel := s.Within(raising)
+	defer cancel()
+	for !reached() {
+		if base.Await(bounded, 20*time.Millisecond); bounded.Err() != nil {
+			return errors.Errorf("gave up waiting: %s", what)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) change(ctx context.Context, submission string, serial uint64) (*wire.Outcome, error) {
+	change := &wire.Change{}
+	body, err := os.ReadFile(filepath.Join(f.args.Example, "change.json"))
+	if err != nil {
+		return nil, err
+	}
+	if err := protojson.Unmarshal(body, change); err != nil {
+		return nil, err
+	}
+	return f.clerk.Apply(ctx, submission, &wire.DraftRequest{Base: serial, Change: change}, f.key)
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"curlewreach/base"
+)
+
+type args struct {
+	Example string  `arg:"--example,required" help:"folder with bundle, seats, habits, plan and change"`
+	Bin     string  `arg:"--bin" default:"bin" help:"folder with vane, keel and mime"`
+	Folder  string  `arg:"--folder" help:"where params, data and logs go; a temporary one when left out"`
+	Seconds int     `arg:"--seconds" default:"20"`
+	Rate    float64 `arg:"--rate" default:"200" help:"requests a second over the whole fleet"`
+	Hold    bool    `arg:"--hold" help:"start the fleet, print where it is, and wait for a signal"`
+	Seed    uint64  `arg:"--seed" default:"1" help:"seed of the visitors"`
+	Log     string  `arg:"--log" default:"info" help:"log level of the fleet's processes"`
+}
+
+func (args) Version() string { return "drill " + base.Version }
+
+func (args) Description() string {
+	return "runs a whole fleet on this machine; a test tool, so it starts processes"
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a args) error {
+	if a.Folder == "" {
+		folder, err := os.MkdirTemp("", "drill")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(folder)
+		a.Folder = folder
+	}
+	s, err := base.NewScope("drill", "drill", a.Folder, "warn")
+	if err != nil {
+		return err
+	}
+	s.Rand = base.SeededRand(a.Seed)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s = s.Under(ctx)
+	fleet, err := raise(s, a)
+	if err != nil {
+		return err
+	}
+	defer fleet.fell()
+	if a.Hold {
+		fmt.Printf("keels %s\nvisitors %s\nkey %s\nfolder %s\n", fleet.operators(), fleet.vanes[0].at(visitorsPort), fleet.keyFile, a.Folder)
+		base.Signals(func() {}, func() {})
+		return nil
+	}
+	summary, err := fleet.day(s, time.Duration(a.Seconds)*time.Second, a.Rate)
+	if err != nil {
+		return err
+	}
+	body, err := json.MarshalIndent(summary, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(body))
+	return summary.verdict()
+}
--- /dev/null
+++ b/cmd/mime/main.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"curlewreach/base"
+	"curlewreach/mime"
+)
+
+type upstream struct {
+	Service  string `arg:"required"`
+	Address  string `arg:"required" help:"IP:port to listen on"`
+	Reports  string `arg:"required" help:"IP:port of the vane's upstreams door"`
+	Zone     string `arg:"required"`
+	Capacity int    `default:"16"`
+	Habits   string `help:"JSON file: how each path prefix behaves"`
+}
+
+type visitors struct {
+	Name    string  `default:"visitor"`
+	To      string  `arg:"required" help:"IP:port of the vane's visitors door"`
+	Rate    float64 `default:"10" help:"requests a second"`
+	Seconds int     `default:"10"`
+	Plan    string  `arg:"required" help:"JSON file: which requests to make"`
+}
+
+type args struct {
+	Upstream *upstream `arg:"subcommand:upstream" help:"stand in for a back end"`
+	Visitors *visitors `arg:"subcommand:visitors" help:"stand in for callers"`
+}
+
+func (args) Version() string { return "mime " + base.Version }
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	folder, err := os.MkdirTemp("", "mime")
+	if err != nil {
+		base.Complain("mime", err)
+	}
+	defer os.RemoveAll(folder)
+	s, err := base.NewScope("mime", "mime", folder, "warn")
+	if err != nil {
+		base.Complain("mime", err)
+	}
+	switch {
+	case a.Upstream != nil:
+		err = a.Upstream.run(s)
+	case a.Visitors != nil:
+		err = a.Visitors.run(s)
+	default:
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mime:", err)
+		os.Exit(1)
+	}
+}
+
+func read(file string, into any) error {
+	if file == "" {
+		return nil
+	}
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, into)
+}
+
+func (u *upstream) run(s base.Scope) error {
+	stand := &mime.Upstream{Scope: s, Service: u.Service, Address: u.Address, Zone: u.Zone, Capacity: u.Capacity, Reports: u.Reports}
+	if err := read(u.Habits, &stand.Habits); err != nil {
+		return err
+	}
+	if err := stand.Start(500 * time.Millisecond); err != nil {
+		return err
+	}
+	base.Signals(func() {
+		stand.Leave()
+		base.Await(s, 2*time.Second)
+		stand.Kill()
+	}, func() {})
+	return nil
+}
+
+func (v *visitors) run(s base.Scope) error {
+	history := mime.NewHistory(s.Clock)
+	stand := &mime.Visitors{Scope: s, Name: v.Name, To: v.To, Rate: v.Rate, History: history}
+	if err := read(v.Plan, &stand.Habits); err != nil {
+		return err
+	}
+	bounded, cancel := s.Within(time.Duration(v.Seconds) * time.Second)
+	defer cancel()
+	stand.Run(bounded)
+	return json.NewEncoder(os.Stdout).Encode(history.Calls())
+}
--- /dev/null
+++ b/cmd/quiz/main.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/helm"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+)
+
+type keygen struct {
+	Out string `arg:"positional,required" help:"file for the private key; the public key is printed"`
+}
+
+type draft struct {
+	Base   uint64 `arg:"--base" help:"serial that the change starts from"`
+	Bundle string `arg:"--bundle" help:"JSON file with a whole bundle"`
+	Change string `arg:"--change" help:"JSON file with a small change"`
+	Out    string `arg:"--out" help:"where the draft to sign is written"`
+}
+
+type sign struct {
+	Draft string `arg:"positional,required" help:"draft file"`
+	Key   string `arg:"--key,required" help:"private key file"`
+	Out   string `arg:"--out,required" help:"where the signed bundle is written"`
+}
+
+type submit struct {
+	Sealed string `arg:"positional,required" help:"signed bundle file"`
+	ID     string `arg:"--id,required" help:"submission id; the same id is decided once"`
+}
+
+type apply struct {
+	Base   uint64 `arg:"--base"`
+	Bundle string `arg:"--bundle"`
+	Change string `arg:"--change"`
+	Key    string `arg:"--key,required"`
+	ID     string `arg:"--id,required"`
+}
+
+type show struct {
+	Serial uint64 `arg:"positional" help:"the newest when left out"`
+}
+
+type diff struct {
+	Before uint64 `arg:"positional,required"`
+	After  uint64 `arg:"positional,required"`
+}
+
+type named struct {
+	ID string `arg:"positional,required"`
+}
+
+type none struct{}
+
+type args struct {
+	Keels    []string `arg:"--keels,env:CURLEW_KEELS" help:"operators' doors of the keels, IP:port"`
+	JSON     bool     `arg:"--json" help:"print JSON"`
+	Keygen   *keygen  `arg:"subcommand:keygen" help:"make a signing key"`
+	Draft    *draft   `arg:"subcommand:draft" help:"ask for a draft and see the difference"`
+	Sign     *sign    `arg:"subcommand:sign" help:"sign a draft"`
+	Submit   *submit  `arg:"subcommand:submit" help:"hand in a signed bundle"`
+	Apply    *apply   `arg:"subcommand:apply" help:"draft, sign and hand in at once"`
+	Status   *named   `arg:"subcommand:status" help:"what became of a submission"`
+	Show     *show    `arg:"subcommand:show" help:"read a bundle whole"`
+	Diff     *diff    `arg:"subcommand:diff" help:"compare two serials"`
+	Holdings *none    `arg:"subcommand:holdings" help:"which nodes are on which serial"`
+	Nodes    *none    `arg:"subcommand:nodes" help:"nodes, standing and upstreams"`
+	Odds     *none    `arg:"subcommand:odds" help:"ranking by utility, confidence and keep odds"`
+	Trace    *named   `arg:"subcommand:trace" help:"one whole trace"`
+}
+
+func (args) Version() string { return "quiz " + base.Version }
+
+func (args) Description() string { return "asks and steers the fleet" }
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	if parser.Subcommand() == nil {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := a.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "quiz:", err)
+		os.Exit(1)
+	}
+}
+
+func (a *args) run(ctx context.Context) error {
+	clerk := &helm.Clerk{Web: http.DefaultClient, Keels: a.Keels}
+	switch {
+	case a.Keygen != nil:
+		return a.Keygen.run()
+	case a.Draft != nil:
+		return a.Draft.run(ctx, clerk)
+	case a.Sign != nil:
+		return a.Sign.run()
+	case a.Submit != nil:
+		sealed := &wire.Sealed{}
+		if err := readProto(a.Submit.Sealed, sealed); err != nil {
+			return err
+		}
+		return a.outcome(clerk.Sign(ctx, a.Submit.ID, sealed))
+	case a.Apply != nil:
+		request, err := request(a.Apply.Base, a.Apply.Bundle, a.Apply.Change)
+		if err != nil {
+			return err
+		}
+		key, err := readKey(a.Apply.Key)
+		if err != nil {
+			return err
+		}
+		return a.outcome(clerk.Apply(ctx, a.Apply.ID, request, key))
+	case a.Status != nil:
+		return a.outcome(clerk.Status(ctx, a.Status.ID))
+	case a.Show != nil:
+		reply, err := clerk.Show(ctx, a.Show.Serial)
+		if err != nil {
+			return err
+		}
+		return printProto(reply.Bundle)
+	case a.Diff != nil:
+		before, err := clerk.Show(ctx, a.Diff.Before)
+		if err != nil {
+			return err
+		}
+		after, err := clerk.Show(ctx, a.Diff.After)
+		if err != nil {
+			return err
+		}
+		fmt.Println(strings.Join(pact.Difference(before.Bundle, after.Bundle), "\n"))
+		return nil
+	case a.Holdings != nil:
+		reply, err := clerk.Holdings(ctx)
+		return a.table(reply, err, func() {
+			fmt.Printf("newest serial %d\n%-16s %-8s %-8s %s\n", reply.Serial, "NODE", "SERIAL", "ODDS", "STANDING")
+			for _, each := range reply.Holdings {
+				fmt.Printf("%-16s %-8d %-8d %s\n", each.Node, each.Serial, each.Odds, each.Standing)
+			}
+			for _, silent := range reply.Silent {
+				fmt.Printf("%-16s did not reply\n", silent)
+			}
+		})
+	case a.Nodes != nil:
+		reply, err := clerk.Nodes(ctx)
+		return a.table(reply, err, func() {
+			fmt.Printf("%-16s %-6s %-10s %-8s %s\n", "NODE", "ZONE", "KIND", "STANDING", "UPSTREAMS")
+			for _, each := range reply.Sightings {
+				kind := "vane"
+				if each.Roster.Core {
+					kind = "keel"
+				}
+				var seats []string
+				for _, seat := range each.Roster.Seats {
+					seats = append(seats, seat.Service+"@"+seat.Address)
+				}
+				fmt.Printf("%-16s %-6s %-10s %-8s %s\n", each.Roster.Node, each.Roster.Zone, kind, each.Standing, strings.Join(seats, " "))
+			}
+		})
+	case a.Odds != nil:
+		reply, err := clerk.Odds(ctx)
+		return a.table(reply, err, func() {
+			sort.Slice(reply.Beliefs, func(i, j int) bool { return reply.Beliefs[i].Utility > reply.Beliefs[j].Utility })
+			fmt.Printf("cycle %d, learner %s\n%-32s %-14s %-7s %-7s %s\n", reply.Cycle, reply.Holder, "IDENTIFIER", "UTILITY", "MEAN", "ODDS", "SPANS")
+			for _, each := range reply.Beliefs {
+				fmt.Printf("%-32s %-14.0f %-7.3f %-7.3f %d\n", each.Identifier, each.Utility, each.Alpha/(each.Alpha+each.Beta), each.Odds, each.Samples)
+			}
+		})
+	case a.Trace != nil:
+		reply, err := clerk.Trace(ctx, a.Trace.ID)
+		return a.table(reply, err, func() {
+			sort.Slice(reply.Spans, func(i, j int) bool { return reply.Spans[i].StartedUs < reply.Spans[j].StartedUs })
+			for _, span := range reply.Spans {
+				fmt.Printf("%s <- %-16s %-32s %8dus self %8dus %d %s\n", span.Id, span.Parent, span.Service+"/"+span.Route, span.DurationUs, span.SelfUs, span.Status, span.Node)
+			}
+		})
+	}
+	return nil
+}
+
+func (a *args) table(reply proto.Message, err error, text func()) error {
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return printProto(reply)
+	}
+	text()
+	return nil
+}
+
+func (a *args) outcome(outcome *wire.Outcome, err error) error {
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		_ = printProto(outcome)
+	} else {
+		fmt.Printf("%s serial %d\n", strings.ToLower(outcome.Verdict.String()), outcome.Serial)
+	}
+	if mishap := outcome.Mishap; mishap != nil && outcome.Verdict != wire.Verdict_TAKEN {
+		return errors.Errorf("%s: %s %s", mishap.Kind, mishap.Path, mishap.Reason)
+	}
+	return nil
+}
+
+func (k *keygen) run() error {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(k.Out, []byte(base64.StdEncoding.EncodeToString(private.Seed())+"\n"), 0o600); err != nil {
+		return err
+	}
+	fmt.Println(base64.StdEncoding.EncodeToString(public))
+	return nil
+}
+
+func (d *draft) run(ctx context.Context, clerk *helm.Clerk) error {
+	ask, err := request(d.Base, d.Bundle, d.Change)
+	if err != nil {
+		return err
+	}
+	reply, err := clerk.Draft(ctx, ask)
+	if err != nil {
+		return err
+	}
+	fmt.Println(strings.Join(reply.Difference, "\n"))
+	if d.Out == "" {
+		return nil
+	}
+	body, err := protojson.MarshalOptions{Multiline: true}.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.Out, body, 0o644)
+}
+
+func (s *sign) run() error {
+	reply := &wire.DraftReply{}
+	if err := readProto(s.Draft, reply); err != nil {
+		return err
+	}
+	shown, mishap := pact.Open(reply.Sealed)
+	if mishap != nil {
+		return mishap
+	}
+	if !proto.Equal(shown, reply.Bundle) {
+		return errors.New("the manifest does not fit the bundle shown")
+	}
+	key, err := readKey(s.Key)
+	if err != nil {
+		return err
+	}
+	pact.Sign(reply.Sealed, key)
+	body, err := protojson.Marshal(reply.Sealed)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(s.Out, body, 0o644)
+}
+
+func request(serial uint64, bundle, change string) (*wire.DraftRequest, error) {
+	ask := &wire.DraftRequest{Base: serial}
+	if bundle != "" {
+		ask.Bundle = &wire.Bundle{}
+		if err := readProto(bundle, ask.Bundle); err != nil {
+			return nil, err
+		}
+	}
+	if change != "" {
+		ask.Change = &wire.Change{}
+		if err := readProto(change, ask.Change); err != nil {
+			return nil, err
+		}
+	}
+	return ask, nil
+}
+
+func readKey(file string) (ed25519.PrivateKey, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(body)))
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, errors.Errorf("%s holds no private key", file)
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
+
+func readProto(file string, into proto.Message) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(protojson.Unmarshal(body, into), file)
+}
+
+func printProto(message proto.Message) error {
+	body, err := protojson.Marshal(message)
+	if err != nil {
+		return err
+	}
+	var plain any
+	if err := json.Unmarshal(body, &plain); err != nil {
+		return err
+	}
+	body, err = json.MarshalIndent(plain, "", "  ")
+	fmt.Println(string(body))
+	return err
+}
--- /dev/null
+++ b/flow/far.go
@@ -0,0 +1,216 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/lens"
+	"curlewreach/proto/wire"
+)
+
+const chunkSize = 64 << 10
+
+type emit func(*wire.CarryReply) error
+
+func mishapPiece(attempt string, mishap *base.Mishap) *wire.CarryReply {
+	return &wire.CarryReply{Piece: &wire.CarryReply_Mishap{Mishap: &wire.CarryMishap{
+		Attempt: attempt, Kind: string(mishap.Kind), Reason: mishap.Reason, Run: mishap.Run,
+	}}}
+}
+
+func (n *Node) serve(ctx context.Context, ask *wire.CarryRequest, tell emit) error {
+	if mishap := n.carry(ctx, ask, tell); mishap != nil {
+		n.scope.Note("far-"+string(mishap.Kind), ask.Attempt, mishap.Reason)
+		return tell(mishapPiece(ask.Attempt, mishap))
+	}
+	return nil
+}
+
+func (n *Node) carry(ctx context.Context, ask *wire.CarryRequest, tell emit) *base.Mishap {
+	s := n.scope.Under(ctx)
+	if n.stopping.Load() {
+		return base.Bounce(base.Stopping, "", "this node is stopping")
+	}
+	if ask.Incarnation != n.member.Incarnation() {
+		return base.Bounce(base.Fenced, "", "meant for an earlier process here")
+	}
+	if !n.fences.Start(ask.Attempt) {
+		return base.Bounce(base.Fenced, "", "this attempt was barred")
+	}
+	leave := n.enter()
+	defer leave()
+	until := time.Duration(ask.NotAfterUs) * time.Microsecond
+	left := until - s.Clock.Mono()
+	if left <= 0 {
+		return base.Bounce(base.Expired, "", "the attempt came after its deadline")
+	}
+	s, cancel := s.Within(left)
+	defer cancel()
+	bundle := n.slice.Load()
+	if bundle == nil {
+		return base.Bounce(base.Uncertain, "", "no bundle is held here yet")
+	}
+	way, known := bundle.Way(ask.Service, ask.Route)
+	if !known {
+		return base.Bounce(base.NoRoute, "", "no bundle here names %s/%s", ask.Service, ask.Route)
+	}
+	at, mishap := n.seats.Find(ask.Service, ask.Seat)
+	if mishap != nil {
+		return mishap
+	}
+	out, mishap := at.gate.Enter(s, way.Group, bundle.Share(way.Group).GetCarried(), until)
+	if mishap != nil {
+		return mishap
+	}
+	defer out()
+	target, err := url.ParseRequestURI(ask.Target)
+	if err != nil {
+		return base.Bounce(base.Malformed, "", "%s", err)
+	}
+	f := &flight{span: n.scope.Rand.Name(8), trail: ask.Trail, way: way, seat: at}
+	headers := http.Header{}
+	put(ask.Headers, headers)
+	holes := bundle.Holes(way, target.Path)
+	f.fields = func(name string) string { return lookup(name, holes, target.Query(), headers) }
+	join, mishap := n.ties.Apart(s, f)
+	if mishap != nil {
+		return mishap
+	}
+	defer join()
+	if header := bundle.Tracing().GetHeader(); header != "" && ask.Trail != nil {
+		headers.Set(header, traceparent(ask.Trail, f.span))
+	}
+	return n.hand(s, ask, at, f, target, headers, tell)
+}
+
+func (n *Node) hand(s base.Scope, ask *wire.CarryRequest, at *seat, f *flight, target *url.URL, headers http.Header, tell emit) *base.Mishap {
+	conn, err := n.outward.NewClientConn(s, "http", at.report.Address)
+	if err != nil {
+		if s.Err() == nil {
+			n.seats.Void(at, "dial: "+err.Error())
+		}
+		return base.Bounce(base.Unreachable, "", "the upstream could not be dialled")
+	}
+	defer conn.Close()
+	if !n.seats.Held(at) {
+		n.seats.Void(at, "another process listens there now")
+	}
+	if now, mishap := n.seats.Find(ask.Service, ask.Seat); mishap != nil || now != at {
+		return base.Bounce(base.NoSeat, "", "the upstream's standing changed")
+	}
+	headers.Set(serialHeader, strconv.FormatUint(ask.Serial, 10))
+	request := (&http.Request{
+		Method: ask.Method, Host: ask.Service, URL: &url.URL{Scheme: "http", Host: at.report.Address, Path: target.Path, RawPath: target.RawPath, RawQuery: target.RawQuery},
+		Header: headers, Body: http.NoBody, ContentLength: int64(len(ask.Body)),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Close: true,
+	}).WithContext(s)
+	if len(ask.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(ask.Body))
+	}
+	if s.Err() != nil || !n.fences.Hand(ask.Attempt) {
+		return base.Bounce(base.Fenced, "", "this attempt was barred or ran out of time")
+	}
+	keeps := f.trail.GetSampled() && n.keeper.Keep(f.way.Identifier()) && n.budget.Spend(f.way.Group)
+	n.ties.Board(f)
+	n.scope.Note("handed", ask.Attempt, at.report.Address)
+	status, mishap := n.exchange(s, conn, request, ask, tell)
+	self, uncertain := n.ties.Land(f)
+	if keeps {
+		n.sink.Push(n.span(f, status, self, uncertain))
+	}
+	return mishap
+}
+
+func (n *Node) span(f *flight, status int, self time.Duration, uncertain bool) *wire.Span {
+	took := n.scope.Clock.Mono() - f.began
+	span := &wire.Span{
+		Trace: f.trail.Trace, Id: f.span, Parent: f.trail.Parent, Service: f.way.Service.Name, Route: f.way.Route.Name,
+		Node: n.self, Seat: f.seat.report.Address, Group: f.way.Group,
+		StartedUs: n.scope.Clock.Wall().Add(-took).UnixMicro(), DurationUs: uint64(took.Microseconds()), SelfUs: uint64(self.Microseconds()),
+		Status: uint32(status), Tags: map[string]string{"zone": f.seat.report.Zone, "seat": f.seat.report.Address},
+		Candidates: f.trail.Candidates,
+	}
+	if uncertain {
+		span.Tags[lens.UncertainTag] = "true"
+	}
+	return span
+}
+
+func (n *Node) exchange(s base.Scope, conn *http.ClientConn, request *http.Request, ask *wire.CarryRequest, tell emit) (int, *base.Mishap) {
+	ran := func(kind base.Kind, format string, args ...any) *base.Mishap {
+		mishap := base.Bounce(kind, "", format, args...)
+		mishap.Run = true
+		return mishap
+	}
+	response, err := conn.RoundTrip(request)
+	if err != nil {
+		if s.Err() != nil {
+			return 0, ran(base.Expired, "the upstream did not answer in time")
+		}
+		return 0, ran(base.Lost, "the upstream's answer was lost: %s", err)
+	}
+	defer response.Body.Close()
+	digest, given := promised(response.Header)
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || given
+	if !framed || response.StatusCode == http.StatusSwitchingProtocols {
+		return response.StatusCode, ran(base.Garbled, "the upstream's answer has no certain end")
+	}
+	head := &wire.CarryHead{Attempt: ask.Attempt, Status: uint32(response.StatusCode), Headers: headersOf(response.Header), Size: response.ContentLength}
+	sealing, whole := newSeal(head), sha256.New()
+	size := uint64(0)
+	if err := tell(&wire.CarryReply{Piece: &wire.CarryReply_Head{Head: head}}); err != nil {
+		return response.StatusCode, ran(base.Lost, "the asking node went away")
+	}
+	chunk := make([]byte, chunkSize)
+	for {
+		got, err := response.Body.Read(chunk)
+		if got > 0 {
+			size += uint64(got)
+			_, _ = sealing.Write(chunk[:got])
+			_, _ = whole.Write(chunk[:got])
+			if tell(&wire.CarryReply{Piece: &wire.CarryReply_Chunk{Chunk: bytes.Clone(chunk[:got])}}) != nil {
+				return response.StatusCode, ran(base.Lost, "the asking node went away")
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return response.StatusCode, ran(base.Garbled, "the upstream's answer broke off: %s", err)
+		}
+	}
+	if given && !bytes.Equal(digest, whole.Sum(nil)) {
+		return response.StatusCode, ran(base.Garbled, "the upstream's answer does not fit its digest")
+	}
+	tail := &wire.CarryTail{Attempt: ask.Attempt, Digest: sealing.sum(), Size: size}
+	if err := tell(&wire.CarryReply{Piece: &wire.CarryReply_Tail{Tail: tail}}); err != nil {
+		return response.StatusCode, ran(base.Lost, "the asking node went away")
+	}
+	return response.StatusCode, nil
+}
+
+type farServer struct{ node *Node }
+
+func (v farServer) Carry(ctx context.Context, request *connect.Request[wire.CarryRequest], stream *connect.ServerStream[wire.CarryReply]) error {
+	return v.node.serve(ctx, request.Msg, stream.Send)
+}
+
+func (v farServer) Fence(_ context.Context, request *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceReply], error) {
+	ask := request.Msg
+	if ask.Incarnation != v.node.member.Incarnation() {
+		return connect.NewResponse(&wire.FenceReply{}), nil
+	}
+	never := v.node.fences.Bar(ask.Attempt)
+	v.node.scope.Note("fence", ask.Attempt, fmt.Sprintf("never=%t", never))
+	return connect.NewResponse(&wire.FenceReply{Never: never}), nil
+}
--- /dev/null
+++ b/flow/gate.go
@@ -0,0 +1,195 @@
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gammazero/deque"
+
+	"curlewreach/base"
+)
+
+const holdMemory = 0.1
+
+type waiter struct {
+	grant chan *base.Mishap
+	gone  bool
+}
+
+type lane struct {
+	waiting deque.Deque[*waiter]
+	weight  float64
+	pass    float64
+	granted uint64
+}
+
+type Gate struct {
+	mu      sync.Mutex
+	clock   base.Clock
+	limit   int
+	bound   int
+	flying  int
+	waiting int
+	now     float64
+	hold    float64
+	lanes   map[string]*lane
+}
+
+func NewGate(clock base.Clock, limit, bound int) *Gate {
+	return &Gate{clock: clock, limit: max(limit, 1), bound: bound, lanes: map[string]*lane{}}
+}
+
+func (g *Gate) Resize(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit = max(limit, 1)
+	g.advance()
+}
+
+func (g *Gate) Flying() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.flying
+}
+
+func (g *Gate) Granted() map[string]uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	granted := map[string]uint64{}
+	for group, at := range g.lanes {
+		granted[group] = at.granted
+	}
+	return granted
+}
+
+func (g *Gate) Enter(s base.Scope, group string, weight float64, until time.Duration) (leave func(), mishap *base.Mishap) {
+	g.mu.Lock()
+	at := g.lanes[group]
+	if at == nil {
+		at = &lane{}
+		g.lanes[group] = at
+	}
+	at.weight = max(weight, 0.001)
+	if g.flying < g.limit && g.waiting == 0 {
+		g.take(at)
+		g.mu.Unlock()
+		return g.leaver(), nil
+	}
+	left := (until - g.clock.Mono()).Seconds()
+	if ahead := g.ahead(at); g.hold > 0 && g.hold*ahead/float64(g.limit) > left {
+		g.mu.Unlock()
+		return nil, base.Bounce(base.Crowded, "", "the wait would outlast the deadline")
+	}
+	if g.waiting >= g.bound && !g.evict(at) {
+		g.mu.Unlock()
+		return nil, base.Bounce(base.Crowded, "", "the queue of group %q is full", group)
+	}
+	mine := &waiter{grant: make(chan *base.Mishap, 1)}
+	if at.waiting.Len() == 0 {
+		at.pass = max(at.pass, g.now)
+	}
+	at.waiting.PushBack(mine)
+	g.waiting++
+	g.mu.Unlock()
+
+	wakeup := time.NewTimer(time.Duration(left * float64(time.Second)))
+	defer wakeup.Stop()
+	select {
+	case mishap := <-mine.grant:
+		if mishap != nil {
+			return nil, mishap
+		}
+		return g.leaver(), nil
+	case <-s.Done():
+	case <-wakeup.C:
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case mishap := <-mine.grant:
+		if mishap == nil {
+			g.flying--
+			g.advance()
+		}
+	default:
+		mine.gone = true
+		g.waiting--
+	}
+	return nil, base.Bounce(base.Expired, "", "the deadline passed in the queue")
+}
+
+func (g *Gate) ahead(at *lane) float64 {
+	total := 0.0
+	for _, each := range g.lanes {
+		if each.waiting.Len() > 0 || each == at {
+			total += each.weight
+		}
+	}
+	return float64(at.waiting.Len()+1) * total / at.weight
+}
+
+func (g *Gate) evict(newcomer *lane) bool {
+	var fullest *lane
+	for _, each := range g.lanes {
+		if each.waiting.Len() > 0 && (fullest == nil || over(each) > over(fullest)) {
+			fullest = each
+		}
+	}
+	if fullest == nil || fullest == newcomer || over(fullest) <= (float64(newcomer.waiting.Len())+1)/newcomer.weight {
+		return false
+	}
+	last := fullest.waiting.PopBack()
+	if !last.gone {
+		g.waiting--
+		last.grant <- base.Bounce(base.Crowded, "", "the queue is full and another group is owed its place")
+	}
+	return true
+}
+
+func over(at *lane) float64 { return float64(at.waiting.Len()) / at.weight }
+
+func (g *Gate) take(at *lane) {
+	at.pass = max(at.pass, g.now) + 1/at.weight
+	g.now = max(g.now, at.pass-1/at.weight)
+	at.granted++
+	g.flying++
+}
+
+func (g *Gate) leaver() func() {
+	began := g.clock.Mono()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.flying--
+			took := (g.clock.Mono() - began).Seconds()
+			if g.hold == 0 {
+				g.hold = took
+			}
+			g.hold += holdMemory * (took - g.hold)
+			g.advance()
+		})
+	}
+}
+
+func (g *Gate) advance() {
+	for g.flying < g.limit {
+		var next *lane
+		for _, each := range g.lanes {
+			for each.waiting.Len() > 0 && each.waiting.Front().gone {
+				each.waiting.PopFront()
+			}
+			if each.waiting.Len() > 0 && (next == nil || each.pass < next.pass) {
+				next = each
+			}
+		}
+		if next == nil {
+			return
+		}
+		first := next.waiting.PopFront()
+		g.waiting--
+		g.take(next)
+		first.grant <- nil
+	}
+}
--- /dev/null
+++ b/flow/near.go
@@ -0,0 +1,285 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/kit/endpoint"
+
+	"curlewreach/base"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+type errand struct {
+	request *http.Request
+	inner   bool
+	w       http.ResponseWriter
+}
+
+type answer struct {
+	head *wire.CarryHead
+	body []byte
+}
+
+func (n *Node) door(inner bool) http.Handler {
+	var ask endpoint.Endpoint = n.answer
+	ask = endpoint.Chain(n.counted, n.bounded)(ask)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response, err := ask(r.Context(), &errand{request: r, inner: inner, w: w})
+		if err != nil {
+			bounceTo(w, base.MishapOf(err))
+			return
+		}
+		if whole := response.(*answer); whole != nil {
+			put(whole.head.Headers, w.Header())
+			w.WriteHeader(int(whole.head.Status))
+			_, _ = w.Write(whole.body)
+		}
+	})
+}
+
+func (n *Node) counted(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		leave := n.enter()
+		defer leave()
+		response, err := next(ctx, request)
+		if err != nil {
+			n.scope.Note("bounce-"+string(base.MishapOf(err).Kind), request.(*errand).request.URL.Path, base.MishapOf(err).Reason)
+		}
+		return response, err
+	}
+}
+
+func (n *Node) bounded(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		if n.stopping.Load() && !request.(*errand).inner {
+			return nil, base.Bounce(base.Stopping, "", "this node is stopping")
+		}
+		return next(ctx, request)
+	}
+}
+
+func (n *Node) answer(ctx context.Context, request any) (any, error) {
+	e := request.(*errand)
+	s := n.scope.Under(ctx)
+	bundle := n.slice.Load()
+	if bundle == nil {
+		return nil, base.Bounce(base.Uncertain, "", "no bundle is held here yet")
+	}
+	way, known := bundle.Match(e.request.Method, e.request.URL.Path)
+	if !known {
+		return nil, base.Bounce(base.NoRoute, "", "no route for %s %s", e.request.Method, e.request.URL.Path)
+	}
+	until := s.Clock.Mono() + way.Deadline()
+	s, cancel := s.Within(way.Deadline())
+	defer cancel()
+	leave, mishap := n.gate.Enter(s, way.Group, bundle.Share(way.Group).GetCarried(), until)
+	if mishap != nil {
+		return nil, mishap
+	}
+	defer leave()
+	longest := n.dials.Load().Longest
+	body, err := io.ReadAll(io.LimitReader(e.request.Body, int64(longest)+1))
+	if err != nil {
+		return nil, base.Bounce(base.Malformed, "", "the request's body broke off")
+	}
+	if len(body) > longest {
+		return nil, base.Bounce(base.TooLarge, "", "%d bytes at most", longest)
+	}
+	n.repeats.Earn(way.Service.Name)
+	trail, spent := n.trail(e, bundle, way)
+	defer spent()
+	e.w.Header().Set(traceHeader, trail.Trace)
+	return n.settle(s, e, bundle, way, until, body, trail)
+}
+
+func (n *Node) trail(e *errand, bundle *pact.Bundle, way pact.Way) (*wire.Trail, func()) {
+	if e.inner {
+		tie := n.ties.Find(e.request, way, bundle.Holes(way, e.request.URL.Path), bundle.Tracing().GetHeader())
+		if tie.Tied {
+			n.scope.Note("tied", way.Identifier(), tie.Parent.span)
+			from := n.scope.Clock.Mono()
+			trail := &wire.Trail{Trace: tie.Parent.trail.Trace, Parent: tie.Parent.span, Sampled: tie.Parent.trail.Sampled}
+			return trail, func() { n.ties.Spent(tie.Parent, from) }
+		}
+		if len(tie.Candidates) > 0 {
+			n.scope.Note("ambiguous", way.Identifier(), "")
+			return &wire.Trail{Trace: n.scope.Rand.Name(16), Candidates: tie.Candidates, Sampled: true}, func() {}
+		}
+		n.scope.Note("untied", way.Identifier(), "")
+	}
+	sampled := n.scope.Rand.Float64() < bundle.Tracing().GetSample()
+	return &wire.Trail{Trace: n.scope.Rand.Name(16), Sampled: sampled}, func() {}
+}
+
+func (n *Node) settle(s base.Scope, e *errand, bundle *pact.Bundle, way pact.Way, until time.Duration, body []byte, trail *wire.Trail) (any, error) {
+	ledger := &Ledger{Way: way, Until: until}
+	var got *answer
+	for {
+		switch ledger.Next(s.Clock.Mono()) {
+		case Relay:
+			return got, nil
+		case GiveUp:
+			return nil, ledger.Verdict(s.Clock.Mono())
+		}
+		if ledger.Doubtful() && !n.repeats.Spend(way.Service.Name) {
+			return nil, ledger.Verdict(s.Clock.Mono())
+		}
+		chosen, found := n.pick(bundle, way, ledger)
+		if !found {
+			return nil, ledger.Verdict(s.Clock.Mono())
+		}
+		attempt := &Attempt{Name: n.scope.Rand.Name(8), Node: chosen.node, Seat: chosen.seat.Address, Started: s.Clock.Mono()}
+		ledger.Add(attempt)
+		got = n.attempt(s, e, bundle, chosen, attempt, way, until, body, trail)
+		n.judge(chosen, attempt)
+	}
+}
+
+type courier func(ctx context.Context, ask *wire.CarryRequest, tell emit) error
+
+func (n *Node) courier(chosen place) courier {
+	if chosen.node == n.self {
+		return n.serve
+	}
+	client := n.mate(chosen.address)
+	return func(ctx context.Context, ask *wire.CarryRequest, tell emit) error {
+		stream, err := client.Carry(ctx, connect.NewRequest(ask))
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		for stream.Receive() {
+			if err := tell(stream.Msg()); err != nil {
+				return err
+			}
+		}
+		return stream.Err()
+	}
+}
+
+func (n *Node) mate(address string) wireconnect.FlowClient {
+	if client, ok := n.mates.Get(address); ok {
+		return client
+	}
+	client := wireconnect.NewFlowClient(n.web, "http://"+address)
+	n.mates.Put(address, client)
+	return client
+}
+
+type catch struct {
+	node    *Node
+	errand  *errand
+	attempt *Attempt
+	head    *wire.CarryHead
+	sealing seal
+	held    bytes.Buffer
+	size    uint64
+	flowing bool
+	whole   bool
+	mishap  *base.Mishap
+}
+
+var errForeign = base.Bounce(base.Garbled, "", "a piece of another attempt's answer")
+
+func (c *catch) take(reply *wire.CarryReply) error {
+	switch piece := reply.Piece.(type) {
+	case *wire.CarryReply_Head:
+		if c.head != nil || piece.Head.Attempt != c.attempt.Name {
+			return errForeign
+		}
+		c.head, c.sealing = piece.Head, newSeal(piece.Head)
+	case *wire.CarryReply_Chunk:
+		if c.head == nil || c.whole {
+			return errForeign
+		}
+		_, _ = c.sealing.Write(piece.Chunk)
+		c.size += uint64(len(piece.Chunk))
+		c.held.Write(piece.Chunk)
+		if c.flowing || c.held.Len() > c.node.dials.Load().Held {
+			return c.flow()
+		}
+	case *wire.CarryReply_Tail:
+		if c.head == nil || piece.Tail.Attempt != c.attempt.Name || piece.Tail.Size != c.size || !bytes.Equal(piece.Tail.Digest, c.sealing.sum()) {
+			return base.Bounce(base.Garbled, "", "the seal does not fit the answer")
+		}
+		c.whole = true
+	case *wire.CarryReply_Mishap:
+		if piece.Mishap.Attempt != c.attempt.Name {
+			return errForeign
+		}
+		c.mishap = &base.Mishap{Kind: base.Kind(piece.Mishap.Kind), Reason: piece.Mishap.Reason, Run: piece.Mishap.Run}
+	}
+	return nil
+}
+
+func (c *catch) flow() error {
+	if !c.flowing {
+		c.flowing = true
+		put(c.head.Headers, c.errand.w.Header())
+		c.errand.w.WriteHeader(int(c.head.Status))
+	}
+	_, err := c.errand.w.Write(c.held.Bytes())
+	c.held.Reset()
+	return err
+}
+
+func (n *Node) attempt(s base.Scope, e *errand, bundle *pact.Bundle, chosen place, attempt *Attempt, way pact.Way, until time.Duration, body []byte, trail *wire.Trail) *answer {
+	caught := &catch{node: n, errand: e, attempt: attempt}
+	ask := &wire.CarryRequest{
+		Attempt: attempt.Name, Incarnation: chosen.incarnation, Serial: bundle.Serial,
+		Service: way.Service.Name, Route: way.Route.Name, Seat: chosen.seat.Address, Group: way.Group,
+		Method: e.request.Method, Target: e.request.URL.RequestURI(), Headers: headersOf(e.request.Header), Body: body,
+		NotAfterUs: (until + chosen.offset).Microseconds(), Trail: trail,
+	}
+	n.scope.Note("attempt", attempt.Name, way.Identifier()+" at "+chosen.node+" "+attempt.Seat)
+	err := n.courier(chosen)(s, ask, caught.take)
+	switch {
+	case caught.flowing && (!caught.whole || err != nil):
+		panic(http.ErrAbortHandler)
+	case caught.whole && err == nil:
+		attempt.State = Answered
+		if caught.flowing {
+			return nil
+		}
+		return &answer{head: caught.head, body: caught.held.Bytes()}
+	case caught.mishap != nil:
+		attempt.Mishap = caught.mishap
+		attempt.State = NotRun
+		if caught.mishap.Run {
+			attempt.State = Doubtful
+		}
+	default:
+		reason := "the carrying node broke off"
+		if err != nil {
+			reason = err.Error()
+		}
+		attempt.Mishap = base.Bounce(base.Lost, "", "%s", reason)
+		attempt.State = Doubtful
+		if s.Err() != nil {
+			attempt.Mishap = base.Bounce(base.Expired, "", "no answer within the deadline")
+		}
+		if n.neverRan(s, chosen, attempt) {
+			attempt.State = NotRun
+			attempt.Mishap.Kind = base.Unreachable
+		}
+	}
+	n.scope.Note("attempt-mishap", attempt.Name, attempt.Mishap.Error())
+	return nil
+}
+
+func (n *Node) neverRan(s base.Scope, chosen place, attempt *Attempt) bool {
+	if chosen.node == n.self {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s), n.patience)
+	defer cancel()
+	reply, err := n.mate(chosen.address).Fence(ctx, connect.NewRequest(&wire.FenceRequest{Attempt: attempt.Name, Incarnation: chosen.incarnation}))
+	return err == nil && reply.Msg.Never
+}
--- /dev/null
+++ b/flow/node.go
@@ -0,0 +1,306 @@
+package flow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/kin"
+	"curlewreach/lens"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+const (
+	ReportPath  = "/curlewreach/report"
+	beatRatio   = 0.1
+	oldestRatio = 1.5
+	patience    = 0.25
+	sliceFile   = "slice"
+)
+
+type outlook struct {
+	sighting *wire.Sighting
+	heard    time.Duration
+}
+
+type Dials struct {
+	Held    int
+	Longest int
+	Trust   pact.Trust
+}
+
+func (n *Node) Turn(params *wire.VaneParams, trust pact.Trust) {
+	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
+	n.gate.Resize(int(params.Flights))
+	n.scope.Note("params", "", "turned")
+}
+
+// Lock order: picking before any other; ties, seats, gates, fences and repeats never nest.
+type Node struct {
+	scope    base.Scope
+	self     string
+	zone     string
+	dials    atomic.Pointer[Dials]
+	patience time.Duration
+	force    time.Duration
+	web      *http.Client
+	outward  *http.Transport
+	member   *kin.Member
+	seats    *Seats
+	fences   *Fences
+	ties     *Ties
+	gate     *Gate
+	repeats  *Repeats
+	budget   *Budget
+	keeper   *lens.Keeper
+	sink     *lens.Sink
+	slice    atomic.Pointer[pact.Bundle]
+	stopping atomic.Bool
+	flying   sync.WaitGroup
+	adopting sync.Mutex
+	mates    base.Table[wireconnect.FlowClient]
+	atlas    base.Table[outlook]
+	keels    []wireconnect.HelmClient
+	picking  sync.Mutex
+	records  map[string]*record
+}
+
+func NewNode(s base.Scope, web *http.Client, params *wire.VaneParams, trust pact.Trust) *Node {
+	bounds := params.Bounds
+	leaving := bounds.Leaving.AsDuration()
+	n := &Node{
+		scope: s, self: params.Name, zone: params.Zone,
+		patience: time.Duration(float64(leaving) * patience), force: bounds.InForce.AsDuration(), web: web,
+		outward: &http.Transport{DialContext: s.Net.Dial, DisableKeepAlives: true, DisableCompression: true},
+		fences:  NewFences(s.Clock, 2*bounds.Grace.AsDuration()), ties: NewTies(s.Clock),
+		gate: NewGate(s.Clock, int(params.Flights), int(params.Queue)), repeats: NewRepeats(), budget: NewBudget(s.Clock),
+		keeper: lens.NewKeeper(s.Rand), sink: lens.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
+	}
+	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
+	self := &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone}
+	n.member = kin.NewMember(s, web, self, params.Seeds, nil, time.Duration(float64(leaving)*beatRatio))
+	n.seats = NewSeats(s, time.Duration(float64(leaving)*oldestRatio), int(params.Queue), func(rows []*wire.Seat) {
+		slices.SortFunc(rows, func(a, b *wire.Seat) int { return strings.Compare(a.Address, b.Address) })
+		n.member.Change(func(roster *wire.Roster) { roster.Seats = rows })
+	})
+	for _, seed := range params.Seeds {
+		n.keels = append(n.keels, wireconnect.NewHelmClient(web, "http://"+seed))
+	}
+	return n
+}
+
+func (n *Node) enter() func() {
+	n.flying.Add(1)
+	return n.flying.Done
+}
+
+func (n *Node) Run(s base.Scope) {
+	n.recall()
+	var crew base.Crew
+	crew.Go(func() { n.member.Run(s) })
+	crew.Go(func() { n.sink.Run(s, n.force/4) })
+	crew.Go(func() {
+		base.Tick(s, n.force/8, func(base.Scope) {
+			n.seats.Sweep()
+			n.fences.Sweep()
+		})
+	})
+	for _, keel := range n.keels {
+		crew.Go(func() { n.follow(s, keel) })
+	}
+	crew.Wait()
+	n.seats.Close()
+}
+
+func (n *Node) recall() {
+	raw, err := n.scope.Disk.Read(sliceFile)
+	sealed := &wire.Sealed{}
+	if err != nil || proto.Unmarshal(raw, sealed) != nil {
+		return
+	}
+	if _, mishap := n.dials.Load().Trust.Verify(sealed); mishap == nil {
+		n.scope.Note("recalled", "", "a slice from disk, not in force until a keel confirms it")
+	}
+}
+
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.member.Change(func(roster *wire.Roster) { roster.Stopping = true })
+	n.scope.Note("stopping", "", "")
+	done := make(chan struct{})
+	go func() {
+		n.flying.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) Ready() bool { return n.slice.Load() != nil && !n.stopping.Load() }
+
+func (n *Node) Bundle() *pact.Bundle { return n.slice.Load() }
+
+func (n *Node) Keeper() *lens.Keeper { return n.keeper }
+
+func (n *Node) follow(s base.Scope, keel wireconnect.HelmClient) {
+	ask := &wire.NewsRequest{Node: n.self}
+	for s.Err() == nil {
+		n.fill(ask)
+		bounded, cancel := s.Within(n.force)
+		reply, err := keel.News(bounded, connect.NewRequest(ask))
+		cancel()
+		if err != nil {
+			ask.Keel = ""
+			base.Await(s, n.force/8)
+			continue
+		}
+		n.learn(reply.Msg)
+		ask.Keel, ask.Roster = reply.Msg.Keel, reply.Msg.Roster
+	}
+}
+
+func (n *Node) fill(ask *wire.NewsRequest) {
+	ask.Odds = n.keeper.Serial()
+	ask.Parts, ask.Seats, ask.Serial = nil, nil, 0
+	if bundle := n.slice.Load(); bundle != nil {
+		ask.Serial = bundle.Serial
+		for _, part := range bundle.Sealed.Parts {
+			ask.Parts = append(ask.Parts, part.Name)
+		}
+	}
+	for _, seat := range n.member.Roster().Seats {
+		if !slices.Contains(ask.Seats, seat.Service) {
+			ask.Seats = append(ask.Seats, seat.Service)
+		}
+	}
+}
+
+func (n *Node) learn(news *wire.NewsReply) {
+	if news.Slice != nil {
+		n.adopt(news.Slice)
+	}
+	if news.Odds != nil && news.Odds.Serial > n.keeper.Serial() {
+		if mishap := n.keeper.Load(news.Odds); mishap != nil {
+			n.scope.Note("odds-bounced", "", mishap.Error())
+		} else {
+			n.member.Change(func(roster *wire.Roster) { roster.Odds = news.Odds.Serial })
+		}
+	}
+	now := n.scope.Clock.Mono()
+	n.atlas.Change(func(rows map[string]outlook) {
+		for _, sighting := range news.Sightings {
+			name := sighting.Roster.Node
+			known, had := rows[name]
+			if had && known.sighting.Roster.Incarnation == sighting.Roster.Incarnation && known.sighting.Roster.Serial > sighting.Roster.Serial {
+				continue
+			}
+			rows[name] = outlook{sighting, now}
+		}
+	})
+}
+
+func (n *Node) adopt(sealed *wire.Sealed) {
+	n.adopting.Lock()
+	defer n.adopting.Unlock()
+	manifest, mishap := n.dials.Load().Trust.Verify(sealed)
+	if mishap != nil {
+		n.scope.Note("slice-bounced", "", mishap.Error())
+		return
+	}
+	if held := n.slice.Load(); held != nil && (manifest.Serial < held.Serial || (manifest.Serial == held.Serial && len(sealed.Parts) <= len(held.Sealed.Parts))) {
+		return
+	}
+	raw, mishap := pact.Open(sealed)
+	if mishap != nil {
+		n.scope.Note("slice-bounced", "", mishap.Error())
+		return
+	}
+	bundle := pact.Index(sealed, raw)
+	n.repeats.Set(bundle)
+	n.budget.Set(bundle)
+	n.member.Place(bundle.Machines())
+	n.slice.Store(bundle)
+	n.member.Change(func(roster *wire.Roster) { roster.Holding = bundle.Serial })
+	n.scope.Note("in-force", "", strconv.FormatUint(bundle.Serial, 10))
+	if body, err := proto.Marshal(sealed); err == nil {
+		if err := base.Keep(n.scope.Disk, sliceFile, body); err != nil {
+			n.scope.Note("slice-unkept", "", err.Error())
+		}
+	}
+}
+
+func (n *Node) Visitors() http.Handler { return n.door(false) }
+
+func (n *Node) Upstreams() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+ReportPath, n.report)
+	mux.Handle("/", n.door(true))
+	return mux
+}
+
+func (n *Node) Mates() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewFlowHandler(farServer{n}))
+	mux.Handle(kin.Handler(n.member))
+	return mux
+}
+
+func (n *Node) Ops() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		status := http.StatusOK
+		if !n.Ready() {
+			status = http.StatusServiceUnavailable
+		}
+		serial := uint64(0)
+		if bundle := n.slice.Load(); bundle != nil {
+			serial = bundle.Serial
+		}
+		base.Reply(w, status, map[string]any{"ready": n.Ready(), "name": n.self, "serial": serial, "odds": n.keeper.Serial()})
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { base.Reply(w, http.StatusOK, n.scope.Journal.Counts()) })
+	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, r *http.Request) {
+		base.Reply(w, http.StatusOK, slices.Collect(n.scope.Journal.About(r.URL.Query().Get("subject"))))
+	})
+	return mux
+}
+
+func (n *Node) report(w http.ResponseWriter, r *http.Request) {
+	var said struct {
+		Service  string  `json:"service"`
+		Address  string  `json:"address"`
+		Zone     string  `json:"zone"`
+		Capacity uint32  `json:"capacity"`
+		Leaving  bool    `json:"leaving"`
+		Weight   float64 `json:"weight"`
+	}
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096)).Decode(&said)
+	if err == nil {
+		_, err = netip.ParseAddrPort(said.Address)
+	}
+	if err != nil || said.Service == "" {
+		bounceTo(w, base.Bounce(base.Malformed, "", "a report names its service and address"))
+		return
+	}
+	seat := &wire.Seat{Service: said.Service, Address: said.Address, Zone: said.Zone, Capacity: max(said.Capacity, 1), Leaving: said.Leaving, Weight: max(said.Weight, 0)}
+	if mishap := n.seats.Report(n.scope.Under(r.Context()), seat); mishap != nil {
+		bounceTo(w, mishap)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/flow/repeats.go
@@ -0,0 +1,54 @@
+package flow
+
+import (
+	"sync"
+
+	"curlewreach/pact"
+)
+
+type purse struct {
+	tokens float64
+	depth  float64
+	ratio  float64
+}
+
+type Repeats struct {
+	mu     sync.Mutex
+	purses map[string]*purse
+}
+
+func NewRepeats() *Repeats { return &Repeats{purses: map[string]*purse{}} }
+
+func (r *Repeats) Set(bundle *pact.Bundle) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, service := range bundle.Raw.Services {
+		at := r.purses[service.Name]
+		if at == nil {
+			at = &purse{}
+			r.purses[service.Name] = at
+		}
+		at.ratio = service.Repeats
+		at.depth = float64(service.Allowance) / float64(max(bundle.Vanes(), 1))
+		at.tokens = min(at.tokens, at.depth)
+	}
+}
+
+func (r *Repeats) Earn(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at := r.purses[service]; at != nil {
+		at.tokens = min(at.tokens+at.ratio, at.depth)
+	}
+}
+
+func (r *Repeats) Spend(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.purses[service]
+	if at == nil || at.tokens < 1 {
+		return false
+	}
+	at.tokens--
+	return true
+}
--- /dev/null
+++ b/flow/seats.go
@@ -0,0 +1,153 @@
+package flow
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+type seat struct {
+	report *wire.Seat
+	at     time.Duration
+	probe  net.Conn
+	void   string
+	gate   *Gate
+	passes bool
+	holder string
+}
+
+type Seats struct {
+	scope   base.Scope
+	oldest  time.Duration
+	queue   int
+	changed func([]*wire.Seat)
+	mu      sync.Mutex
+	seats   map[string]*seat
+}
+
+func NewSeats(s base.Scope, oldest time.Duration, queue int, changed func([]*wire.Seat)) *Seats {
+	return &Seats{scope: s, oldest: oldest, queue: queue, changed: changed, seats: map[string]*seat{}}
+}
+
+func (t *Seats) Report(s base.Scope, report *wire.Seat) *base.Mishap {
+	t.mu.Lock()
+	known := t.seats[report.Address]
+	fresh := known == nil || known.void != "" || known.report.Service != report.Service
+	t.mu.Unlock()
+	if !fresh {
+		t.mu.Lock()
+		known.report, known.at = report, t.scope.Clock.Mono()
+		known.gate.Resize(int(report.Capacity))
+		t.mu.Unlock()
+		t.publish()
+		return nil
+	}
+	bounded, cancel := s.Within(t.oldest / 3)
+	defer cancel()
+	probe, err := t.scope.Net.Dial(bounded, "tcp", report.Address)
+	if err != nil {
+		return base.Bounce(base.Unreachable, "address", "%s", err)
+	}
+	holder := t.scope.Net.Holder(report.Address)
+	if s.Err() != nil {
+		_ = probe.Close()
+		return base.Bounce(base.Unreachable, "address", "the reporter is gone")
+	}
+	next := &seat{report: report, at: t.scope.Clock.Mono(), probe: probe, holder: holder, gate: NewGate(t.scope.Clock, int(report.Capacity), t.queue)}
+	t.mu.Lock()
+	if prior := t.seats[report.Address]; prior != nil && prior.probe != nil {
+		_ = prior.probe.Close()
+		prior.void = "replaced"
+	}
+	t.seats[report.Address] = next
+	t.mu.Unlock()
+	t.scope.Note("seat", report.Address, report.Service)
+	go t.guard(next)
+	t.publish()
+	return nil
+}
+
+func (t *Seats) guard(at *seat) {
+	var one [1]byte
+	_, err := at.probe.Read(one[:])
+	reason := "the upstream spoke out of turn"
+	if err != nil {
+		reason = "the probe connection closed"
+	}
+	_ = at.probe.Close()
+	t.Void(at, reason)
+}
+
+func (t *Seats) Held(at *seat) bool { return t.scope.Net.Holder(at.report.Address) == at.holder }
+
+func (t *Seats) Void(at *seat, reason string) {
+	t.mu.Lock()
+	if at.void != "" {
+		t.mu.Unlock()
+		return
+	}
+	at.void = reason
+	_ = at.probe.Close()
+	t.mu.Unlock()
+	t.scope.Note("seat-void", at.report.Address, reason)
+	t.publish()
+}
+
+func (t *Seats) live(at *seat) bool {
+	return at.void == "" && t.scope.Clock.Mono()-at.at <= t.oldest
+}
+
+func (t *Seats) Find(service, address string) (*seat, *base.Mishap) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.seats[address]
+	switch {
+	case at == nil || !t.live(at):
+		return nil, base.Bounce(base.NoSeat, "", "no upstream is known at that address now")
+	case at.report.Service != service:
+		return nil, base.Bounce(base.NoSeat, "", "that address belongs to another service now")
+	case at.report.Leaving:
+		return nil, base.Bounce(base.NoSeat, "", "the upstream is leaving")
+	}
+	return at, nil
+}
+
+func (t *Seats) Sweep() {
+	t.mu.Lock()
+	var old []*seat
+	for address, at := range t.seats {
+		if at.void != "" && t.scope.Clock.Mono()-at.at > 4*t.oldest {
+			delete(t.seats, address)
+		}
+		if at.void == "" && !t.live(at) {
+			old = append(old, at)
+		}
+	}
+	t.mu.Unlock()
+	for _, at := range old {
+		t.Void(at, "no report came in time")
+	}
+}
+
+func (t *Seats) publish() {
+	t.mu.Lock()
+	var rows []*wire.Seat
+	for _, at := range t.seats {
+		if t.live(at) {
+			rows = append(rows, at.report)
+		}
+	}
+	t.mu.Unlock()
+	t.changed(rows)
+}
+
+func (t *Seats) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range t.seats {
+		_ = at.probe.Close()
+	}
+}
--- /dev/null
+++ b/flow/vane.go
@@ -0,0 +1,93 @@
+package flow
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"curlewreach/base"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+)
+
+const stopRatio = 0.95
+
+type opening struct {
+	address string
+	handler http.Handler
+}
+
+type Vane struct {
+	Node   *Node
+	params *wire.VaneParams
+	cancel context.CancelFunc
+	doors  []*base.Door
+	crew   base.Crew
+}
+
+func Start(s base.Scope, params *wire.VaneParams) (*Vane, error) {
+	Usual(params)
+	if err := Check(params); err != nil {
+		return nil, err
+	}
+	trust, err := pact.NewTrust(params.Trusted)
+	if err != nil {
+		return nil, err
+	}
+	s, cancel := s.Child()
+	v := &Vane{Node: NewNode(s, base.Wire(s), params, trust), params: params, cancel: cancel}
+	for _, each := range []opening{
+		{params.Mates, v.Node.Mates()}, {params.Ops, v.Node.Ops()},
+		{params.Upstreams, v.Node.Upstreams()}, {params.Visitors, v.Node.Visitors()},
+	} {
+		door, err := base.Open(s, each.address, each.handler)
+		if err != nil {
+			v.Kill()
+			return nil, err
+		}
+		v.doors = append(v.doors, door)
+	}
+	v.crew.Go(func() { v.Node.Run(s) })
+	s.Log.Info("started", "name", params.Name, "zone", params.Zone)
+	return v, nil
+}
+
+func (v *Vane) Reload(params *wire.VaneParams) error {
+	Usual(params)
+	if err := Check(params); err != nil {
+		return err
+	}
+	old := v.params
+	if params.Name != old.Name || params.Zone != old.Zone || params.Mates != old.Mates || params.Visitors != old.Visitors ||
+		params.Upstreams != old.Upstreams || params.Ops != old.Ops || params.Folder != old.Folder {
+		return errors.New("names, addresses and the folder change only with a restart")
+	}
+	trust, err := pact.NewTrust(params.Trusted)
+	if err != nil {
+		return err
+	}
+	v.Node.Turn(params, trust)
+	v.params = params
+	return nil
+}
+
+func (v *Vane) Stop() {
+	grace := time.Duration(float64(v.params.Bounds.Grace.AsDuration()) * stopRatio)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	v.Node.Stop(ctx)
+	for _, door := range v.doors {
+		door.Drain(ctx)
+	}
+	v.Kill()
+}
+
+func (v *Vane) Kill() {
+	v.cancel()
+	for _, door := range v.doors {
+		door.Slam()
+	}
+	v.crew.Wait()
+}
--- /dev/null
+++ b/helm/learn.go
@@ -0,0 +1,117 @@
+package helm
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/lens"
+	"curlewreach/proto/wire"
+)
+
+const (
+	recentMost     = 20000
+	missedCycles   = 3
+	shortestCycles = 16
+)
+
+type reader struct {
+	after       uint64
+	incarnation string
+}
+
+func (h *Helm) Learning() *wire.Learning {
+	entry, known := h.trove.Settled(LearningKey)
+	if !known {
+		return nil
+	}
+	learning := &wire.Learning{}
+	if proto.Unmarshal(entry.Value, learning) != nil {
+		return nil
+	}
+	return learning
+}
+
+func (h *Helm) learn(s base.Scope) {
+	readers := map[string]*reader{}
+	for name := range h.lenses {
+		readers[name] = &reader{}
+	}
+	progress, since := uint64(0), s.Clock.Mono()
+	for s.Err() == nil {
+		current := h.Current()
+		if current == nil || !h.trove.Ready() {
+			base.Await(s, h.force/shortestCycles)
+			continue
+		}
+		cycle := current.Tracing().GetCycle().AsDuration()
+		learning := h.Learning()
+		if learning.GetCycle() != progress {
+			progress, since = learning.GetCycle(), s.Clock.Mono()
+		}
+		holder := learning.GetHolder()
+		overdue := s.Clock.Mono()-since > missedCycles*cycle
+		if holder == h.self || overdue || (holder == "" && h.first(current.Raw)) {
+			h.cycle(s, current.Tracing(), readers, holder)
+		}
+		base.Await(s, cycle)
+	}
+}
+
+func (h *Helm) first(b *wire.Bundle) bool {
+	for _, machine := range b.GetCommon().GetMachines() {
+		if machine.Core {
+			return machine.Name == h.self
+		}
+	}
+	return true
+}
+
+func (h *Helm) cycle(s base.Scope, tracing *wire.Tracing, readers map[string]*reader, holder string) {
+	bounded, cancel := s.Within(tracing.GetCycle().AsDuration())
+	defer cancel()
+	spans := h.recent(bounded, readers)
+	err := h.trove.Change(bounded, LearningKey, func(old []byte) ([]byte, error) {
+		prior := &wire.Learning{}
+		if err := proto.Unmarshal(old, prior); err != nil {
+			return nil, err
+		}
+		if prior.Holder != holder && prior.Holder != h.self {
+			return nil, nil
+		}
+		prior.Holder = h.self
+		return proto.Marshal(lens.Learn(prior, spans, tracing, s.Rand))
+	})
+	if err != nil {
+		h.scope.Note("learner-stuck", "", err.Error())
+	}
+}
+
+func (h *Helm) recent(s base.Scope, readers map[string]*reader) []*wire.Span {
+	seen := map[string]bool{}
+	var spans []*wire.Span
+	for name, lens := range h.lenses {
+		at := readers[name]
+		ctx, cancel := context.WithTimeout(s, time.Duration(float64(h.force)/4))
+		reply, err := lens.Recent(ctx, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
+		cancel()
+		if err != nil {
+			continue
+		}
+		if at.incarnation != reply.Msg.Incarnation {
+			at.incarnation = reply.Msg.Incarnation
+			at.after = 0
+		}
+		at.after = reply.Msg.After
+		for _, span := range reply.Msg.Spans {
+			if !seen[span.Id] {
+				seen[span.Id] = true
+				spans = append(spans, span)
+			}
+		}
+	}
+	return spans
+}
--- /dev/null
+++ b/helm/news.go
@@ -0,0 +1,77 @@
+package helm
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/kin"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+type server struct{ helm *Helm }
+
+func Handler(h *Helm) (string, http.Handler) { return wireconnect.NewHelmHandler(server{h}) }
+
+func (v server) Propose(ctx context.Context, request *connect.Request[wire.ProposeRequest]) (*connect.Response[wire.ProposeReply], error) {
+	h := v.helm
+	sign := request.Msg.Sign
+	if !h.trove.Mine(BundleKey) {
+		return nil, base.Bounce(base.Outranked, BundleKey, "another keel owns it")
+	}
+	var outcome *wire.Outcome
+	if sign.Sealed == nil {
+		outcome, _ = h.Status(ctx, sign.Submission)
+	} else {
+		outcome, _ = h.Sign(ctx, sign)
+	}
+	return connect.NewResponse(&wire.ProposeReply{Outcome: outcome}), nil
+}
+
+func (v server) News(ctx context.Context, request *connect.Request[wire.NewsRequest]) (*connect.Response[wire.NewsReply], error) {
+	h := v.helm
+	s := h.scope.Under(ctx)
+	for {
+		heard := h.news.Heard()
+		reply, fresh := h.tell(request.Msg)
+		if fresh {
+			return connect.NewResponse(reply), nil
+		}
+		if !base.Await(s, h.force/8, heard) {
+			reply, _ := h.tell(request.Msg)
+			return connect.NewResponse(reply), ctx.Err()
+		}
+	}
+}
+
+func (h *Helm) tell(ask *wire.NewsRequest) (reply *wire.NewsReply, fresh bool) {
+	view := h.member.View()
+	reply = &wire.NewsReply{Keel: h.member.Incarnation(), Roster: view.Serial()}
+	concerns := func(string) bool { return true }
+	if current := h.Current(); current != nil {
+		reply.Serial = current.Serial
+		concerns = current.Concerns(ask.Node, ask.Seats)
+		if slice := pact.Slice(current.Sealed, concerns); current.Serial > ask.Serial || (current.Serial == ask.Serial && lacking(slice, ask.Parts)) {
+			reply.Slice, fresh = slice, true
+		}
+	}
+	if learning := h.Learning(); learning.GetOdds().GetSerial() > ask.Odds {
+		reply.Odds, fresh = learning.Odds, true
+	}
+	if ask.Keel != reply.Keel || ask.Roster < reply.Roster {
+		for sighting := range view.All() {
+			reply.Sightings = append(reply.Sightings, kin.Narrow(sighting, concerns))
+		}
+		fresh = true
+	}
+	return reply, fresh
+}
+
+func lacking(slice *wire.Sealed, parts []string) bool {
+	return slices.ContainsFunc(slice.Parts, func(part *wire.Part) bool { return !slices.Contains(parts, part.Name) })
+}
--- /dev/null
+++ b/kin/member.go
@@ -0,0 +1,163 @@
+package kin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+const watchersEach = 3
+
+type Member struct {
+	scope   base.Scope
+	web     *http.Client
+	seeds   []string
+	beat    time.Duration
+	view    *View
+	mu      sync.Mutex
+	self    *wire.Roster
+	ring    Ring
+	places  map[string]string
+	relays  []string
+	nudge   base.Bell
+	callees base.Table[wireconnect.KinClient]
+}
+
+func NewMember(s base.Scope, web *http.Client, self *wire.Roster, seeds, relays []string, beat time.Duration) *Member {
+	self.Incarnation = s.Rand.Name(8)
+	self.Serial = 1
+	return &Member{scope: s, web: web, seeds: seeds, relays: relays, beat: beat, view: NewView(s, beat), self: self, places: map[string]string{}}
+}
+
+func (m *Member) View() *View { return m.view }
+
+func (m *Member) Incarnation() string { return m.self.Incarnation }
+
+func (m *Member) Roster() *wire.Roster {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	roster := proto.Clone(m.self).(*wire.Roster)
+	roster.ClockUs = m.scope.Clock.Mono().Microseconds()
+	return roster
+}
+
+func (m *Member) Change(change func(*wire.Roster)) {
+	m.mu.Lock()
+	before := proto.Clone(m.self).(*wire.Roster)
+	change(m.self)
+	if !proto.Equal(before, m.self) {
+		m.self.Serial++
+		m.nudge.Ring()
+	}
+	m.mu.Unlock()
+}
+
+func (m *Member) Place(machines func(yield func(*wire.Machine) bool)) {
+	places := map[string]string{}
+	for machine := range machines {
+		places[machine.Name] = machine.Address
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.places = places
+	m.ring = NewRing(func(yield func(string) bool) {
+		for name := range places {
+			if !yield(name) {
+				return
+			}
+		}
+	})
+}
+
+func (m *Member) watchers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := m.ring.Watchers(m.self.Node, watchersEach)
+	if len(names) == 0 {
+		return m.seeds
+	}
+	addresses := make([]string, len(names))
+	for i, name := range names {
+		addresses[i] = m.places[name]
+	}
+	return addresses
+}
+
+func (m *Member) callee(address string) wireconnect.KinClient {
+	if client, ok := m.callees.Get(address); ok {
+		return client
+	}
+	client := wireconnect.NewKinClient(m.web, "http://"+address)
+	m.callees.Put(address, client)
+	return client
+}
+
+func (m *Member) Run(s base.Scope) {
+	var crew base.Crew
+	crew.Go(func() {
+		for s.Err() == nil {
+			heard := m.nudge.Heard()
+			m.round(s)
+			base.Await(s, m.beat, heard)
+		}
+	})
+	crew.Go(func() { base.Tick(s, m.beat/2, func(base.Scope) { m.view.Judge() }) })
+	crew.Wait()
+}
+
+func (m *Member) round(s base.Scope) {
+	bounded, cancel := s.Within(m.beat)
+	defer cancel()
+	self := m.Roster()
+	m.view.Heard(self, 0)
+	var crew base.Crew
+	for _, address := range m.watchers() {
+		crew.Go(func() {
+			_, _ = m.callee(address).Beat(bounded, connect.NewRequest(&wire.BeatRequest{Roster: self}))
+		})
+	}
+	crew.Go(func() { m.sight(bounded) })
+	crew.Wait()
+}
+
+func (m *Member) sight(s base.Scope) {
+	request := &wire.SightRequest{Watcher: m.self.Node, Sightings: slices.Collect(m.view.All())}
+	if m.self.Core {
+		request.Relayed = true
+		base.All(m.relays, func(address string) {
+			_, _ = m.callee(address).Sight(s, connect.NewRequest(request))
+		})
+		return
+	}
+	start := int(place(m.self.Node) % uint64(max(len(m.seeds), 1)))
+	for i := range m.seeds {
+		if _, err := m.callee(m.seeds[(start+i)%len(m.seeds)]).Sight(s, connect.NewRequest(request)); err == nil {
+			return
+		}
+	}
+}
+
+type server struct{ member *Member }
+
+func Handler(m *Member) (string, http.Handler) { return wireconnect.NewKinHandler(server{m}) }
+
+func (v server) Beat(_ context.Context, request *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatReply], error) {
+	v.member.view.Heard(request.Msg.Roster, 0)
+	return connect.NewResponse(&wire.BeatReply{Watched: true}), nil
+}
+
+func (v server) Sight(_ context.Context, request *connect.Request[wire.SightRequest]) (*connect.Response[wire.SightReply], error) {
+	for _, sighting := range request.Msg.Sightings {
+		v.member.view.Heard(sighting.Roster, time.Duration(sighting.SilenceUs)*time.Microsecond)
+	}
+	return connect.NewResponse(&wire.SightReply{}), nil
+}
--- /dev/null
+++ b/lens/store.go
@@ -0,0 +1,144 @@
+package lens
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gammazero/deque"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+const traceFolder = "traces"
+
+type Store struct {
+	scope       base.Scope
+	bound       int
+	files       int
+	incarnation string
+	mu          sync.Mutex
+	spans       deque.Deque[*wire.Span]
+	first       uint64
+	fresh       []*wire.Span
+	number      uint64
+}
+
+func OpenStore(s base.Scope, bound int) *Store {
+	store := &Store{scope: s, bound: bound, files: 64, incarnation: s.Rand.Name(6)}
+	_ = s.Disk.MakeFolder(traceFolder)
+	names, _ := s.Disk.List(traceFolder)
+	slices.Sort(names)
+	for _, name := range names {
+		raw, err := s.Disk.Read(traceFolder + "/" + name)
+		batch := &wire.Batch{}
+		if err != nil || proto.Unmarshal(raw, batch) != nil {
+			_ = s.Disk.Remove(traceFolder + "/" + name)
+			continue
+		}
+		for _, span := range batch.Spans {
+			store.push(span)
+		}
+		_, _ = fmt.Sscanf(name, "%016x", &store.number)
+	}
+	return store
+}
+
+func (t *Store) push(span *wire.Span) {
+	t.spans.PushBack(span)
+	if t.spans.Len() > t.bound {
+		t.spans.PopFront()
+		t.first++
+	}
+}
+
+func (t *Store) Add(spans []*wire.Span) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, span := range spans {
+		t.push(span)
+	}
+	t.fresh = append(t.fresh, spans...)
+	if over := len(t.fresh) - t.bound; over > 0 {
+		t.fresh = t.fresh[over:]
+	}
+}
+
+func (t *Store) Run(s base.Scope, every time.Duration) {
+	base.Tick(s, every, func(base.Scope) { t.Flush() })
+}
+
+func (t *Store) Flush() {
+	t.mu.Lock()
+	fresh := t.fresh
+	t.fresh = nil
+	t.number++
+	number := t.number
+	t.mu.Unlock()
+	if len(fresh) == 0 {
+		return
+	}
+	raw, err := proto.Marshal(&wire.Batch{Spans: fresh})
+	if err == nil {
+		err = base.Keep(t.scope.Disk, fmt.Sprintf("%s/%016x", traceFolder, number), raw)
+	}
+	if err != nil {
+		t.scope.Note("trace-lost", "", err.Error())
+		return
+	}
+	names, _ := t.scope.Disk.List(traceFolder)
+	slices.Sort(names)
+	for len(names) > t.files {
+		_ = t.scope.Disk.Remove(traceFolder + "/" + names[0])
+		names = names[1:]
+	}
+}
+
+func (t *Store) Recent(after uint64, limit int) ([]*wire.Span, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	after = max(after, t.first)
+	var spans []*wire.Span
+	for i := int(after - t.first); i < t.spans.Len() && len(spans) < limit; i++ {
+		spans = append(spans, t.spans.At(i))
+		after++
+	}
+	return spans, after
+}
+
+func (t *Store) Trace(trace string) []*wire.Span {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var spans []*wire.Span
+	for i := range t.spans.Len() {
+		if span := t.spans.At(i); span.Trace == trace {
+			spans = append(spans, span)
+		}
+	}
+	return spans
+}
+
+type server struct{ store *Store }
+
+func Handler(t *Store) (string, http.Handler) { return wireconnect.NewLensHandler(server{t}) }
+
+func (v server) Keep(_ context.Context, request *connect.Request[wire.KeepRequest]) (*connect.Response[wire.KeepReply], error) {
+	v.store.Add(request.Msg.GetBatch().GetSpans())
+	return connect.NewResponse(&wire.KeepReply{}), nil
+}
+
+func (v server) Recent(_ context.Context, request *connect.Request[wire.RecentRequest]) (*connect.Response[wire.RecentReply], error) {
+	spans, after := v.store.Recent(request.Msg.After, int(request.Msg.Limit))
+	return connect.NewResponse(&wire.RecentReply{Spans: spans, After: after, Incarnation: v.store.incarnation}), nil
+}
+
+func (v server) Trace(_ context.Context, request *connect.Request[wire.TraceRequest]) (*connect.Response[wire.TraceReply], error) {
+	return connect.NewResponse(&wire.TraceReply{Spans: v.store.Trace(request.Msg.Trace)}), nil
+}
--- /dev/null
+++ b/mime/upstream.go
@@ -0,0 +1,252 @@
+package mime
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"curlewreach/base"
+)
+
+const (
+	IDHeader    = "Mime-Id"
+	TruthHeader = "Mime-Truth"
+	SerialSeen  = "Curlew-Serial"
+)
+
+type Millis int
+
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+type Habit struct {
+	Prefix string   `json:"prefix"`
+	Base   Millis   `json:"base"`
+	Swing  Millis   `json:"swing"`
+	Size   int      `json:"size"`
+	Calls  []string `json:"calls"`
+	Passes bool     `json:"passes"`
+}
+
+type Fault string
+
+const (
+	Sound     Fault = ""
+	LoseAfter Fault = "lose-after"
+	Truncate  Fault = "truncate"
+	Garble    Fault = "garble"
+	Overlong  Fault = "overlong"
+	Unframed  Fault = "unframed"
+	Stuck     Fault = "stuck"
+	Nonsense  Fault = "nonsense"
+)
+
+type Upstream struct {
+	Scope    base.Scope
+	Service  string
+	Address  string
+	Zone     string
+	Capacity int
+	Reports  string
+	Habits   []Habit
+	History  *History
+	web      *http.Client
+	mu       sync.Mutex
+	leaving  bool
+	fault    Fault
+	ran      map[string]int
+	right    int
+	other    int
+	door     *base.Door
+	cancel   context.CancelFunc
+	crew     base.Crew
+}
+
+type Counts struct {
+	Ran      int `json:"ran"`
+	Repeated int `json:"repeated"`
+	TiedWell int `json:"tiedWell"`
+	TiedElse int `json:"tiedElse"`
+}
+
+func (u *Upstream) Start(every time.Duration) error {
+	u.ran = map[string]int{}
+	s, cancel := u.Scope.Child()
+	u.cancel = cancel
+	u.web = &http.Client{Transport: &http.Transport{DialContext: s.Net.Dial, MaxIdleConnsPerHost: 16}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /mime/counts", func(w http.ResponseWriter, r *http.Request) { base.Reply(w, http.StatusOK, u.Counts()) })
+	mux.HandleFunc("PUT /mime/fault/{fault}", func(w http.ResponseWriter, r *http.Request) { u.SetFault(Fault(r.PathValue("fault"))) })
+	mux.HandleFunc("PUT /mime/leave", func(w http.ResponseWriter, r *http.Request) { u.Leave() })
+	mux.HandleFunc("/", u.serve)
+	door, err := base.Open(s, u.Address, mux)
+	if err != nil {
+		return err
+	}
+	u.door = door
+	u.crew.Go(func() {
+		u.report(s)
+		base.Tick(s, every, u.report)
+	})
+	return nil
+}
+
+func (u *Upstream) Kill() {
+	u.cancel()
+	u.door.Slam()
+	u.crew.Wait()
+}
+
+func (u *Upstream) Leave() {
+	u.mu.Lock()
+	u.leaving = true
+	u.mu.Unlock()
+	u.report(u.Scope)
+}
+
+func (u *Upstream) SetFault(fault Fault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fault = fault
+}
+
+func (u *Upstream) Counts() Counts {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	counts := Counts{TiedWell: u.right, TiedElse: u.other}
+	for _, times := range u.ran {
+		counts.Ran += times
+		counts.Repeated += times - 1
+	}
+	return counts
+}
+
+func (u *Upstream) report(s base.Scope) {
+	u.mu.Lock()
+	body, _ := json.Marshal(map[string]any{"service": u.Service, "address": u.Address, "zone": u.Zone, "capacity": u.Capacity, "leaving": u.leaving})
+	u.mu.Unlock()
+	s, cancel := s.Within(time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(s, http.MethodPost, "http://"+u.Reports+"/curlewreach/report", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if response, err := u.web.Do(request); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
+func (u *Upstream) habit(path string) Habit {
+	for _, each := range u.Habits {
+		if strings.HasPrefix(path, each.Prefix) {
+			return each
+		}
+	}
+	return Habit{Size: 64}
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(IDHeader)
+	serial, _ := strconv.ParseUint(r.Header.Get(SerialSeen), 10, 64)
+	_, _ = io.Copy(io.Discard, r.Body)
+	u.mu.Lock()
+	u.ran[id]++
+	fault := u.fault
+	if truth := r.Header.Get(TruthHeader); truth != "" {
+		if traceOf(truth) == traceOf(r.Header.Get("Traceparent")) {
+			u.right++
+		} else {
+			u.other++
+		}
+	}
+	leaving := u.leaving
+	u.mu.Unlock()
+	u.History.Ran(Run{ID: id, Service: u.Service, Seat: u.Address, Serial: serial, Leaving: leaving, Method: r.Method, Path: r.URL.Path})
+	habit := u.habit(r.URL.Path)
+	pause := habit.Base.Duration() + time.Duration(float64(habit.Swing.Duration())*u.Scope.Rand.Float64())
+	base.Await(u.Scope.Under(r.Context()), pause)
+	if fault == Stuck {
+		base.Await(u.Scope.Under(r.Context()), time.Hour)
+	}
+	for i, call := range habit.Calls {
+		u.call(r, habit, call, fmt.Sprintf("%s.%d", id, i))
+	}
+	body := Body(id, u.Service, habit.Size)
+	digest := sha256.Sum256(body)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(digest[:])+":")
+	switch fault {
+	case LoseAfter:
+		panic(http.ErrAbortHandler)
+	case Truncate:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	case Garble:
+		body = slices.Clone(body)
+		body[len(body)/2] ^= 0x20
+	case Overlong:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		u.raw(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(body), body, body)
+		return
+	case Unframed:
+		u.raw(w, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body[:len(body)/2])
+		return
+	case Nonsense:
+		u.raw(w, "\x00\x01\x02 what is this\r\n\r\n")
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+func (u *Upstream) raw(w http.ResponseWriter, format string, args ...any) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, format, args...)
+}
+
+func (u *Upstream) call(parent *http.Request, habit Habit, call, id string) {
+	method, path, _ := strings.Cut(call, " ")
+	segments := strings.Split(parent.URL.Path, "/")
+	path = strings.ReplaceAll(path, "{last}", segments[len(segments)-1])
+	request, err := http.NewRequestWithContext(parent.Context(), method, "http://"+u.Reports+path, nil)
+	if err != nil {
+		return
+	}
+	request.Header.Set(IDHeader, id)
+	request.Header.Set(TruthHeader, parent.Header.Get("Traceparent"))
+	if habit.Passes {
+		request.Header.Set("Traceparent", parent.Header.Get("Traceparent"))
+	}
+	if response, err := u.web.Do(request); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
+func traceOf(traceparent string) string {
+	pieces := strings.Split(traceparent, "-")
+	if len(pieces) != 4 {
+		return "none"
+	}
+	return pieces[1]
+}
+
+func Body(id, service string, size int) []byte {
+	body, _ := json.Marshal(map[string]string{"id": id, "service": service, "filler": strings.Repeat("x", size)})
+	return body
+}
--- /dev/null
+++ b/mime/visitors.go
@@ -0,0 +1,109 @@
+package mime
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"curlewreach/base"
+)
+
+type Habitual struct {
+	Service string  `json:"service"`
+	Route   string  `json:"route"`
+	Group   string  `json:"group"`
+	Method  string  `json:"method"`
+	Path    string  `json:"path"`
+	Part    float64 `json:"part"`
+}
+
+type Visitors struct {
+	Scope   base.Scope
+	Name    string
+	To      string
+	Rate    float64
+	Habits  []Habitual
+	History *History
+	web     *http.Client
+	crew    base.Crew
+}
+
+func (v *Visitors) Run(s base.Scope) {
+	v.web = &http.Client{Transport: &http.Transport{DialContext: s.Net.Dial, MaxIdleConnsPerHost: 32}, Timeout: 8 * time.Second}
+	gap := time.Duration(float64(time.Second) / v.Rate)
+	for count := 0; ; count++ {
+		base.Await(s, time.Duration((0.5+s.Rand.Float64())*float64(gap)))
+		if s.Err() != nil {
+			break
+		}
+		id := fmt.Sprintf("%s-%d-%s", v.Name, count, s.Rand.Name(4))
+		habit := v.choose(s.Rand.Float64())
+		v.crew.Go(func() { v.History.Called(v.Ask(s, habit, id)) })
+	}
+	v.crew.Wait()
+}
+
+func (v *Visitors) choose(at float64) Habitual {
+	total := 0.0
+	for _, habit := range v.Habits {
+		total += habit.Part
+	}
+	at *= total
+	for _, habit := range v.Habits {
+		if at -= habit.Part; at < 0 {
+			return habit
+		}
+	}
+	return v.Habits[0]
+}
+
+func (v *Visitors) Ask(s base.Scope, habit Habitual, id string) Call {
+	call := Call{ID: id, Service: habit.Service, Route: habit.Route, Group: habit.Group, Begun: s.Clock.Mono()}
+	path := strings.ReplaceAll(habit.Path, "{n}", fmt.Sprint(s.Rand.Below(40)))
+	request, err := http.NewRequestWithContext(context.WithoutCancel(s), habit.Method, "http://"+v.To+path, nil)
+	if err != nil {
+		call.Broken = err.Error()
+		return call
+	}
+	if v.web == nil {
+		v.web = &http.Client{Transport: &http.Transport{DialContext: s.Net.Dial}, Timeout: 8 * time.Second}
+	}
+	request.Header.Set(IDHeader, id)
+	response, err := v.web.Do(request)
+	if err != nil {
+		call.Broken, call.Ended = err.Error(), s.Clock.Mono()
+		return call
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	call.Ended = s.Clock.Mono()
+	call.Status = response.StatusCode
+	call.Outcome = response.Header.Get("Curlew-Outcome")
+	var said struct{ ID, Service, Kind string }
+	switch {
+	case err != nil:
+		call.Broken = "torn: " + err.Error()
+	case json.Unmarshal(body, &said) != nil:
+		call.Broken = "not whole: no JSON"
+	case call.Outcome != "":
+		call.Kind = said.Kind
+	case said.ID != id || said.Service != habit.Service:
+		call.Broken = "not whole: someone else's answer"
+	case !sound(response.Header.Get("Content-Digest"), body):
+		call.Broken = "not whole: digest"
+	}
+	return call
+}
+
+func sound(header string, body []byte) bool {
+	digest := sha256.Sum256(body)
+	given, err := base64.StdEncoding.DecodeString(strings.Trim(strings.TrimPrefix(header, "sha-256="), ":"))
+	return err == nil && bytes.Equal(given, digest[:])
+}
--- /dev/null
+++ b/pact/check.go
@@ -0,0 +1,271 @@
+package pact
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+type Limits struct {
+	Grace    time.Duration
+	Routes   int
+	Machines int
+	Services int
+	Bytes    int
+}
+
+const (
+	longestDeadline = 5.0 / 6
+	usualDeadline   = 1.0 / 3
+	mostRepeats     = 0.2
+)
+
+func UsualLimits(grace time.Duration) Limits {
+	return Limits{Grace: grace, Routes: 20000, Machines: 512, Services: 512, Bytes: 16 << 20}
+}
+
+func (l Limits) Longest() time.Duration { return time.Duration(float64(l.Grace) * longestDeadline) }
+
+func (l Limits) Usual() time.Duration { return time.Duration(float64(l.Grace) * usualDeadline) }
+
+var (
+	named  = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	method = regexp.MustCompile(`^[A-Z]{1,16}$`)
+	header = regexp.MustCompile(`^[A-Za-z0-9-]{0,64}$`)
+	field  = regexp.MustCompile(`^(path|query|header):[A-Za-z0-9_.-]{1,64}$`)
+	chunk  = regexp.MustCompile(`^(\{[a-z][a-z0-9_]{0,31}\}|[A-Za-z0-9._~-]+)$`)
+)
+
+func Normalise(b *wire.Bundle, limits Limits) {
+	if b.Common == nil {
+		b.Common = &wire.Common{}
+	}
+	if b.Common.Tracing == nil {
+		b.Common.Tracing = &wire.Tracing{}
+	}
+	t := b.Common.Tracing
+	fill(&t.Sample, 1)
+	fill(&t.Percentile, 0.9)
+	fill(&t.Epsilon, 0.05)
+	fill(&t.Draws, 1000)
+	fill(&t.Memory, 0.3)
+	fill(&t.Budget, 400)
+	fill(&t.Utility, "variance")
+	fill(&t.Header, "traceparent")
+	if t.Cycle == nil {
+		t.Cycle = durationpb.New(5 * time.Second)
+	}
+	for _, service := range b.Services {
+		fill(&service.Repeats, mostRepeats)
+		fill(&service.Allowance, uint32(vanes(b)))
+		for _, route := range service.Routes {
+			if route.Deadline == nil {
+				route.Deadline = durationpb.New(limits.Usual())
+			}
+		}
+	}
+}
+
+func fill[T comparable](at *T, usual T) {
+	var zero T
+	if *at == zero {
+		*at = usual
+	}
+}
+
+func vanes(b *wire.Bundle) int {
+	count := 0
+	for _, machine := range b.GetCommon().GetMachines() {
+		if !machine.Core {
+			count++
+		}
+	}
+	return count
+}
+
+type inquest struct{ found *base.Mishap }
+
+func (q *inquest) bounce(kind base.Kind, path, format string, args ...any) {
+	if q.found == nil {
+		q.found = base.Bounce(kind, path, format, args...)
+	}
+}
+
+func (q *inquest) value(path string, value any, rules ...validation.Rule) {
+	if err := validation.Validate(value, rules...); err != nil {
+		q.bounce(base.OutOfRange, path, "%s", err)
+	}
+}
+
+func (q *inquest) once(seen map[string]bool, path, name string) {
+	q.value(path, name, validation.Required, validation.Match(named))
+	if seen[name] {
+		q.bounce(base.Duplicate, path, "%q is named twice", name)
+	}
+	seen[name] = true
+}
+
+func Check(b *wire.Bundle, limits Limits) *base.Mishap {
+	q := &inquest{}
+	q.machines(b, limits)
+	q.services(b, limits)
+	q.shares(b)
+	q.routes(b, limits)
+	q.tracing(b.GetCommon().GetTracing())
+	return q.found
+}
+
+func (q *inquest) machines(b *wire.Bundle, limits Limits) {
+	machines := b.GetCommon().GetMachines()
+	if len(machines) > limits.Machines {
+		q.bounce(base.TooLarge, "common.machines", "%d machines, %d at most", len(machines), limits.Machines)
+	}
+	if vanes(b) == 0 {
+		q.bounce(base.OutOfRange, "common.machines", "no application machine is listed")
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for i, machine := range machines {
+		path := fmt.Sprintf("common.machines[%d]", i)
+		q.once(names, path+".name", machine.Name)
+		q.value(path+".zone", machine.Zone, validation.Required, validation.Match(named))
+		if _, err := netip.ParseAddrPort(machine.Address); err != nil {
+			q.bounce(base.OutOfRange, path+".address", "%q is not an IP number and port", machine.Address)
+		}
+		if addresses[machine.Address] {
+			q.bounce(base.Duplicate, path+".address", "%q is used twice", machine.Address)
+		}
+		addresses[machine.Address] = true
+	}
+}
+
+func (q *inquest) services(b *wire.Bundle, limits Limits) {
+	if len(b.Services) > limits.Services {
+		q.bounce(base.TooLarge, "services", "%d services, %d at most", len(b.Services), limits.Services)
+	}
+	names := map[string]bool{}
+	for i, service := range b.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		q.once(names, path+".name", service.Name)
+		q.value(path+".repeats", service.Repeats, validation.Min(0.0), validation.Max(mostRepeats))
+		q.value(path+".allowance", service.Allowance, validation.Min(uint32(vanes(b))), validation.Max(uint32(4*vanes(b))))
+	}
+	for i, machine := range b.GetCommon().GetMachines() {
+		for j, call := range machine.Calls {
+			if !names[call] {
+				q.bounce(base.Dangling, fmt.Sprintf("common.machines[%d].calls[%d]", i, j), "no service %q", call)
+			}
+		}
+	}
+}
+
+func (q *inquest) shares(b *wire.Bundle) {
+	services := map[string]bool{}
+	for _, service := range b.Services {
+		services[service.Name] = true
+	}
+	groups, owned := map[string]bool{}, map[string]bool{}
+	for i, share := range b.GetCommon().GetShares() {
+		path := fmt.Sprintf("common.shares[%d]", i)
+		q.once(groups, path+".group", share.Group)
+		q.value(path+".carried", share.Carried, validation.Required, validation.Min(0.001), validation.Max(1000.0))
+		q.value(path+".watched", share.Watched, validation.Required, validation.Min(0.001), validation.Max(1000.0))
+		for j, service := range share.Services {
+			at := fmt.Sprintf("%s.services[%d]", path, j)
+			if !services[service] {
+				q.bounce(base.Dangling, at, "no service %q", service)
+			}
+			if owned[service] {
+				q.bounce(base.Duplicate, at, "service %q is in two shares", service)
+			}
+			owned[service] = true
+		}
+	}
+	for i, service := range b.Services {
+		if !owned[service.Name] {
+			q.bounce(base.Dangling, fmt.Sprintf("services[%d].name", i), "service %q is in no share", service.Name)
+		}
+		for j, route := range service.Routes {
+			if route.Group != "" && !groups[route.Group] {
+				q.bounce(base.Dangling, fmt.Sprintf("services[%d].routes[%d].group", i, j), "no share for group %q", route.Group)
+			}
+		}
+	}
+}
+
+func (q *inquest) routes(b *wire.Bundle, limits Limits) {
+	count := 0
+	known := map[string]map[string]bool{}
+	for _, service := range b.Services {
+		count += len(service.Routes)
+		known[service.Name] = map[string]bool{}
+		for _, route := range service.Routes {
+			known[service.Name][route.Name] = true
+		}
+	}
+	if count > limits.Routes {
+		q.bounce(base.TooLarge, "services", "%d routes, %d at most", count, limits.Routes)
+		return
+	}
+	templates := newTree()
+	for i, service := range b.Services {
+		names := map[string]bool{}
+		for j, route := range service.Routes {
+			path := fmt.Sprintf("services[%d].routes[%d]", i, j)
+			q.once(names, path+".name", route.Name)
+			q.value(path+".method", route.Method, validation.Required, validation.Match(method))
+			q.value(path+".deadline", route.GetDeadline().AsDuration(), validation.Min(10*time.Millisecond), validation.Max(limits.Longest()))
+			segments, ok := split(route.Path)
+			for _, segment := range segments {
+				ok = ok && chunk.MatchString(segment)
+			}
+			if !ok && route.Path != "/" {
+				q.bounce(base.OutOfRange, path+".path", "%q is not a path template", route.Path)
+				continue
+			}
+			if other := templates.clash(route.Method, segments); other != "" {
+				q.bounce(base.Overlapping, path+".path", "%s %s overlaps %s", route.Method, route.Path, other)
+			}
+			templates.add(route.Method, segments, service.Name+"/"+route.Name, nil, nil)
+			for k, further := range route.Further {
+				at := fmt.Sprintf("%s.further[%d]", path, k)
+				if !known[further.Service][further.Route] {
+					q.bounce(base.Dangling, at, "no route %s/%s", further.Service, further.Route)
+				}
+				for l, match := range further.Keys {
+					q.value(fmt.Sprintf("%s.keys[%d].parent", at, l), match.Parent, validation.Required, validation.Match(field))
+					q.value(fmt.Sprintf("%s.keys[%d].child", at, l), match.Child, validation.Required, validation.Match(field))
+				}
+			}
+		}
+	}
+}
+
+func (q *inquest) tracing(t *wire.Tracing) {
+	q.value("common.tracing.sample", t.GetSample(), validation.Required, validation.Min(0.0001), validation.Max(1.0))
+	q.value("common.tracing.percentile", t.GetPercentile(), validation.Required, validation.Min(0.01), validation.Max(0.999))
+	q.value("common.tracing.epsilon", t.GetEpsilon(), validation.Required, validation.Min(0.001), validation.Max(1.0))
+	q.value("common.tracing.draws", t.GetDraws(), validation.Required, validation.Min(uint32(100)), validation.Max(uint32(100000)))
+	q.value("common.tracing.memory", t.GetMemory(), validation.Required, validation.Min(0.01), validation.Max(1.0))
+	q.value("common.tracing.budget", t.GetBudget(), validation.Required, validation.Min(1.0))
+	q.value("common.tracing.cycle", t.GetCycle().AsDuration(), validation.Min(200*time.Millisecond), validation.Max(10*time.Minute))
+	q.value("common.tracing.header", t.GetHeader(), validation.Match(header))
+	q.value("common.tracing.utility", t.GetUtility(), validation.In("variance", "deviation", "mean"))
+}
+
+func split(path string) ([]string, bool) {
+	if !strings.HasPrefix(path, "/") {
+		return nil, false
+	}
+	if path == "/" {
+		return nil, true
+	}
+	return strings.Split(path[1:], "/"), true
+}
--- /dev/null
+++ b/pact/seal.go
@@ -0,0 +1,147 @@
+package pact
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+const (
+	domain     = "curlewreach bundle\n"
+	commonPart = "common"
+	servePart  = "service/"
+)
+
+func Pack(b *wire.Bundle) (*wire.Sealed, error) {
+	manifest := &wire.Manifest{Serial: b.Serial, Base: b.Base}
+	sealed := &wire.Sealed{}
+	add := func(name string, message proto.Message) error {
+		body, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+		if err != nil {
+			return err
+		}
+		digest := sha256.Sum256(body)
+		manifest.Parts = append(manifest.Parts, &wire.PartDigest{Name: name, Digest: digest[:], Size: uint32(len(body))})
+		sealed.Parts = append(sealed.Parts, &wire.Part{Name: name, Body: body})
+		return nil
+	}
+	if err := add(commonPart, b.Common); err != nil {
+		return nil, err
+	}
+	for _, service := range b.Services {
+		if err := add(servePart+service.Name, service); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	sealed.Manifest, err = proto.MarshalOptions{Deterministic: true}.Marshal(manifest)
+	return sealed, err
+}
+
+func Sign(sealed *wire.Sealed, key ed25519.PrivateKey) {
+	sealed.Signature = ed25519.Sign(key, append([]byte(domain), sealed.Manifest...))
+	sealed.Signer = Signer(key.Public().(ed25519.PublicKey))
+}
+
+func Signer(key ed25519.PublicKey) string {
+	digest := sha256.Sum256(key)
+	return hex.EncodeToString(digest[:8])
+}
+
+type Trust map[string]ed25519.PublicKey
+
+func NewTrust(keys []string) (Trust, error) {
+	trust := Trust{}
+	for _, text := range keys {
+		raw, err := base64.StdEncoding.DecodeString(text)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			return nil, errors.Errorf("%q is not a public key", text)
+		}
+		trust[Signer(raw)] = raw
+	}
+	return trust, nil
+}
+
+func (t Trust) Verify(sealed *wire.Sealed) (*wire.Manifest, *base.Mishap) {
+	if len(sealed.GetSignature()) == 0 {
+		return nil, base.Bounce(base.Unsigned, "sealed.signature", "the manifest is not signed")
+	}
+	key, ok := t[sealed.Signer]
+	if !ok {
+		return nil, base.Bounce(base.Untrusted, "sealed.signer", "signer %q is not trusted here", sealed.Signer)
+	}
+	if !ed25519.Verify(key, append([]byte(domain), sealed.Manifest...), sealed.Signature) {
+		return nil, base.Bounce(base.Untrusted, "sealed.signature", "the signature does not fit the manifest")
+	}
+	return digests(sealed)
+}
+
+func digests(sealed *wire.Sealed) (*wire.Manifest, *base.Mishap) {
+	manifest := &wire.Manifest{}
+	if err := proto.Unmarshal(sealed.Manifest, manifest); err != nil {
+		return nil, base.Bounce(base.Malformed, "sealed.manifest", "%s", err)
+	}
+	listed := map[string][]byte{}
+	for _, part := range manifest.Parts {
+		listed[part.Name] = part.Digest
+	}
+	for _, part := range sealed.Parts {
+		digest := sha256.Sum256(part.Body)
+		if !bytes.Equal(listed[part.Name], digest[:]) {
+			return nil, base.Bounce(base.Malformed, "sealed.parts", "part %q does not fit the manifest", part.Name)
+		}
+		delete(listed, part.Name)
+	}
+	return manifest, nil
+}
+
+func Whole(sealed *wire.Sealed, manifest *wire.Manifest) bool {
+	return len(sealed.Parts) == len(manifest.Parts)
+}
+
+func Open(sealed *wire.Sealed) (*wire.Bundle, *base.Mishap) {
+	manifest, mishap := digests(sealed)
+	if mishap != nil {
+		return nil, mishap
+	}
+	b := &wire.Bundle{Serial: manifest.Serial, Base: manifest.Base}
+	for _, part := range sealed.Parts {
+		if part.Name == commonPart {
+			b.Common = &wire.Common{}
+			if err := proto.Unmarshal(part.Body, b.Common); err != nil {
+				return nil, base.Bounce(base.Malformed, "sealed.parts", "%s: %s", part.Name, err)
+			}
+			continue
+		}
+		service := &wire.Service{}
+		if err := proto.Unmarshal(part.Body, service); err != nil {
+			return nil, base.Bounce(base.Malformed, "sealed.parts", "%s: %s", part.Name, err)
+		}
+		if servePart+service.Name != part.Name {
+			return nil, base.Bounce(base.Malformed, "sealed.parts", "part %q holds service %q", part.Name, service.Name)
+		}
+		b.Services = append(b.Services, service)
+	}
+	if b.Common == nil {
+		return nil, base.Bounce(base.Malformed, "sealed.parts", "the common part is missing")
+	}
+	return b, nil
+}
+
+func Slice(sealed *wire.Sealed, concerns func(service string) bool) *wire.Sealed {
+	slice := &wire.Sealed{Manifest: sealed.Manifest, Signature: sealed.Signature, Signer: sealed.Signer}
+	for _, part := range sealed.Parts {
+		if part.Name == commonPart || concerns(part.Name[len(servePart):]) {
+			slice.Parts = append(slice.Parts, part)
+		}
+	}
+	return slice
+}
--- /dev/null
+++ b/trove/recover.go
@@ -0,0 +1,120 @@
+package trove
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+func (t *Trove) Recover(s base.Scope, every time.Duration) {
+	for !t.step(s, false) {
+		if base.Await(s, every); s.Err() != nil {
+			return
+		}
+	}
+}
+
+func (t *Trove) Adopt(s base.Scope) bool { return t.step(s, true) }
+
+func (t *Trove) step(s base.Scope, adopting bool) (done bool) {
+	phase := t.store.Phase()
+	if phase == wire.Phase_FOUNDED && len(t.store.Sick()) == 0 {
+		return true
+	}
+	replies := poll(s, t.others(), len(t.disks)-1, t.round, func(ctx context.Context, d disk) (*wire.KeysReply, error) {
+		reply, err := d.Keys(ctx, connect.NewRequest(&wire.KeysRequest{}))
+		if err != nil {
+			return nil, err
+		}
+		return reply.Msg, nil
+	})
+	counts := map[wire.Phase]int{}
+	keys := map[string]bool{}
+	for _, reply := range replies {
+		if reply.err != nil {
+			continue
+		}
+		counts[reply.body.Phase]++
+		for _, key := range reply.body.Keys {
+			keys[key] = true
+		}
+	}
+	others := len(t.disks) - 1
+	switch {
+	case phase == wire.Phase_BLANK && counts[wire.Phase_BLANK]+counts[wire.Phase_FRESH] == others:
+		_ = t.store.setPhase(wire.Phase_FRESH)
+		return others == 0 && t.store.setPhase(wire.Phase_FOUNDED) == nil
+	case phase == wire.Phase_FRESH && counts[wire.Phase_FRESH]+counts[wire.Phase_FOUNDED] == others:
+		return t.store.setPhase(wire.Phase_FOUNDED) == nil
+	case phase == wire.Phase_FRESH:
+		return false
+	case counts[wire.Phase_FOUNDED] == others, adopting && counts[wire.Phase_FOUNDED] > 0:
+		for _, key := range t.store.Sick() {
+			keys[key] = true
+		}
+		return t.fetch(s, keys, counts[wire.Phase_FOUNDED])
+	}
+	t.scope.Note("waiting", "", "the other disks do not allow recovery yet")
+	return false
+}
+
+func (t *Trove) others() []disk {
+	others := make([]disk, 0, len(t.disks)-1)
+	for i, each := range t.disks {
+		if i != t.self {
+			others = append(others, each)
+		}
+	}
+	return others
+}
+
+func (t *Trove) fetch(s base.Scope, keys map[string]bool, need int) bool {
+	for key := range keys {
+		if !t.fetchKey(s, key, need) {
+			return false
+		}
+		t.scope.Note("recovered", key, "")
+	}
+	if t.store.Phase() == wire.Phase_FOUNDED {
+		return true
+	}
+	return t.store.setPhase(wire.Phase_FOUNDED) == nil
+}
+
+func (t *Trove) fetchKey(s base.Scope, key string, need int) bool {
+	promised, _ := t.store.Peek(key)
+	for range 8 {
+		epoch := &wire.Epoch{Number: promised.GetNumber() + 1, Keel: uint32(t.self)}
+		replies := poll(s, t.others(), len(t.disks)-1, t.round, func(ctx context.Context, d disk) (*wire.PromiseReply, error) {
+			reply, err := d.Promise(ctx, connect.NewRequest(&wire.PromiseRequest{Key: key, Epoch: epoch}))
+			if err != nil {
+				return nil, err
+			}
+			return reply.Msg, nil
+		})
+		granted := 0
+		var highest *wire.Entry
+		for _, reply := range replies {
+			if reply.err != nil {
+				continue
+			}
+			if compareEpochs(reply.body.Promised, promised) > 0 {
+				promised = reply.body.Promised
+			}
+			if reply.body.Granted {
+				granted++
+				if reply.body.Entry != nil && compareEntries(reply.body.Entry, highest) > 0 {
+					highest = reply.body.Entry
+				}
+			}
+		}
+		if granted >= need {
+			return t.store.restore(key, epoch, highest) == nil
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/trove/register.go
@@ -0,0 +1,338 @@
+package trove
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+type Mate struct {
+	Name    string
+	Address string
+}
+
+type disk interface {
+	Promise(context.Context, *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error)
+	Accept(context.Context, *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error)
+	Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleReply], error)
+	Keys(context.Context, *connect.Request[wire.KeysRequest]) (*connect.Response[wire.KeysReply], error)
+}
+
+type hold struct {
+	mu     sync.Mutex
+	epoch  *wire.Epoch
+	serial uint64
+	value  []byte
+}
+
+type Trove struct {
+	scope   base.Scope
+	store   *Store
+	self    int
+	mates   []Mate
+	disks   []disk
+	round   time.Duration
+	mu      sync.Mutex
+	holds   map[string]*hold
+	settled base.Table[*wire.Entry]
+	news    base.Bell
+}
+
+func New(s base.Scope, store *Store, web *http.Client, self string, mates []Mate, round time.Duration) *Trove {
+	mates = slices.Clone(mates)
+	slices.SortFunc(mates, func(a, b Mate) int { return strings.Compare(a.Name, b.Name) })
+	t := &Trove{scope: s, store: store, mates: mates, round: round, holds: map[string]*hold{}}
+	for i, mate := range mates {
+		if mate.Name == self {
+			t.self = i
+			t.disks = append(t.disks, server{t})
+			continue
+		}
+		t.disks = append(t.disks, wireconnect.NewTroveClient(web, "http://"+mate.Address))
+	}
+	return t
+}
+
+func (t *Trove) Store() *Store { return t.store }
+
+func (t *Trove) News() <-chan struct{} { return t.news.Heard() }
+
+func (t *Trove) Ready() bool { return t.store.Phase() == wire.Phase_FOUNDED }
+
+func (t *Trove) Settled(key string) (*wire.Entry, bool) { return t.settled.Get(key) }
+
+func (t *Trove) Owner(key string) (Mate, *wire.Epoch, bool) {
+	promised, _ := t.store.Peek(key)
+	if promised.GetNumber() == 0 || int(promised.GetKeel()) >= len(t.mates) {
+		return Mate{}, promised, false
+	}
+	return t.mates[promised.GetKeel()], promised, true
+}
+
+func (t *Trove) Mine(key string) bool {
+	owner, _, known := t.Owner(key)
+	return known && owner.Name == t.mates[t.self].Name
+}
+
+func (t *Trove) majority() int { return len(t.disks)/2 + 1 }
+
+func (t *Trove) hold(key string) *hold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.holds[key]
+	if at == nil {
+		at = &hold{}
+		t.holds[key] = at
+	}
+	return at
+}
+
+type Reply[T any] struct {
+	disk int
+	body *T
+	err  error
+}
+
+func poll[T any](s base.Scope, disks []disk, need int, round time.Duration, ask func(context.Context, disk) (*T, error)) []Reply[T] {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.Context), round)
+	replies := make(chan Reply[T], len(disks))
+	for i, each := range disks {
+		go func() {
+			body, err := ask(ctx, each)
+			replies <- Reply[T]{i, body, err}
+		}()
+	}
+	var got []Reply[T]
+	good := 0
+	for range disks {
+		reply := <-replies
+		got = append(got, reply)
+		if reply.err == nil {
+			good++
+		}
+		if good >= need {
+			break
+		}
+	}
+	left := len(disks) - len(got)
+	go func() {
+		for range left {
+			<-replies
+		}
+		cancel()
+	}()
+	return got
+}
+
+func (t *Trove) promise(s base.Scope, key string, at *hold) error {
+	promised, _ := t.store.Peek(key)
+	epoch := &wire.Epoch{Number: promised.GetNumber() + 1, Keel: uint32(t.self)}
+	if granted, _, _, err := t.store.Promise(key, epoch); err != nil {
+		return err
+	} else if !granted {
+		return base.Bounce(base.Outranked, key, "a higher epoch came first")
+	}
+	replies := poll(s, t.disks, t.majority(), t.round, func(ctx context.Context, d disk) (*wire.PromiseReply, error) {
+		reply, err := d.Promise(ctx, connect.NewRequest(&wire.PromiseRequest{Key: key, Epoch: epoch}))
+		if err != nil {
+			return nil, err
+		}
+		return reply.Msg, nil
+	})
+	granted := 0
+	var highest *wire.Entry
+	beaten := epoch
+	for _, reply := range replies {
+		if reply.err != nil {
+			continue
+		}
+		if compareEpochs(reply.body.Promised, beaten) > 0 {
+			beaten = reply.body.Promised
+		}
+		if reply.body.Granted {
+			granted++
+			if reply.body.Entry != nil && compareEntries(reply.body.Entry, highest) > 0 {
+				highest = reply.body.Entry
+			}
+		}
+	}
+	if granted < t.majority() {
+		if beaten != epoch {
+			_, _, _, _ = t.store.Promise(key, &wire.Epoch{Number: beaten.Number, Keel: beaten.Keel})
+			return base.Bounce(base.Outranked, key, "epoch %d of keel %d goes first", beaten.Number, beaten.Keel)
+		}
+		return base.Bounce(base.Unreachable, key, "no majority of disks promised")
+	}
+	at.epoch, at.serial, at.value = epoch, highest.GetSerial(), highest.GetValue()
+	t.scope.Note("owner", key, t.mates[t.self].Name)
+	if highest == nil {
+		return nil
+	}
+	return t.accept(s, key, at, at.serial, at.value)
+}
+
+func (t *Trove) accept(s base.Scope, key string, at *hold, serial uint64, value []byte) error {
+	entry := &wire.Entry{Key: key, Epoch: at.epoch, Serial: serial, Value: value}
+	replies := poll(s, t.disks, t.majority(), t.round, func(ctx context.Context, d disk) (*wire.AcceptReply, error) {
+		reply, err := d.Accept(ctx, connect.NewRequest(&wire.AcceptRequest{Entry: entry}))
+		if err != nil {
+			return nil, err
+		}
+		if !reply.Msg.Granted {
+			return nil, base.Bounce(base.Outranked, key, "epoch %d goes first", reply.Msg.GetPromised().GetNumber())
+		}
+		return reply.Msg, nil
+	})
+	granted := 0
+	for _, reply := range replies {
+		if reply.err == nil {
+			granted++
+		}
+	}
+	if granted < t.majority() {
+		at.epoch = nil
+		return base.Bounce(base.Uncertain, key, "no majority of disks answered")
+	}
+	at.serial, at.value = serial, value
+	t.settle(entry)
+	request := &wire.SettleRequest{Key: key, Epoch: entry.Epoch, Serial: serial}
+	poll(s, t.disks, 0, t.round, func(ctx context.Context, d disk) (*wire.SettleReply, error) {
+		_, err := d.Settle(ctx, connect.NewRequest(request))
+		return nil, err
+	})
+	return nil
+}
+
+func (t *Trove) settle(entry *wire.Entry) {
+	risen := false
+	t.settled.Change(func(rows map[string]*wire.Entry) {
+		if compareEntries(entry, rows[entry.Key]) > 0 {
+			rows[entry.Key], risen = entry, true
+		}
+	})
+	if risen {
+		t.scope.Note("settled", entry.Key, "")
+		t.news.Ring()
+	}
+}
+
+func (t *Trove) Change(s base.Scope, key string, change func(old []byte) ([]byte, error)) error {
+	at := t.hold(key)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	promised, _ := t.store.Peek(key)
+	if at.epoch != nil && compareEpochs(promised, at.epoch) > 0 {
+		at.epoch = nil
+	}
+	if at.epoch == nil {
+		if err := t.promise(s, key, at); err != nil {
+			at.epoch = nil
+			return err
+		}
+	}
+	value, err := change(at.value)
+	if err != nil || value == nil {
+		return err
+	}
+	return t.accept(s, key, at, at.serial+1, value)
+}
+
+func (t *Trove) Read(s base.Scope, key string) ([]byte, error) {
+	at := t.hold(key)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.epoch == nil || at.serial == 0 {
+		err := t.promise(s, key, at)
+		if err != nil {
+			at.epoch = nil
+		}
+		return at.value, err
+	}
+	return at.value, t.accept(s, key, at, at.serial, at.value)
+}
+
+func (t *Trove) Refresh(s base.Scope, key string) {
+	_, mine := t.store.Peek(key)
+	replies := poll(s, t.disks, len(t.disks), t.round, func(ctx context.Context, d disk) (*wire.PromiseReply, error) {
+		reply, err := d.Promise(ctx, connect.NewRequest(&wire.PromiseRequest{Key: key, Have: mine.GetEpoch(), HaveSerial: mine.GetSerial()}))
+		if err != nil {
+			return nil, err
+		}
+		return reply.Msg, nil
+	})
+	var highest *wire.Entry
+	count := 0
+	for _, reply := range replies {
+		if reply.err != nil || reply.body.Entry == nil {
+			continue
+		}
+		switch compared := compareEntries(reply.body.Entry, highest); {
+		case compared > 0:
+			highest, count = reply.body.Entry, 1
+		case compared == 0:
+			count++
+		}
+	}
+	if highest == nil || count < t.majority() {
+		return
+	}
+	if compareEntries(highest, mine) == 0 {
+		highest = mine
+	}
+	if compareEntries(highest, mine) > 0 {
+		_, _, _ = t.store.Accept(highest)
+	}
+	t.settle(highest)
+}
+
+type server struct{ trove *Trove }
+
+func Handler(t *Trove) (string, http.Handler) { return wireconnect.NewTroveHandler(server{t}) }
+
+func (v server) Promise(_ context.Context, request *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error) {
+	ask := request.Msg
+	if ask.Epoch == nil {
+		promised, entry := v.trove.store.Peek(ask.Key)
+		if entry != nil && ask.Have != nil && compareEntries(entry, &wire.Entry{Epoch: ask.Have, Serial: ask.HaveSerial}) == 0 {
+			entry = &wire.Entry{Key: entry.Key, Epoch: entry.Epoch, Serial: entry.Serial}
+		}
+		if v.trove.store.Phase() != wire.Phase_FOUNDED {
+			return nil, base.Bounce(base.Amnesiac, ask.Key, "this disk has not recovered")
+		}
+		return connect.NewResponse(&wire.PromiseReply{Promised: promised, Entry: entry}), nil
+	}
+	granted, promised, entry, err := v.trove.store.Promise(ask.Key, ask.Epoch)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.PromiseReply{Granted: granted, Promised: promised, Entry: entry}), nil
+}
+
+func (v server) Accept(_ context.Context, request *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error) {
+	granted, promised, err := v.trove.store.Accept(request.Msg.Entry)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.AcceptReply{Granted: granted, Promised: promised}), nil
+}
+
+func (v server) Settle(_ context.Context, request *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleReply], error) {
+	_, entry := v.trove.store.Peek(request.Msg.Key)
+	if entry != nil && compareEntries(entry, &wire.Entry{Epoch: request.Msg.Epoch, Serial: request.Msg.Serial}) == 0 {
+		v.trove.settle(entry)
+	}
+	return connect.NewResponse(&wire.SettleReply{}), nil
+}
+
+func (v server) Keys(context.Context, *connect.Request[wire.KeysRequest]) (*connect.Response[wire.KeysReply], error) {
+	return connect.NewResponse(&wire.KeysReply{Keys: v.trove.store.Keys(), Phase: v.trove.store.Phase()}), nil
+}
--- /dev/null
+++ b/trove/store.go
@@ -0,0 +1,391 @@
+package trove
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"path"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+const (
+	brandFile  = "brand"
+	rollPrefix = "roll-"
+	keyFolder  = "keys"
+	badSuffix  = ".bad"
+	rollsKept  = 2
+)
+
+type slot struct {
+	mu       sync.Mutex
+	promised *wire.Epoch
+	entry    *wire.Entry
+	sick     bool
+}
+
+// Lock order: a slot's mu before the store's mu.
+type Store struct {
+	scope  base.Scope
+	kept   int
+	mu     sync.Mutex
+	phase  wire.Phase
+	slots  map[string]*slot
+	roll   *wire.Roll
+	rolled sync.Mutex
+}
+
+func OpenStore(s base.Scope, kept int) (*Store, error) {
+	store := &Store{scope: s, kept: max(kept, 2), slots: map[string]*slot{}, roll: &wire.Roll{Lines: map[string]*wire.Line{}}}
+	if err := s.Disk.MakeFolder(keyFolder); err != nil {
+		return nil, errors.Wrap(err, "keys folder")
+	}
+	return store, store.load()
+}
+
+func frame(message proto.Message) ([]byte, error) {
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	digest := sha256.Sum256(body)
+	return proto.Marshal(&wire.Record{Body: body, Digest: digest[:]})
+}
+
+func unframe(raw []byte, message proto.Message) error {
+	record := &wire.Record{}
+	if err := proto.Unmarshal(raw, record); err != nil {
+		return err
+	}
+	digest := sha256.Sum256(record.Body)
+	if string(digest[:]) != string(record.Digest) {
+		return errors.New("digest does not fit")
+	}
+	return proto.Unmarshal(record.Body, message)
+}
+
+func (t *Store) write(name string, message proto.Message) error {
+	raw, err := frame(message)
+	if err == nil {
+		err = base.Keep(t.scope.Disk, name, raw)
+	}
+	if err != nil {
+		t.scope.Note("disk-trouble", name, err.Error())
+		return base.Bounce(base.DiskTrouble, name, "%s", err)
+	}
+	return nil
+}
+
+func (t *Store) read(name string, message proto.Message) error {
+	raw, err := t.scope.Disk.Read(name)
+	if err != nil {
+		return err
+	}
+	if err := unframe(raw, message); err != nil {
+		t.scope.Note("set-aside", name, err.Error())
+		_ = t.scope.Disk.Rename(name, name+badSuffix)
+		return err
+	}
+	return nil
+}
+
+func folderOf(key string) string { return path.Join(keyFolder, hex.EncodeToString([]byte(key))) }
+
+func valueName(key string, entry *wire.Entry) string {
+	return fmt.Sprintf("%s/v-%016x-%04x-%016x", folderOf(key), entry.GetEpoch().GetNumber(), entry.GetEpoch().GetKeel(), entry.GetSerial())
+}
+
+func promiseName(key string, epoch *wire.Epoch) string {
+	return fmt.Sprintf("%s/p-%016x-%04x", folderOf(key), epoch.GetNumber(), epoch.GetKeel())
+}
+
+func (t *Store) load() error {
+	brand := &wire.Brand{}
+	if err := t.read(brandFile, brand); err != nil {
+		t.scope.Note("blank", "", "no brand")
+		return nil
+	}
+	names, err := t.scope.Disk.List("")
+	if err != nil {
+		return errors.Wrap(err, "list")
+	}
+	slices.Sort(names)
+	slices.Reverse(names)
+	found := false
+	for _, name := range names {
+		if strings.HasPrefix(name, rollPrefix) && !strings.HasSuffix(name, base.Aside) && !strings.HasSuffix(name, badSuffix) {
+			roll := &wire.Roll{}
+			if t.read(name, roll) == nil {
+				if roll.Lines == nil {
+					roll.Lines = map[string]*wire.Line{}
+				}
+				t.roll, found = roll, true
+			}
+			break
+		}
+	}
+	if !found {
+		t.scope.Note("blank", "", "no roll")
+		return nil
+	}
+	for key, line := range t.roll.Lines {
+		t.slots[key] = t.loadSlot(key, line)
+	}
+	t.phase = brand.Phase
+	return nil
+}
+
+func (t *Store) loadSlot(key string, line *wire.Line) *slot {
+	at := &slot{promised: &wire.Epoch{}}
+	if line.Promise != "" && t.read(line.Promise, at.promised) != nil {
+		at.sick = true
+	}
+	if line.Value != "" {
+		entry := &wire.Entry{}
+		if t.read(line.Value, entry) != nil {
+			at.sick = true
+		} else {
+			at.entry = entry
+		}
+	}
+	if at.sick {
+		t.scope.Note("sick-key", key, "a file is lost or bad")
+	}
+	return at
+}
+
+func (t *Store) slot(key string) *slot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.slots[key]
+	if at == nil {
+		at = &slot{promised: &wire.Epoch{}}
+		t.slots[key] = at
+	}
+	return at
+}
+
+func (t *Store) Phase() wire.Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.phase
+}
+
+func (t *Store) setPhase(phase wire.Phase) error {
+	brand := &wire.Brand{Phase: phase, Incarnation: t.scope.Rand.Name(8)}
+	if err := t.write(fmt.Sprintf("%s%016x", rollPrefix, t.rollNumber()), t.roll); err != nil {
+		return err
+	}
+	if err := t.write(brandFile, brand); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.phase = phase
+	t.mu.Unlock()
+	t.scope.Note("phase", "", phase.String())
+	return nil
+}
+
+func (t *Store) rollNumber() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.roll.Number
+}
+
+func (t *Store) Keys() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	keys := make([]string, 0, len(t.slots))
+	for key := range t.slots {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (t *Store) Sick() []string {
+	var sick []string
+	for _, key := range t.Keys() {
+		at := t.slot(key)
+		at.mu.Lock()
+		if at.sick {
+			sick = append(sick, key)
+		}
+		at.mu.Unlock()
+	}
+	return sick
+}
+
+func (t *Store) Peek(key string) (promised *wire.Epoch, entry *wire.Entry) {
+	at := t.slot(key)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return at.promised, at.entry
+}
+
+func (t *Store) enroll(key string, change func(*wire.Line)) error {
+	t.rolled.Lock()
+	defer t.rolled.Unlock()
+	t.mu.Lock()
+	next := proto.Clone(t.roll).(*wire.Roll)
+	t.mu.Unlock()
+	next.Number++
+	if next.Lines == nil {
+		next.Lines = map[string]*wire.Line{}
+	}
+	line := next.Lines[key]
+	if line == nil {
+		line = &wire.Line{}
+		next.Lines[key] = line
+	}
+	change(line)
+	name := func(number uint64) string { return fmt.Sprintf("%s%016x", rollPrefix, number) }
+	if err := t.write(name(next.Number), next); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.roll = next
+	t.mu.Unlock()
+	if next.Number > rollsKept {
+		_ = t.scope.Disk.Remove(name(next.Number - rollsKept))
+	}
+	return nil
+}
+
+func (t *Store) votes(at *slot) *base.Mishap {
+	if t.Phase() != wire.Phase_FOUNDED || at.sick {
+		return base.Bounce(base.Amnesiac, "", "this disk has not recovered")
+	}
+	return nil
+}
+
+func (t *Store) Promise(key string, epoch *wire.Epoch) (granted bool, promised *wire.Epoch, entry *wire.Entry, mishap error) {
+	at := t.slot(key)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if bounce := t.votes(at); bounce != nil {
+		return false, nil, nil, bounce
+	}
+	if compareEpochs(epoch, at.promised) < 0 {
+		return false, at.promised, at.entry, nil
+	}
+	if compareEpochs(epoch, at.promised) > 0 {
+		if err := t.keepPromise(key, at, epoch); err != nil {
+			return false, nil, nil, err
+		}
+	}
+	return true, at.promised, at.entry, nil
+}
+
+func (t *Store) keepPromise(key string, at *slot, epoch *wire.Epoch) error {
+	if err := t.scope.Disk.MakeFolder(folderOf(key)); err != nil {
+		return base.Bounce(base.DiskTrouble, key, "%s", err)
+	}
+	name, old := promiseName(key, epoch), promiseName(key, at.promised)
+	if err := t.write(name, epoch); err != nil {
+		return err
+	}
+	if err := t.enroll(key, func(line *wire.Line) { line.Promise = name }); err != nil {
+		return err
+	}
+	at.promised = epoch
+	if old != name {
+		_ = t.scope.Disk.Remove(old)
+	}
+	return nil
+}
+
+func (t *Store) Accept(entry *wire.Entry) (granted bool, promised *wire.Epoch, mishap error) {
+	at := t.slot(entry.Key)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if bounce := t.votes(at); bounce != nil {
+		return false, nil, bounce
+	}
+	if compareEpochs(entry.Epoch, at.promised) < 0 || compareEntries(entry, at.entry) < 0 {
+		return false, at.promised, nil
+	}
+	if at.entry != nil && compareEntries(entry, at.entry) == 0 {
+		return true, at.promised, nil
+	}
+	return true, at.promised, t.keepEntry(at, entry)
+}
+
+func (t *Store) keepEntry(at *slot, entry *wire.Entry) error {
+	if err := t.scope.Disk.MakeFolder(folderOf(entry.Key)); err != nil {
+		return base.Bounce(base.DiskTrouble, entry.Key, "%s", err)
+	}
+	name := valueName(entry.Key, entry)
+	if err := t.write(name, entry); err != nil {
+		return err
+	}
+	if err := t.enroll(entry.Key, func(line *wire.Line) { line.Value = name }); err != nil {
+		return err
+	}
+	at.entry = entry
+	if compareEpochs(entry.Epoch, at.promised) > 0 {
+		at.promised = entry.Epoch
+	}
+	t.prune(entry.Key, name)
+	return nil
+}
+
+func (t *Store) prune(key, newest string) {
+	names := t.values(key)
+	for len(names) > t.kept {
+		if path.Join(folderOf(key), names[0]) != newest {
+			_ = t.scope.Disk.Remove(path.Join(folderOf(key), names[0]))
+		}
+		names = names[1:]
+	}
+}
+
+func (t *Store) values(key string) []string {
+	names, err := t.scope.Disk.List(folderOf(key))
+	if err != nil {
+		return nil
+	}
+	names = slices.DeleteFunc(names, func(name string) bool {
+		return !strings.HasPrefix(name, "v-") || strings.Contains(name, ".")
+	})
+	slices.Sort(names)
+	return names
+}
+
+func (t *Store) Past(key string) func(yield func(*wire.Entry) bool) {
+	names := t.values(key)
+	slices.Reverse(names)
+	return func(yield func(*wire.Entry) bool) {
+		for _, name := range names {
+			entry := &wire.Entry{}
+			if t.read(path.Join(folderOf(key), name), entry) == nil && !yield(entry) {
+				return
+			}
+		}
+	}
+}
+
+func (t *Store) restore(key string, promised *wire.Epoch, entry *wire.Entry) error {
+	at := t.slot(key)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if compareEpochs(promised, at.promised) > 0 || at.sick {
+		if err := t.keepPromise(key, at, promised); err != nil {
+			return err
+		}
+	}
+	if entry != nil && (at.entry == nil || compareEntries(entry, at.entry) > 0) {
+		if err := t.keepEntry(at, entry); err != nil {
+			return err
+		}
+	}
+	at.sick = false
+	return nil
+}
