--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -18,6 +18,7 @@
 	Folder  string  `arg:"--folder" help:"where params, data and logs go; a temporary one when left out"`
 	Seconds int     `arg:"--seconds" default:"20"`
 	Rate    float64 `arg:"--rate" default:"200" help:"requests a second over the whole fleet"`
+	Smoke   bool    `arg:"--smoke" help:"judge safety and that most calls are answered, for slow machines"`
 	Hold    bool    `arg:"--hold" help:"start the fleet, print where it is, and wait for a signal"`
 	Seed    uint64  `arg:"--seed" default:"1" help:"seed of the visitors"`
 	Log     string  `arg:"--log" default:"info" help:"log level of the fleet's processes"`
@@ -74,5 +75,5 @@
 		return err
 	}
 	fmt.Println(string(body))
-	return summary.verdict()
+	return summary.verdict(a.Smoke)
 }
--- /dev/null
+++ b/fleet/disk.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"io/fs"
+	"path"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+
+	"curlewreach/base"
+)
+
+type inode struct {
+	data   []byte
+	synced []byte
+	solid  bool
+}
+
+type change struct {
+	name string
+	node *inode
+}
+
+type Disk struct {
+	rand    *base.Rand
+	mu      sync.Mutex
+	names   map[string]*inode
+	durable map[string]*inode
+	pending map[string][]change
+	full    bool
+	stalled chan struct{}
+	writes  int
+}
+
+func NewDisk(rand *base.Rand) *Disk {
+	return &Disk{rand: rand, names: map[string]*inode{}, durable: map[string]*inode{}, pending: map[string][]change{}}
+}
+
+func (d *Disk) Wipe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.names)
+	clear(d.durable)
+	clear(d.pending)
+}
+
+func (d *Disk) PowerLoss() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for folder, changes := range d.pending {
+		for _, each := range changes[:d.rand.Below(len(changes)+1)] {
+			put(d.durable, each)
+		}
+		delete(d.pending, folder)
+	}
+	clear(d.names)
+	for name, node := range d.durable {
+		if !node.solid {
+			node.synced = node.data[:d.rand.Below(len(node.data)+1)]
+		}
+		node.data = slices.Clone(node.synced)
+		d.names[name] = node
+	}
+}
+
+func (d *Disk) Fill(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = full
+}
+
+func (d *Disk) Stall() (release func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stalled := make(chan struct{})
+	d.stalled = stalled
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.stalled = nil
+		close(stalled)
+	}
+}
+
+func (d *Disk) Flip(match string) (flipped []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, node := range d.names {
+		if strings.Contains(name, match) && len(node.data) > 0 {
+			node.data = slices.Clone(node.data)
+			node.data[len(node.data)/2] ^= 0x10
+			node.synced = node.data
+			flipped = append(flipped, name)
+		}
+	}
+	return flipped
+}
+
+func (d *Disk) Names() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for name := range d.names {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func put(into map[string]*inode, each change) {
+	if each.node == nil {
+		delete(into, each.name)
+		return
+	}
+	into[each.name] = each.node
+}
+
+func (d *Disk) note(name string, node *inode) {
+	folder := path.Dir(name)
+	d.pending[folder] = append(d.pending[folder], change{name, node})
+	put(d.names, change{name, node})
+}
+
+func (d *Disk) Create(name string) (base.DiskFile, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.full {
+		return nil, syscall.ENOSPC
+	}
+	node := &inode{}
+	d.note(name, node)
+	return &file{d, node}, nil
+}
+
+func (d *Disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	node := d.names[from]
+	if node == nil {
+		return fs.ErrNotExist
+	}
+	d.note(to, node)
+	d.note(from, nil)
+	return nil
+}
+
+func (d *Disk) wait() {
+	d.mu.Lock()
+	stalled := d.stalled
+	d.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+}
+
+func (d *Disk) SyncFolder(folder string) error {
+	d.wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	folder = path.Clean(folder)
+	for _, each := range d.pending[folder] {
+		put(d.durable, each)
+	}
+	delete(d.pending, folder)
+	return nil
+}
+
+func (d *Disk) MakeFolder(string) error { return nil }
+
+func (d *Disk) Read(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	node := d.names[name]
+	if node == nil {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(node.data), nil
+}
+
+func (d *Disk) List(folder string) ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for name := range d.names {
+		if path.Dir(name) == path.Clean(folder) {
+			names = append(names, path.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.names[name] == nil {
+		return fs.ErrNotExist
+	}
+	d.note(name, nil)
+	return nil
+}
+
+type file struct {
+	disk *Disk
+	node *inode
+}
+
+func (f *file) Write(data []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.disk.full {
+		return 0, syscall.ENOSPC
+	}
+	f.node.data = append(f.node.data, data...)
+	return len(data), nil
+}
+
+func (f *file) Sync() error {
+	f.disk.wait()
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	f.node.synced, f.node.solid = slices.Clone(f.node.data), true
+	return nil
+}
+
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,287 @@
+package fleet
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/flow"
+	"curlewreach/helm"
+	"curlewreach/mime"
+	"curlewreach/proto/wire"
+)
+
+const (
+	matesPort     = 7001
+	visitorsPort  = 7002
+	upstreamsPort = 7003
+	opsPort       = 7004
+	operatorsPort = 7005
+	journalBound  = 5000
+	reportEvery   = 500 * time.Millisecond
+)
+
+type Clock struct {
+	born time.Time
+	skew atomic.Int64
+}
+
+func (c *Clock) Wall() time.Time      { return time.Now().Add(time.Duration(c.skew.Load())) }
+func (c *Clock) Mono() time.Duration  { return time.Since(c.born) }
+func (c *Clock) Jump(d time.Duration) { c.skew.Add(int64(d)) }
+
+type Machine struct {
+	*wire.Machine
+	IP      string
+	Disk    *Disk
+	Clock   *Clock
+	Journal *base.Journal
+	Vane    *flow.Vane
+	Keel    *helm.Keel
+	lives   int
+	cancel  context.CancelFunc
+}
+
+func (m *Machine) At(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
+
+type Fleet struct {
+	Scope    base.Scope
+	Seed     uint64
+	World    *World
+	Keels    []*Machine
+	Vanes    []*Machine
+	Seats    []*mime.Upstream
+	History  *mime.History
+	Acks     *Acks
+	Key      ed25519.PrivateKey
+	Clerk    *helm.Clerk
+	Shape    *wire.Bundle
+	Habits   []mime.Habit
+	Plan     []mime.Habitual
+	Tune     func(*wire.VaneParams)
+	TuneKeel func(*wire.KeelParams)
+	trusted  []string
+	seeds    []string
+	born     time.Time
+	visiting context.CancelFunc
+	crew     base.Crew
+	gone     sync.Mutex
+}
+
+func New(seed uint64, shape *wire.Bundle) *Fleet {
+	f := &Fleet{Seed: seed, Shape: proto.Clone(shape).(*wire.Bundle), born: time.Now()}
+	zones := map[string]string{}
+	f.World = NewWorld(f.rand("world"), func(from, to string) time.Duration {
+		switch {
+		case from == to:
+			return nearby
+		case zones[from] == zones[to]:
+			return sameZone
+		}
+		return crossZone
+	})
+	var operators []string
+	for i, each := range f.Shape.Common.Machines {
+		ip := fmt.Sprintf("10.9.0.%d", i+1)
+		each.Address = fmt.Sprintf("%s:%d", ip, matesPort)
+		zones[ip] = each.Zone
+		m := &Machine{Machine: each, IP: ip, Disk: NewDisk(f.rand("disk " + each.Name)), Clock: &Clock{born: f.born}, Journal: base.NewJournal(journalBound)}
+		if each.Core {
+			f.Keels = append(f.Keels, m)
+			f.seeds = append(f.seeds, each.Address)
+			operators = append(operators, m.At(operatorsPort))
+		} else {
+			f.Vanes = append(f.Vanes, m)
+		}
+	}
+	seedBytes := make([]byte, ed25519.SeedSize)
+	seedBytes[0] = byte(seed)
+	f.Key = ed25519.NewKeyFromSeed(seedBytes)
+	f.trusted = []string{base64.StdEncoding.EncodeToString(f.Key.Public().(ed25519.PublicKey))}
+	f.Scope = f.scope("story", "10.9.9.9", NewDisk(f.rand("story disk")), &Clock{born: f.born}, base.NewJournal(journalBound))
+	f.History = mime.NewHistory(f.Scope.Clock)
+	f.Acks = &Acks{}
+	f.Clerk = &helm.Clerk{Web: &http.Client{Transport: &http.Transport{DialContext: f.Scope.Net.Dial, DisableKeepAlives: true}, Timeout: 5 * time.Second}, Keels: operators}
+	return f
+}
+
+func (f *Fleet) rand(name string) *base.Rand {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%d %s", f.Seed, name)
+	return base.SeededRand(hash.Sum64())
+}
+
+func (f *Fleet) scope(name, ip string, disk base.Disk, clock base.Clock, journal *base.Journal) base.Scope {
+	return base.Scope{
+		Context: context.Background(), Node: name, Clock: clock, Net: f.World.At(ip), Disk: disk,
+		Rand: f.rand(name), Log: hclog.NewNullLogger(), Journal: journal,
+	}
+}
+
+func (f *Fleet) Raise(m *Machine) error {
+	m.lives++
+	s := f.scope(fmt.Sprintf("%s life %d", m.Name, m.lives), m.IP, m.Disk, m.Clock, m.Journal)
+	s, m.cancel = s.Child()
+	var err error
+	if m.Core {
+		params := &wire.KeelParams{Name: m.Name, Zone: m.Zone, Mates: m.Address, Operators: m.At(operatorsPort), Seeds: f.seeds, Folder: "data", Trusted: f.trusted}
+		if f.TuneKeel != nil {
+			f.TuneKeel(params)
+		}
+		m.Keel, err = helm.Start(s, params)
+		return err
+	}
+	params := &wire.VaneParams{
+		Name: m.Name, Zone: m.Zone, Mates: m.Address, Visitors: m.At(visitorsPort), Upstreams: m.At(upstreamsPort), Ops: m.At(opsPort),
+		Seeds: f.seeds, Folder: "data", Trusted: f.trusted,
+	}
+	if f.Tune != nil {
+		f.Tune(params)
+	}
+	m.Vane, err = flow.Start(s, params)
+	return err
+}
+
+func (f *Fleet) Kill(m *Machine) { f.kill(m, false) }
+
+func (f *Fleet) PowerLoss(m *Machine) {
+	f.kill(m, true)
+	m.Disk.PowerLoss()
+}
+
+func (f *Fleet) kill(m *Machine, silent bool) {
+	if m.cancel == nil {
+		return
+	}
+	m.cancel()
+	f.World.Crash(m.IP, silent)
+	if m.Keel != nil {
+		m.Keel.Kill()
+	}
+	if m.Vane != nil {
+		m.Vane.Kill()
+	}
+	m.Keel, m.Vane, m.cancel = nil, nil, nil
+}
+
+func (f *Fleet) Seat(m *Machine, service string, port, capacity int) (*mime.Upstream, error) {
+	u := &mime.Upstream{
+		Scope:   f.scope(fmt.Sprintf("%s %s %d %d", m.Name, service, port, len(f.Seats)), m.IP, m.Disk, m.Clock, m.Journal),
+		Service: service, Address: m.At(port), Zone: m.Zone, Capacity: capacity, Reports: m.At(upstreamsPort), Habits: f.Habits, History: f.History,
+	}
+	f.Seats = append(f.Seats, u)
+	return u, u.Start(reportEvery)
+}
+
+func (f *Fleet) Visit(rate float64) {
+	s, cancel := f.Scope.Child()
+	f.visiting = cancel
+	for _, m := range f.Vanes {
+		each := f.scope("visitors "+m.Name, m.IP, m.Disk, m.Clock, m.Journal)
+		visitors := &mime.Visitors{Scope: each, Name: m.Name, To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
+		f.crew.Go(func() { visitors.Run(each.Under(s)) })
+	}
+}
+
+func (f *Fleet) Leave() {
+	if f.visiting != nil {
+		f.visiting()
+		f.crew.Wait()
+		f.visiting = nil
+	}
+}
+
+func (f *Fleet) End() {
+	f.Leave()
+	for _, u := range f.Seats {
+		u.Kill()
+	}
+	for _, m := range append(append([]*Machine{}, f.Vanes...), f.Keels...) {
+		f.kill(m, false)
+	}
+	f.Clerk.Web.CloseIdleConnections()
+	f.World.Close()
+	time.Sleep(time.Minute)
+}
+
+func (f *Fleet) Pass(d time.Duration) { base.Await(f.Scope, d) }
+
+func (f *Fleet) Until(longest time.Duration, reached func() bool) bool {
+	for begun := time.Now(); time.Since(begun) < longest; f.Pass(5 * time.Millisecond) {
+		if reached() {
+			return true
+		}
+	}
+	return reached()
+}
+
+func (f *Fleet) Ready(machines []*Machine) bool {
+	for _, m := range machines {
+		if m.Keel != nil && !m.Keel.Helm.Ready() || m.Vane != nil && !m.Vane.Node.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) AllOn(serial uint64) bool {
+	for _, m := range f.Vanes {
+		if m.Vane != nil && (m.Vane.Node.Bundle() == nil || m.Vane.Node.Bundle().Serial < serial) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) Apply(submission string, request *wire.DraftRequest) (*wire.Outcome, error) {
+	outcome, err := f.Clerk.Apply(f.Scope, submission, request, f.Key)
+	if err == nil {
+		f.Acks.Note(f.Scope.Clock.Mono(), outcome)
+	}
+	return outcome, err
+}
+
+func (f *Fleet) Cut(a, b *Machine) {
+	f.World.Cut(a.IP, b.IP)
+	f.World.Cut(b.IP, a.IP)
+}
+
+func (f *Fleet) Isolate(m *Machine) {
+	for _, other := range append(append([]*Machine{}, f.Vanes...), f.Keels...) {
+		if other != m {
+			f.Cut(m, other)
+		}
+	}
+}
+
+type Acks struct {
+	mu   sync.Mutex
+	rows []Ack
+}
+
+type Ack struct {
+	At      time.Duration
+	Outcome *wire.Outcome
+}
+
+func (a *Acks) Note(at time.Duration, outcome *wire.Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rows = append(a.rows, Ack{at, outcome})
+}
+
+func (a *Acks) All() []Ack {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Ack(nil), a.rows...)
+}
--- /dev/null
+++ b/fleet/suite_test.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/mime"
+	"curlewreach/proto/wire"
+)
+
+var suite *testing.T
+
+func TestFleet(t *testing.T) {
+	suite = t
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "fleet")
+}
+
+func story(text string, seeds []uint64, tell func(f *Fleet)) {
+	for _, seed := range seeds {
+		ginkgo.It(text, func() { bubble(seed, shape(4), tell) })
+	}
+}
+
+func bubble(seed uint64, shape *wire.Bundle, tell func(f *Fleet)) {
+	synctest.Test(suite, func(*testing.T) {
+		defer ginkgo.GinkgoRecover()
+		f := New(seed, shape)
+		f.Habits, f.Plan = habits, plan
+		defer f.End()
+		tell(f)
+	})
+}
+
+func shape(vanes int) *wire.Bundle {
+	body, err := os.ReadFile("../examples/library/bundle.json")
+	if err != nil {
+		panic(err)
+	}
+	b := &wire.Bundle{}
+	if err := protojson.Unmarshal(body, b); err != nil {
+		panic(err)
+	}
+	b.Common.Machines = b.Common.Machines[:3+vanes]
+	b.Common.Tracing.Cycle = durationpb.New(time.Second)
+	return b
+}
+
+var habits = []mime.Habit{
+	{Prefix: "/catalogue/search", Base: 4, Swing: 3, Size: 200},
+	{Prefix: "/catalogue/report", Base: 20, Swing: 60, Size: 4000},
+	{Prefix: "/catalogue/licences", Base: 1, Swing: 1, Size: 60},
+	{Prefix: "/lending/borrow", Base: 4, Swing: 4, Size: 120, Calls: []string{"GET /catalogue/licences/{last}"}},
+	{Prefix: "/lending/hold", Base: 3, Swing: 2, Size: 120},
+}
+
+var plan = []mime.Habitual{
+	{Service: "catalogue", Route: "search", Group: "patrons", Method: "GET", Path: "/catalogue/search?q={n}", Part: 5},
+	{Service: "catalogue", Route: "report", Group: "librarians", Method: "GET", Path: "/catalogue/report/{n}", Part: 1},
+	{Service: "lending", Route: "borrow", Group: "patrons", Method: "POST", Path: "/lending/borrow/{n}", Part: 2},
+	{Service: "lending", Route: "hold", Group: "patrons", Method: "POST", Path: "/lending/hold/{n}", Part: 1},
+}
--- a/mime/history.go
+++ b/mime/history.go
@@ -14,6 +14,8 @@
 	Seat    string
 	Serial  uint64
 	Leaving bool
+	Repeats int
+	Left    time.Duration
 	Method  string
 	Path    string
 }
--- a/mime/upstream.go
+++ b/mime/upstream.go
@@ -62,6 +62,7 @@
 	web      *http.Client
 	mu       sync.Mutex
 	leaving  bool
+	left     time.Duration
 	fault    Fault
 	ran      map[string]int
 	right    int
@@ -108,7 +109,7 @@
 
 func (u *Upstream) Leave() {
 	u.mu.Lock()
-	u.leaving = true
+	u.leaving, u.left = true, u.Scope.Clock.Mono()
 	u.mu.Unlock()
 	u.report(u.Scope)
 }
@@ -169,9 +170,9 @@
 			u.other++
 		}
 	}
-	leaving := u.leaving
+	leaving, left := u.leaving, u.left
 	u.mu.Unlock()
-	u.History.Ran(Run{ID: id, Service: u.Service, Seat: u.Address, Serial: serial, Leaving: leaving, Method: r.Method, Path: r.URL.Path})
+	u.History.Ran(Run{ID: id, Service: u.Service, Seat: u.Address, Serial: serial, Leaving: leaving, Left: left, Method: r.Method, Path: r.URL.Path})
 	habit := u.habit(r.URL.Path)
 	pause := habit.Base.Duration() + time.Duration(float64(habit.Swing.Duration())*u.Scope.Rand.Float64())
 	base.Await(u.Scope.Under(r.Context()), pause)
