--- a/fleet/check_test.go
+++ b/fleet/check_test.go
@@ -1,14 +1,14 @@
 package fleet
 
 import (
+	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"testing"
-
+	"curlewreach/fleet/rig"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -31,7 +31,7 @@
 		func(expected string, events ...planted) {
 			synctest.Test(suite, func(*testing.T) {
 				defer ginkgo.GinkgoRecover()
-				clock := &Clock{born: time.Now()}
+				clock := rig.NewClock(time.Now())
 				history, acks := mime.NewHistory(clock), &Acks{}
 				for _, event := range events {
 					time.Sleep(event.wait)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,13 +8,13 @@
 	"hash/fnv"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/fleet/rig"
 	"curlewreach/flow"
 	"curlewreach/helm"
 	"curlewreach/mime"
@@ -22,6 +22,9 @@
 )
 
 const (
+	nearby        = 20 * time.Microsecond
+	sameZone      = 200 * time.Microsecond
+	crossZone     = 1 * time.Millisecond
 	matesPort     = 7001
 	visitorsPort  = 7002
 	upstreamsPort = 7003
@@ -31,20 +34,11 @@
 	reportEvery   = 500 * time.Millisecond
 )
 
-type Clock struct {
-	born time.Time
-	skew atomic.Int64
-}
-
-func (c *Clock) Wall() time.Time      { return time.Now().Add(time.Duration(c.skew.Load())) }
-func (c *Clock) Mono() time.Duration  { return time.Since(c.born) }
-func (c *Clock) Jump(d time.Duration) { c.skew.Add(int64(d)) }
-
 type Machine struct {
 	*wire.Machine
 	IP      string
-	Disk    *Disk
-	Clock   *Clock
+	Disk    *rig.Disk
+	Clock   *rig.Clock
 	Journal *base.Journal
 	Vane    *flow.Vane
 	Keel    *helm.Keel
@@ -57,7 +51,7 @@
 type Fleet struct {
 	Scope    base.Scope
 	Seed     uint64
-	World    *World
+	World    *rig.World
 	Keels    []*Machine
 	Vanes    []*Machine
 	Seats    []*mime.Upstream
@@ -81,7 +75,7 @@
 func New(seed uint64, shape *wire.Bundle) *Fleet {
 	f := &Fleet{Seed: seed, Shape: proto.Clone(shape).(*wire.Bundle), born: time.Now()}
 	zones := map[string]string{}
-	f.World = NewWorld(f.rand("world"), func(from, to string) time.Duration {
+	f.World = rig.NewWorld(f.rand("world"), func(from, to string) time.Duration {
 		switch {
 		case from == to:
 			return nearby
@@ -95,7 +89,7 @@
 		ip := fmt.Sprintf("10.9.0.%d", i+1)
 		each.Address = fmt.Sprintf("%s:%d", ip, matesPort)
 		zones[ip] = each.Zone
-		m := &Machine{Machine: each, IP: ip, Disk: NewDisk(f.rand("disk " + each.Name)), Clock: &Clock{born: f.born}, Journal: base.NewJournal(journalBound)}
+		m := &Machine{Machine: each, IP: ip, Disk: rig.NewDisk(f.rand("disk " + each.Name)), Clock: rig.NewClock(f.born), Journal: base.NewJournal(journalBound)}
 		if each.Core {
 			f.Keels = append(f.Keels, m)
 			f.seeds = append(f.seeds, each.Address)
@@ -108,7 +102,7 @@
 	seedBytes[0] = byte(seed)
 	f.Key = ed25519.NewKeyFromSeed(seedBytes)
 	f.trusted = []string{base64.StdEncoding.EncodeToString(f.Key.Public().(ed25519.PublicKey))}
-	f.Scope = f.scope("story", "10.9.9.9", NewDisk(f.rand("story disk")), &Clock{born: f.born}, base.NewJournal(journalBound))
+	f.Scope = f.scope("story", "10.9.9.9", rig.NewDisk(f.rand("story disk")), rig.NewClock(f.born), base.NewJournal(journalBound))
 	f.History = mime.NewHistory(f.Scope.Clock)
 	f.Acks = &Acks{}
 	f.Clerk = &helm.Clerk{Web: &http.Client{Transport: &http.Transport{DialContext: f.Scope.Net.Dial, DisableKeepAlives: true}, Timeout: 5 * time.Second}, Keels: operators}
--- a/fleet/disk.go
+++ b/fleet/rig/disk.go
@@ -1,4 +1,4 @@
-package fleet
+package rig
 
 import (
 	"io/fs"
--- a/fleet/net.go
+++ b/fleet/rig/net.go
@@ -1,4 +1,4 @@
-package fleet
+package rig
 
 import (
 	"context"
@@ -13,12 +13,7 @@
 	"curlewreach/base"
 )
 
-const (
-	nearby    = 20 * time.Microsecond
-	sameZone  = 200 * time.Microsecond
-	crossZone = 1 * time.Millisecond
-	windowMax = 256 << 10
-)
+const windowMax = 256 << 10
 
 type Latency func(from, to string) time.Duration
 
--- a/flow/node.go
+++ b/flow/node.go
@@ -74,6 +74,7 @@
 	mates    base.Table[wireconnect.FlowClient]
 	atlas    base.Table[outlook]
 	keels    []wireconnect.HelmClient
+	kept     base.Bell
 	picking  sync.Mutex
 	records  map[string]*record
 }
@@ -118,6 +119,7 @@
 			n.fences.Sweep()
 		})
 	})
+	crew.Go(func() { n.remember(s) })
 	for _, keel := range n.keels {
 		crew.Go(func() { n.follow(s, keel) })
 	}
@@ -136,6 +138,22 @@
 	}
 }
 
+func (n *Node) remember(s base.Scope) {
+	for s.Err() == nil {
+		heard := n.kept.Heard()
+		if bundle := n.slice.Load(); bundle != nil {
+			body, err := proto.Marshal(bundle.Sealed)
+			if err == nil {
+				err = base.Keep(n.scope.Disk, sliceFile, body)
+			}
+			if err != nil {
+				n.scope.Note("slice-unkept", "", err.Error())
+			}
+		}
+		base.Await(s, time.Hour, heard)
+	}
+}
+
 func (n *Node) Stop(ctx context.Context) {
 	n.stopping.Store(true)
 	n.member.Change(func(roster *wire.Roster) { roster.Stopping = true })
@@ -237,11 +255,7 @@
 	n.slice.Store(bundle)
 	n.member.Change(func(roster *wire.Roster) { roster.Holding = bundle.Serial })
 	n.scope.Note("in-force", "", strconv.FormatUint(bundle.Serial, 10))
-	if body, err := proto.Marshal(sealed); err == nil {
-		if err := base.Keep(n.scope.Disk, sliceFile, body); err != nil {
-			n.scope.Note("slice-unkept", "", err.Error())
-		}
-	}
+	n.kept.Ring()
 }
 
 func (n *Node) Visitors() http.Handler { return n.door(false) }
--- a/trove/recover.go
+++ b/trove/recover.go
@@ -113,7 +113,7 @@
 			}
 		}
 		if granted >= need {
-			return t.store.restore(key, epoch, highest) == nil
+			return t.store.restore(s, key, epoch, highest) == nil
 		}
 	}
 	return false
--- a/trove/register.go
+++ b/trove/register.go
@@ -28,7 +28,7 @@
 }
 
 type hold struct {
-	mu     sync.Mutex
+	latch  base.Latch
 	epoch  *wire.Epoch
 	serial uint64
 	value  []byte
@@ -90,7 +90,7 @@
 	defer t.mu.Unlock()
 	at := t.holds[key]
 	if at == nil {
-		at = &hold{}
+		at = &hold{latch: base.NewLatch()}
 		t.holds[key] = at
 	}
 	return at
@@ -107,7 +107,7 @@
 	replies := make(chan Reply[T], len(disks))
 	for i, each := range disks {
 		go func() {
-			body, err := ask(ctx, each)
+			body, err := patient(ctx, func() (*T, error) { return ask(ctx, each) })
 			replies <- Reply[T]{i, body, err}
 		}()
 	}
@@ -133,12 +133,38 @@
 	return got
 }
 
+func patient[T any](ctx context.Context, ask func() (*T, error)) (*T, error) {
+	type said struct {
+		body *T
+		err  error
+	}
+	answer := make(chan said, 1)
+	go func() {
+		body, err := ask()
+		answer <- said{body, err}
+	}()
+	select {
+	case got := <-answer:
+		return got.body, got.err
+	case <-ctx.Done():
+		return nil, base.Bounce(base.Unreachable, "", "a disk did not answer in time")
+	}
+}
+
 func (t *Trove) promise(s base.Scope, key string, at *hold) error {
 	promised, _ := t.store.Peek(key)
 	epoch := &wire.Epoch{Number: promised.GetNumber() + 1, Keel: uint32(t.self)}
-	if granted, _, _, err := t.store.Promise(key, epoch); err != nil {
-		return err
-	} else if !granted {
+	own := poll(s, t.disks[t.self:t.self+1], 1, t.round, func(ctx context.Context, d disk) (*wire.PromiseReply, error) {
+		reply, err := d.Promise(ctx, connect.NewRequest(&wire.PromiseRequest{Key: key, Epoch: epoch}))
+		if err != nil {
+			return nil, err
+		}
+		return reply.Msg, nil
+	})[0]
+	if own.err != nil {
+		return own.err
+	}
+	if !own.body.Granted {
 		return base.Bounce(base.Outranked, key, "a higher epoch came first")
 	}
 	replies := poll(s, t.disks, t.majority(), t.round, func(ctx context.Context, d disk) (*wire.PromiseReply, error) {
@@ -167,7 +193,7 @@
 	}
 	if granted < t.majority() {
 		if beaten != epoch {
-			_, _, _, _ = t.store.Promise(key, &wire.Epoch{Number: beaten.Number, Keel: beaten.Keel})
+			_, _, _, _ = t.store.Promise(s, key, &wire.Epoch{Number: beaten.Number, Keel: beaten.Keel})
 			return base.Bounce(base.Outranked, key, "epoch %d of keel %d goes first", beaten.Number, beaten.Keel)
 		}
 		return base.Bounce(base.Unreachable, key, "no majority of disks promised")
@@ -193,13 +219,19 @@
 		return reply.Msg, nil
 	})
 	granted := 0
+	var outranked error
 	for _, reply := range replies {
 		if reply.err == nil {
 			granted++
+		} else if base.MishapOf(reply.err).Kind == base.Outranked {
+			outranked = reply.err
 		}
 	}
 	if granted < t.majority() {
 		at.epoch = nil
+		if outranked != nil {
+			return outranked
+		}
 		return base.Bounce(base.Uncertain, key, "no majority of disks answered")
 	}
 	at.serial, at.value = serial, value
@@ -227,8 +259,10 @@
 
 func (t *Trove) Change(s base.Scope, key string, change func(old []byte) ([]byte, error)) error {
 	at := t.hold(key)
-	at.mu.Lock()
-	defer at.mu.Unlock()
+	if !at.latch.Take(s) {
+		return busy(key)
+	}
+	defer at.latch.Drop()
 	promised, _ := t.store.Peek(key)
 	if at.epoch != nil && compareEpochs(promised, at.epoch) > 0 {
 		at.epoch = nil
@@ -248,8 +282,10 @@
 
 func (t *Trove) Read(s base.Scope, key string) ([]byte, error) {
 	at := t.hold(key)
-	at.mu.Lock()
-	defer at.mu.Unlock()
+	if !at.latch.Take(s) {
+		return nil, busy(key)
+	}
+	defer at.latch.Drop()
 	if at.epoch == nil || at.serial == 0 {
 		err := t.promise(s, key, at)
 		if err != nil {
@@ -289,7 +325,9 @@
 		highest = mine
 	}
 	if compareEntries(highest, mine) > 0 {
-		_, _, _ = t.store.Accept(highest)
+		bounded, cancel := s.Within(t.round)
+		_, _, _ = t.store.Accept(bounded, highest)
+		cancel()
 	}
 	t.settle(highest)
 }
@@ -298,7 +336,7 @@
 
 func Handler(t *Trove) (string, http.Handler) { return wireconnect.NewTroveHandler(server{t}) }
 
-func (v server) Promise(_ context.Context, request *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error) {
+func (v server) Promise(ctx context.Context, request *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error) {
 	ask := request.Msg
 	if ask.Epoch == nil {
 		promised, entry := v.trove.store.Peek(ask.Key)
@@ -310,15 +348,15 @@
 		}
 		return connect.NewResponse(&wire.PromiseReply{Promised: promised, Entry: entry}), nil
 	}
-	granted, promised, entry, err := v.trove.store.Promise(ask.Key, ask.Epoch)
+	granted, promised, entry, err := v.trove.store.Promise(ctx, ask.Key, ask.Epoch)
 	if err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(&wire.PromiseReply{Granted: granted, Promised: promised, Entry: entry}), nil
 }
 
-func (v server) Accept(_ context.Context, request *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error) {
-	granted, promised, err := v.trove.store.Accept(request.Msg.Entry)
+func (v server) Accept(ctx context.Context, request *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error) {
+	granted, promised, err := v.trove.store.Accept(ctx, request.Msg.Entry)
 	if err != nil {
 		return nil, err
 	}
--- a/trove/store.go
+++ b/trove/store.go
@@ -1,6 +1,7 @@
 package trove
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -8,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -24,14 +26,28 @@
 	rollsKept  = 2
 )
 
+type shown struct {
+	promised *wire.Epoch
+	entry    *wire.Entry
+}
+
 type slot struct {
-	mu       sync.Mutex
+	latch    base.Latch
 	promised *wire.Epoch
 	entry    *wire.Entry
-	sick     bool
+	sick     atomic.Bool
+	shown    atomic.Pointer[shown]
+}
+
+func newSlot() *slot {
+	at := &slot{latch: base.NewLatch(), promised: &wire.Epoch{}}
+	at.show()
+	return at
 }
 
-// Lock order: a slot's mu before the store's mu.
+func (at *slot) show() { at.shown.Store(&shown{at.promised, at.entry}) }
+
+// Lock order: a slot's latch, then rolled, then mu; only mu is never held across I/O.
 type Store struct {
 	scope  base.Scope
 	kept   int
@@ -39,11 +55,11 @@
 	phase  wire.Phase
 	slots  map[string]*slot
 	roll   *wire.Roll
-	rolled sync.Mutex
+	rolled base.Latch
 }
 
 func OpenStore(s base.Scope, kept int) (*Store, error) {
-	store := &Store{scope: s, kept: max(kept, 2), slots: map[string]*slot{}, roll: &wire.Roll{Lines: map[string]*wire.Line{}}}
+	store := &Store{scope: s, kept: max(kept, 2), rolled: base.NewLatch(), slots: map[string]*slot{}, roll: &wire.Roll{Lines: map[string]*wire.Line{}}}
 	if err := s.Disk.MakeFolder(keyFolder); err != nil {
 		return nil, errors.Wrap(err, "keys folder")
 	}
@@ -143,19 +159,20 @@
 }
 
 func (t *Store) loadSlot(key string, line *wire.Line) *slot {
-	at := &slot{promised: &wire.Epoch{}}
+	at := newSlot()
+	defer at.show()
 	if line.Promise != "" && t.read(line.Promise, at.promised) != nil {
-		at.sick = true
+		at.sick.Store(true)
 	}
 	if line.Value != "" {
 		entry := &wire.Entry{}
 		if t.read(line.Value, entry) != nil {
-			at.sick = true
+			at.sick.Store(true)
 		} else {
 			at.entry = entry
 		}
 	}
-	if at.sick {
+	if at.sick.Load() {
 		t.scope.Note("sick-key", key, "a file is lost or bad")
 	}
 	return at
@@ -166,7 +183,7 @@
 	defer t.mu.Unlock()
 	at := t.slots[key]
 	if at == nil {
-		at = &slot{promised: &wire.Epoch{}}
+		at = newSlot()
 		t.slots[key] = at
 	}
 	return at
@@ -213,26 +230,21 @@
 func (t *Store) Sick() []string {
 	var sick []string
 	for _, key := range t.Keys() {
-		at := t.slot(key)
-		at.mu.Lock()
-		if at.sick {
+		if t.slot(key).sick.Load() {
 			sick = append(sick, key)
 		}
-		at.mu.Unlock()
 	}
 	return sick
 }
 
 func (t *Store) Peek(key string) (promised *wire.Epoch, entry *wire.Entry) {
-	at := t.slot(key)
-	at.mu.Lock()
-	defer at.mu.Unlock()
+	at := t.slot(key).shown.Load()
 	return at.promised, at.entry
 }
 
 func (t *Store) enroll(key string, change func(*wire.Line)) error {
-	t.rolled.Lock()
-	defer t.rolled.Unlock()
+	t.rolled.Take(context.Background())
+	defer t.rolled.Drop()
 	t.mu.Lock()
 	next := proto.Clone(t.roll).(*wire.Roll)
 	t.mu.Unlock()
@@ -260,16 +272,18 @@
 }
 
 func (t *Store) votes(at *slot) *base.Mishap {
-	if t.Phase() != wire.Phase_FOUNDED || at.sick {
+	if t.Phase() != wire.Phase_FOUNDED || at.sick.Load() {
 		return base.Bounce(base.Amnesiac, "", "this disk has not recovered")
 	}
 	return nil
 }
 
-func (t *Store) Promise(key string, epoch *wire.Epoch) (granted bool, promised *wire.Epoch, entry *wire.Entry, mishap error) {
+func (t *Store) Promise(ctx context.Context, key string, epoch *wire.Epoch) (granted bool, promised *wire.Epoch, entry *wire.Entry, mishap error) {
 	at := t.slot(key)
-	at.mu.Lock()
-	defer at.mu.Unlock()
+	if !at.latch.Take(ctx) {
+		return false, nil, nil, busy(key)
+	}
+	defer at.latch.Drop()
 	if bounce := t.votes(at); bounce != nil {
 		return false, nil, nil, bounce
 	}
@@ -284,6 +298,10 @@
 	return true, at.promised, at.entry, nil
 }
 
+func busy(key string) error {
+	return base.Bounce(base.DiskTrouble, key, "the disk is still at an earlier change")
+}
+
 func (t *Store) keepPromise(key string, at *slot, epoch *wire.Epoch) error {
 	if err := t.scope.Disk.MakeFolder(folderOf(key)); err != nil {
 		return base.Bounce(base.DiskTrouble, key, "%s", err)
@@ -296,16 +314,19 @@
 		return err
 	}
 	at.promised = epoch
+	at.show()
 	if old != name {
 		_ = t.scope.Disk.Remove(old)
 	}
 	return nil
 }
 
-func (t *Store) Accept(entry *wire.Entry) (granted bool, promised *wire.Epoch, mishap error) {
+func (t *Store) Accept(ctx context.Context, entry *wire.Entry) (granted bool, promised *wire.Epoch, mishap error) {
 	at := t.slot(entry.Key)
-	at.mu.Lock()
-	defer at.mu.Unlock()
+	if !at.latch.Take(ctx) {
+		return false, nil, busy(entry.Key)
+	}
+	defer at.latch.Drop()
 	if bounce := t.votes(at); bounce != nil {
 		return false, nil, bounce
 	}
@@ -333,6 +354,7 @@
 	if compareEpochs(entry.Epoch, at.promised) > 0 {
 		at.promised = entry.Epoch
 	}
+	at.show()
 	t.prune(entry.Key, name)
 	return nil
 }
@@ -372,11 +394,13 @@
 	}
 }
 
-func (t *Store) restore(key string, promised *wire.Epoch, entry *wire.Entry) error {
+func (t *Store) restore(ctx context.Context, key string, promised *wire.Epoch, entry *wire.Entry) error {
 	at := t.slot(key)
-	at.mu.Lock()
-	defer at.mu.Unlock()
-	if compareEpochs(promised, at.promised) > 0 || at.sick {
+	if !at.latch.Take(ctx) {
+		return busy(key)
+	}
+	defer at.latch.Drop()
+	if compareEpochs(promised, at.promised) > 0 || at.sick.Load() {
 		if err := t.keepPromise(key, at, promised); err != nil {
 			return err
 		}
@@ -386,6 +410,6 @@
 			return err
 		}
 	}
-	at.sick = false
+	at.sick.Store(false)
 	return nil
 }
--- /dev/null
+++ b/trove/suite_test.go
@@ -0,0 +1,124 @@
+package trove
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/fleet/rig"
+)
+
+var suite *testing.T
+
+func TestTrove(t *testing.T) {
+	suite = t
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "trove")
+}
+
+type member struct {
+	disk   *rig.Disk
+	trove  *Trove
+	door   *base.Door
+	cancel context.CancelFunc
+}
+
+type trio struct {
+	world   *rig.World
+	seed    uint64
+	born    time.Time
+	members [3]*member
+}
+
+func address(i int) string { return fmt.Sprintf("10.9.0.%d:7001", i+1) }
+
+func ip(i int) string { return fmt.Sprintf("10.9.0.%d", i+1) }
+
+func newTrio(seed uint64) *trio {
+	t := &trio{seed: seed, born: time.Now(), world: rig.NewWorld(base.SeededRand(seed), func(_, _ string) time.Duration { return time.Millisecond })}
+	for i := range t.members {
+		t.members[i] = &member{disk: rig.NewDisk(base.SeededRand(seed + uint64(i)))}
+		t.raise(i)
+	}
+	return t
+}
+
+func (t *trio) raise(i int) {
+	t.seed++
+	m := t.members[i]
+	s := base.Scope{
+		Context: context.Background(), Node: address(i), Clock: rig.NewClock(t.born), Net: t.world.At(ip(i)), Disk: m.disk,
+		Rand: base.SeededRand(t.seed * 7919), Log: hclog.NewNullLogger(), Journal: base.NewJournal(1000),
+	}
+	s, m.cancel = s.Child()
+	store, err := OpenStore(s, 4)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	var mates []Mate
+	for j := range t.members {
+		mates = append(mates, Mate{Name: address(j), Address: address(j)})
+	}
+	m.trove = New(s, store, base.Wire(s), address(i), mates, 500*time.Millisecond)
+	mux := http.NewServeMux()
+	mux.Handle(Handler(m.trove))
+	m.door, err = base.Open(s, address(i), mux)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	go m.trove.Recover(s, 200*time.Millisecond)
+}
+
+func (t *trio) kill(i int) {
+	m := t.members[i]
+	if m.cancel == nil {
+		return
+	}
+	m.cancel()
+	t.world.Crash(ip(i), false)
+	m.door.Slam()
+	m.cancel = nil
+}
+
+func (t *trio) end() {
+	for i := range t.members {
+		t.kill(i)
+	}
+	t.world.Close()
+	time.Sleep(time.Minute)
+}
+
+func (t *trio) ready(indices ...int) bool {
+	for _, i := range indices {
+		if !t.members[i].trove.Ready() || len(t.members[i].trove.store.Sick()) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *trio) write(i int, value string) error {
+	return t.members[i].trove.Change(t.members[i].trove.scope, "key", func([]byte) ([]byte, error) { return []byte(value), nil })
+}
+
+func (t *trio) read(i int) (string, error) {
+	value, err := t.members[i].trove.Read(t.members[i].trove.scope, "key")
+	return string(value), err
+}
+
+func story(text string, tell func(t *trio)) {
+	for seed := range uint64(3) {
+		ginkgo.It(text, func() {
+			synctest.Test(suite, func(*testing.T) {
+				defer ginkgo.GinkgoRecover()
+				t := newTrio(seed + 1)
+				defer t.end()
+				tell(t)
+			})
+		})
+	}
+}
