Failure stories for answers, upstreams and nodes; three causes found and mended

A garbled long answer could look whole when its length was told: the last piece now waits for the seal. A node stopping politely closed its door on mates that had not heard: it now bounces 'not run' until they have. The rig killed a machine's upstreams along with its node: owners are now told apart.

--- a/base/web.go
+++ b/base/web.go
@@ -39,6 +39,8 @@
 	d.Slam()
 }
 
+func (d *Door) Fold() { _ = d.listener.Close() }
+
 func (d *Door) Slam() {
 	_ = d.server.Close()
 	d.crew.Wait()
--- /dev/null
+++ b/fleet/answers_test.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/mime"
+	"curlewreach/proto/wire"
+)
+
+func sound(f *Fleet) { Expect(Check(f.History, f.Acks)).To(BeEmpty()) }
+
+func (f *Fleet) seatsOf(service string) []*mime.Upstream {
+	var seats []*mime.Upstream
+	for _, u := range f.Seats {
+		if u.Service == service {
+			seats = append(seats, u)
+		}
+	}
+	return seats
+}
+
+func (f *Fleet) ask(m *Machine, habit mime.Habitual, id string) mime.Call {
+	s := f.scope("asker "+id, m.IP, m.Disk, m.Clock, m.Journal)
+	call := (&mime.Visitors{Scope: s, To: m.At(visitorsPort)}).Ask(s, habit, id)
+	f.History.Called(call)
+	return call
+}
+
+var (
+	hold   = mime.Habitual{Service: "lending", Route: "hold", Method: "POST", Path: "/lending/hold/7"}
+	search = mime.Habitual{Service: "catalogue", Route: "search", Method: "GET", Path: "/catalogue/search?q=7"}
+	report = mime.Habitual{Service: "catalogue", Route: "report", Method: "GET", Path: "/catalogue/report/7"}
+)
+
+func (f *Fleet) tally(calls []mime.Call) map[string]int {
+	counts := map[string]int{}
+	for _, call := range calls {
+		switch {
+		case call.Broken != "":
+			counts["broken"]++
+		case call.Outcome != "":
+			counts[call.Outcome]++
+		default:
+			counts["answered"]++
+		}
+	}
+	return counts
+}
+
+var _ = ginkgo.Describe("answers", func() {
+	for _, fault := range []mime.Fault{mime.LoseAfter, mime.Truncate, mime.Garble, mime.Overlong, mime.Unframed, mime.Nonsense} {
+		story(fmt.Sprintf("given upstreams that %s their answers, when a hold is asked, then it runs once and nothing but a whole answer is relayed", fault), []uint64{1, 2}, func(f *Fleet) {
+			raised(f)
+			for _, u := range f.seatsOf("lending") {
+				u.SetFault(fault)
+			}
+			for i := range 12 {
+				call := f.ask(f.Vanes[i%len(f.Vanes)], hold, fmt.Sprintf("hold-%d", i))
+				Expect(call.Broken).To(BeEmpty())
+				if fault == mime.Overlong {
+					Expect(call.Status).To(Equal(200))
+					continue
+				}
+				Expect(call.Outcome).To(Equal("unknown"))
+				Expect(call.Status).To(Equal(502))
+				Expect(call.Ended-call.Begun).To(BeNumerically("<", time.Second), "a request given up on is answered at once")
+			}
+			sound(f)
+		})
+	}
+
+	story("given one upstream that loses answers, when searches are asked, then repeats find another within their bound", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.seatsOf("catalogue")[0].SetFault(mime.LoseAfter)
+		f.Visit(80)
+		f.Pass(15 * time.Second)
+		f.Leave()
+		sound(f)
+		counts := f.tally(f.History.Calls())
+		Expect(counts["answered"]).To(BeNumerically(">", 20*counts["unknown"]))
+	})
+
+	story("given every upstream losing answers, when the crowd comes, then repeats stay within a fifth and the allowance", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		for _, u := range f.seatsOf("catalogue") {
+			u.SetFault(mime.LoseAfter)
+		}
+		f.Visit(100)
+		f.Pass(15 * time.Second)
+		f.Leave()
+		sound(f)
+		Expect(f.tally(f.History.Calls())["unknown"]).To(BeNumerically(">", 100))
+	})
+
+	story("given a long answer, when its upstream breaks off midway, then the visitor cannot take it for whole", []uint64{1}, func(f *Fleet) {
+		f.Habits = []mime.Habit{{Prefix: "/catalogue/report", Base: 5, Size: 3 << 20}}
+		f.Tune = func(p *wire.VaneParams) { p.Held = 64 << 10 }
+		raised(f)
+		Expect(f.ask(f.Vanes[1], report, "whole").Broken).To(BeEmpty())
+		for _, u := range f.seatsOf("catalogue") {
+			u.SetFault(mime.Truncate)
+		}
+		Expect(f.ask(f.Vanes[1], report, "torn").Broken).To(HavePrefix("torn"))
+		for _, u := range f.seatsOf("catalogue") {
+			u.SetFault(mime.Garble)
+		}
+		Expect(f.ask(f.Vanes[1], report, "garbled").Broken).To(HavePrefix("torn"))
+		sound(f)
+	})
+
+	story("given a slow upstream, when a hold's deadline passes, then the answer is unknown and the hold never runs again", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		for _, u := range f.seatsOf("lending") {
+			u.SetFault(mime.Stuck)
+		}
+		call := f.ask(f.Vanes[0], hold, "stuck")
+		Expect(call.Outcome).To(Equal("unknown"))
+		Expect(call.Status).To(Equal(504))
+		f.Pass(30 * time.Second)
+		sound(f)
+	})
+
+	story("given no route, seat or room, when asked, then the bounce promises not run and says when to come back", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		Expect(f.ask(f.Vanes[0], mime.Habitual{Method: "GET", Path: "/nowhere"}, "nowhere").Status).To(Equal(404))
+		for _, u := range f.seatsOf("lending") {
+			u.Kill()
+		}
+		f.Pass(time.Second)
+		call := f.ask(f.Vanes[0], hold, "no seat")
+		Expect(call.Status).To(Equal(503))
+		Expect(call.Outcome).To(Equal("not-run"))
+		sound(f)
+	})
+})
+
+var _ = ginkgo.Describe("machines and upstreams that come and go", func() {
+	story("given an upstream that leaves, when visitors go on, then it gets nothing new after 2 s and nobody is bounced", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(80)
+		f.Pass(3 * time.Second)
+		f.seatsOf("lending")[0].Leave()
+		f.Pass(6 * time.Second)
+		f.Leave()
+		sound(f)
+		Expect(f.tally(f.History.Calls())).To(HaveLen(1))
+	})
+
+	story("given an upstream that ends, when another service takes its address at once, then it gets none of the first's requests", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(120)
+		f.Pass(2 * time.Second)
+		first := f.seatsOf("lending")[0]
+		home := f.Vanes[1]
+		Expect(first.Address).To(Equal(home.At(8001)))
+		first.Kill()
+		_, err := f.Seat(home, "catalogue", 8001, 16)
+		Expect(err).NotTo(HaveOccurred())
+		f.Pass(3 * time.Second)
+		f.Leave()
+		sound(f)
+		Expect(f.tally(f.History.Calls())["answered"]).To(BeNumerically(">", 400))
+	})
+
+	story("given an address passed on silently, when the probe still stands, then the new listener is noticed before a byte is sent", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		first := f.seatsOf("lending")[0]
+		home := f.Vanes[1]
+		first.Drain()
+		second := &mime.Upstream{Scope: first.Scope, Service: "catalogue", Address: first.Address, Reports: "10.9.0.99:1", Capacity: 16, Zone: home.Zone, History: f.History}
+		Expect(second.Start(time.Hour)).To(Succeed())
+		defer second.Kill()
+		for i := range 20 {
+			f.ask(home, hold, fmt.Sprintf("passed-%d", i))
+		}
+		sound(f)
+		Expect(f.tally(f.History.Calls())["answered"]).To(BeNumerically(">", 10))
+	})
+
+	story("given a node killed while it carries, when it returns, then no hold ran twice and service goes on", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(80)
+		for _, m := range f.Vanes[:3] {
+			f.Pass(2 * time.Second)
+			f.Kill(m)
+			f.Pass(time.Second)
+			Expect(f.Raise(m)).To(Succeed())
+		}
+		f.Pass(6 * time.Second)
+		f.Leave()
+		sound(f)
+		calls := f.History.Calls()
+		late := calls[len(calls)-50:]
+		Expect(f.tally(late)["answered"]).To(BeNumerically(">", 40))
+	})
+
+	story("given machines rolled in turn with a polite stop, when visitors call, then nothing in flight is dropped", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(80)
+		for _, m := range f.Vanes {
+			f.Pass(2 * time.Second)
+			m.Vane.Stop()
+			f.Kill(m)
+			f.Pass(500 * time.Millisecond)
+			Expect(f.Raise(m)).To(Succeed())
+		}
+		f.Pass(3 * time.Second)
+		f.Leave()
+		sound(f)
+		for _, call := range f.History.Calls() {
+			Expect(call.Outcome).NotTo(Equal("unknown"), call.ID)
+			Expect(call.Broken).NotTo(HavePrefix("torn"), call.ID)
+		}
+	})
+
+	story("given one-way and two-way cuts between nodes, when they come and go, then doubt is told and nothing runs twice", []uint64{1, 2, 3, 4}, func(f *Fleet) {
+		raised(f)
+		f.Visit(80)
+		for round := range 6 {
+			f.Pass(2 * time.Second)
+			a, b := f.Vanes[round%4], f.Vanes[(round+1)%4]
+			f.World.Cut(a.IP, b.IP)
+			if round%2 == 0 {
+				f.World.Cut(b.IP, a.IP)
+			}
+			f.Pass(1500 * time.Millisecond)
+			f.World.HealAll()
+		}
+		f.Pass(5 * time.Second)
+		f.Leave()
+		sound(f)
+	})
+})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,8 @@
 
 func (m *Machine) At(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
+func (m *Machine) owner() string { return fmt.Sprintf("%s life %d", m.Name, m.lives) }
+
 type Fleet struct {
 	Scope    base.Scope
 	Seed     uint64
@@ -117,14 +119,14 @@
 
 func (f *Fleet) scope(name, ip string, disk base.Disk, clock base.Clock, journal *base.Journal) base.Scope {
 	return base.Scope{
-		Context: context.Background(), Node: name, Clock: clock, Net: f.World.At(ip), Disk: disk,
+		Context: context.Background(), Node: name, Clock: clock, Net: f.World.At(ip, name), Disk: disk,
 		Rand: f.rand(name), Log: hclog.NewNullLogger(), Journal: journal,
 	}
 }
 
 func (f *Fleet) Raise(m *Machine) error {
 	m.lives++
-	s := f.scope(fmt.Sprintf("%s life %d", m.Name, m.lives), m.IP, m.Disk, m.Clock, m.Journal)
+	s := f.scope(m.owner(), m.IP, m.Disk, m.Clock, m.Journal)
 	s, m.cancel = s.Child()
 	var err error
 	if m.Core {
@@ -158,7 +160,7 @@
 		return
 	}
 	m.cancel()
-	f.World.Crash(m.IP, silent)
+	f.World.Crash(m.IP, m.owner(), silent)
 	if m.Keel != nil {
 		m.Keel.Kill()
 	}
--- a/fleet/rig/net.go
+++ b/fleet/rig/net.go
@@ -64,19 +64,19 @@
 	return usual + time.Duration(float64(usual)*w.rand.Float64())
 }
 
-func (w *World) At(ip string) base.Net { return &port{world: w, ip: ip} }
+func (w *World) At(ip, owner string) base.Net { return &port{world: w, ip: ip, owner: owner} }
 
-func (w *World) Crash(ip string, silent bool) {
+func (w *World) Crash(ip, owner string, silent bool) {
 	w.mu.Lock()
 	var ends []*end
 	var listeners []*listener
 	for each := range w.ends {
-		if each.local == ip {
+		if each.local == ip && (owner == "" || each.owner == owner) {
 			ends = append(ends, each)
 		}
 	}
 	for address, each := range w.listeners {
-		if host(address) == ip {
+		if host(address) == ip && (owner == "" || each.owner == owner) {
 			listeners = append(listeners, each)
 		}
 	}
@@ -115,6 +115,7 @@
 type port struct {
 	world *World
 	ip    string
+	owner string
 }
 
 func (p *port) Listen(address string) (net.Listener, error) {
@@ -124,7 +125,7 @@
 		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
 	}
 	p.world.serial++
-	l := &listener{world: p.world, address: address, serial: p.world.serial, queue: make(chan *end, 1024), closed: make(chan struct{})}
+	l := &listener{world: p.world, address: address, owner: p.owner, serial: p.world.serial, queue: make(chan *end, 1024), closed: make(chan struct{})}
 	p.world.listeners[address] = l
 	return l, nil
 }
@@ -164,8 +165,8 @@
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	there, back := newPipe(p.world, p.ip, to), newPipe(p.world, to, p.ip)
-	mine := &end{world: p.world, local: p.ip, remote: address, in: back, out: there}
-	theirs := &end{world: p.world, local: to, remote: p.ip + ":0", in: there, out: back}
+	mine := &end{world: p.world, owner: p.owner, local: p.ip, remote: address, in: back, out: there}
+	theirs := &end{world: p.world, owner: l.owner, local: to, remote: p.ip + ":0", in: there, out: back}
 	p.world.ends[mine], p.world.ends[theirs] = true, true
 	select {
 	case l.queue <- theirs:
@@ -178,6 +179,7 @@
 type listener struct {
 	world   *World
 	address string
+	owner   string
 	serial  int
 	queue   chan *end
 	closed  chan struct{}
@@ -353,6 +355,7 @@
 
 type end struct {
 	world  *World
+	owner  string
 	local  string
 	remote string
 	in     *pipe
--- a/flow/near.go
+++ b/flow/near.go
@@ -201,15 +201,20 @@
 		}
 		_, _ = c.sealing.Write(piece.Chunk)
 		c.size += uint64(len(piece.Chunk))
-		c.held.Write(piece.Chunk)
-		if c.flowing || c.held.Len() > c.node.dials.Load().Held {
-			return c.flow()
+		if c.flowing || c.held.Len()+len(piece.Chunk) > c.node.dials.Load().Held {
+			if err := c.flow(); err != nil {
+				return err
+			}
 		}
+		c.held.Write(piece.Chunk)
 	case *wire.CarryReply_Tail:
 		if c.head == nil || piece.Tail.Attempt != c.attempt.Name || piece.Tail.Size != c.size || !bytes.Equal(piece.Tail.Digest, c.sealing.sum()) {
 			return base.Bounce(base.Garbled, "", "the seal does not fit the answer")
 		}
 		c.whole = true
+		if c.flowing {
+			return c.flow()
+		}
 	case *wire.CarryReply_Mishap:
 		if piece.Mishap.Attempt != c.attempt.Name {
 			return errForeign
--- a/flow/node.go
+++ b/flow/node.go
@@ -160,6 +160,7 @@
 	n.scope.Note("stopping", "", "")
 	done := make(chan struct{})
 	go func() {
+		base.Await(n.scope.Under(ctx), n.patience)
 		n.flying.Wait()
 		close(done)
 	}()
--- a/mime/upstream.go
+++ b/mime/upstream.go
@@ -107,6 +107,12 @@
 	u.crew.Wait()
 }
 
+func (u *Upstream) Drain() {
+	u.cancel()
+	u.door.Fold()
+	u.crew.Wait()
+}
+
 func (u *Upstream) Leave() {
 	u.mu.Lock()
 	u.leaving, u.left = true, u.Scope.Clock.Mono()
@@ -198,7 +204,7 @@
 		body[len(body)/2] ^= 0x20
 	case Overlong:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		u.raw(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(body), body, body)
+		u.raw(w, "HTTP/1.1 200 OK\r\nContent-Digest: %s\r\nContent-Length: %d\r\n\r\n%s%s", w.Header().Get("Content-Digest"), len(body), body, body)
 		return
 	case Unframed:
 		u.raw(w, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body[:len(body)/2])
--- a/trove/suite_test.go
+++ b/trove/suite_test.go
@@ -55,7 +55,7 @@
 	t.seed++
 	m := t.members[i]
 	s := base.Scope{
-		Context: context.Background(), Node: address(i), Clock: rig.NewClock(t.born), Net: t.world.At(ip(i)), Disk: m.disk,
+		Context: context.Background(), Node: address(i), Clock: rig.NewClock(t.born), Net: t.world.At(ip(i), "keel"), Disk: m.disk,
 		Rand: base.SeededRand(t.seed * 7919), Log: hclog.NewNullLogger(), Journal: base.NewJournal(1000),
 	}
 	s, m.cancel = s.Child()
@@ -79,7 +79,7 @@
 		return
 	}
 	m.cancel()
-	t.world.Crash(ip(i), false)
+	t.world.Crash(ip(i), "", false)
 	m.door.Slam()
 	m.cancel = nil
 }
