Roll-outs are staged, then committed; nodes serve only under a fresh claim

A node sends under its serial while a majority of keels, or failing that a majority of the bundle's application machines, has within 0.8 of the slide-back bound said that none newer was accepted. The owner commits once a majority of the application machines holds the staged slice.

--- a/base/mishap.go
+++ b/base/mishap.go
@@ -20,6 +20,7 @@
 	OutOfRange  Kind = "out-of-range"
 	StaleBase   Kind = "stale-base"
 	NoRoute     Kind = "no-route"
+	Stale       Kind = "stale-serial"
 	NoSeat      Kind = "no-seat"
 	Crowded     Kind = "crowded"
 	Stopping    Kind = "stopping"
@@ -52,6 +53,7 @@
 	OutOfRange:  {http.StatusUnprocessableEntity, false},
 	StaleBase:   {http.StatusConflict, false},
 	NoRoute:     {http.StatusNotFound, false},
+	Stale:       {http.StatusServiceUnavailable, true},
 	NoSeat:      {http.StatusServiceUnavailable, true},
 	Crowded:     {http.StatusServiceUnavailable, true},
 	Stopping:    {http.StatusServiceUnavailable, true},
--- a/fleet/suite_test.go
+++ b/fleet/suite_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"curlewreach/base"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -24,9 +25,9 @@
 }
 
 func story(text string, seeds []uint64, tell func(f *Fleet)) {
-	for _, seed := range seeds {
-		ginkgo.It(text, func() { bubble(seed, shape(4), tell) })
-	}
+	ginkgo.It(text, func() {
+		base.All(seeds, func(seed uint64) { bubble(seed, shape(4), tell) })
+	})
 }
 
 func bubble(seed uint64, shape *wire.Bundle, tell func(f *Fleet)) {
--- /dev/null
+++ b/flow/claims.go
@@ -0,0 +1,237 @@
+package flow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+	"curlewreach/trove"
+)
+
+const (
+	claimRatio  = 0.8
+	worryRatio  = 0.5
+	vouchRatio  = 0.25
+	behindRatio = 0.2
+)
+
+type word struct {
+	at       time.Duration
+	serial   uint64
+	definite bool
+}
+
+type Claims struct {
+	clock    base.Clock
+	length   time.Duration
+	self     string
+	mu       sync.Mutex
+	keels    []word
+	mates    map[string]word
+	held     *pact.Bundle
+	staged   *pact.Bundle
+	recalled *pact.Bundle
+	ballot   *wire.Ballot
+	wanted   uint64
+	definite bool
+}
+
+func NewClaims(clock base.Clock, self string, keels int, length time.Duration) *Claims {
+	return &Claims{clock: clock, self: self, keels: make([]word, keels), mates: map[string]word{}, length: length}
+}
+
+func (c *Claims) Held() (held, staged *pact.Bundle, ballot *wire.Ballot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held, c.staged, c.ballot
+}
+
+func (c *Claims) Good(serial uint64) bool { return c.goodIn(serial, 0) }
+
+func (c *Claims) goodIn(serial uint64, ahead time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held == nil || c.held.Serial != serial || c.wanted > serial {
+		return false
+	}
+	return c.byCore(serial, ahead) || (c.definite && (c.staged == nil || c.staged.Serial <= serial) && c.byMates(c.held, ahead, 1))
+}
+
+func (c *Claims) byCore(serial uint64, ahead time.Duration) bool {
+	oldest, good := c.clock.Mono()+ahead-c.length, 0
+	for _, each := range c.keels {
+		if each.definite && each.at >= oldest && each.serial <= serial {
+			good++
+		}
+	}
+	return good >= len(c.keels)/2+1
+}
+
+func (c *Claims) byMates(bundle *pact.Bundle, ahead time.Duration, own int) bool {
+	oldest, good := c.clock.Mono()+ahead-c.length, 0
+	for machine := range bundle.Machines() {
+		if machine.Core {
+			continue
+		}
+		if machine.Name == c.self {
+			good += own
+			continue
+		}
+		if each := c.mates[machine.Name]; each.definite && each.at >= oldest && each.serial <= bundle.Serial {
+			good++
+		}
+	}
+	return good >= bundle.Vanes()/2+1
+}
+
+func (c *Claims) Heard(keel int, asked time.Duration, news *wire.NewsReply, open func(*wire.Sealed) *pact.Bundle) (risen *pact.Bundle) {
+	slice, staged := open(news.Slice), open(news.Staged)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keels[keel] = word{at: asked + time.Duration(news.HeldUs)*time.Microsecond, serial: news.Accepted, definite: news.Vouches}
+	if trove.CompareBallots(news.Ballot, c.ballot) > 0 {
+		c.ballot, c.wanted = news.Ballot, max(c.wanted, news.Serial)
+		if c.staged != nil && c.staged.Serial != news.StagedSerial && c.staged.Serial != news.Serial {
+			c.staged = nil
+		}
+	}
+	if staged != nil && trove.CompareBallots(news.Ballot, c.ballot) == 0 && staged.Serial == news.StagedSerial {
+		c.staged = staged
+	}
+	risen = c.rise(slice)
+	c.settle()
+	return risen
+}
+
+func (c *Claims) rise(offered ...*pact.Bundle) (risen *pact.Bundle) {
+	for _, each := range append(offered, c.staged, c.recalled) {
+		if each == nil || each.Serial != c.wanted {
+			continue
+		}
+		if c.held == nil || each.Serial > c.held.Serial || (each.Serial == c.held.Serial && len(each.Sealed.Parts) > len(c.held.Sealed.Parts)) {
+			c.held, risen = each, each
+		}
+	}
+	if c.held != nil && c.staged != nil && c.staged.Serial <= c.held.Serial {
+		c.staged = nil
+	}
+	return risen
+}
+
+func (c *Claims) settle() {
+	if c.held != nil && c.held.Serial >= c.wanted && c.byCore(c.held.Serial, 0) {
+		c.definite = true
+	}
+}
+
+func (c *Claims) Recall(bundle *pact.Bundle) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recalled = bundle
+}
+
+func (c *Claims) Vouched(asked time.Duration, reply *wire.VouchReply, open func(*wire.Sealed) *pact.Bundle) (risen *pact.Bundle) {
+	slice := open(reply.Slice)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mates[reply.Node] = word{at: asked, serial: max(reply.Serial, reply.Staged), definite: reply.Definite}
+	if reply.Definite && reply.Serial > c.wanted {
+		c.wanted = reply.Serial
+	}
+	risen = c.rise(slice)
+	if c.held != nil && !c.definite && c.held.Serial >= c.wanted && c.byMates(c.held, 0, 0) {
+		c.definite = true
+	}
+	return risen
+}
+
+func (c *Claims) Vouch(ask *wire.VouchRequest) *wire.VouchReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &wire.VouchReply{Node: c.self, Definite: c.definite}
+	if c.held != nil {
+		reply.Serial = c.held.Serial
+		if c.definite && ask.Serial < c.held.Serial {
+			reply.Slice = c.held.Sealed
+		}
+	}
+	if c.staged != nil {
+		reply.Staged = c.staged.Serial
+	}
+	return reply
+}
+
+func (c *Claims) mostKnown() *pact.Bundle {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held == nil {
+		return c.recalled
+	}
+	return c.held
+}
+
+func (n *Node) vouch(s base.Scope) {
+	every := time.Duration(float64(n.claims.length) * vouchRatio)
+	base.Tick(s, every, func(s base.Scope) {
+		known := n.claims.mostKnown()
+		if known == nil {
+			return
+		}
+		held, _, _ := n.claims.Held()
+		if held != nil && n.claims.sureByCore(held.Serial, time.Duration(float64(n.claims.length)*worryRatio)) {
+			return
+		}
+		serial := uint64(0)
+		if held != nil {
+			serial = held.Serial
+		}
+		asked := s.Clock.Mono()
+		for machine := range known.Machines() {
+			if machine.Core || machine.Name == n.self {
+				continue
+			}
+			go func() {
+				ctx, cancel := context.WithTimeout(s, n.claims.length)
+				defer cancel()
+				reply, err := n.mate(machine.Address).Vouch(ctx, connect.NewRequest(&wire.VouchRequest{Node: n.self, Serial: serial}))
+				if err == nil && reply.Msg.Node == machine.Name {
+					n.risen(n.claims.Vouched(asked, reply.Msg, n.open))
+				}
+			}()
+		}
+	})
+}
+
+func (c *Claims) sureByCore(serial uint64, ahead time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wanted <= serial && c.byCore(serial, ahead)
+}
+
+func (v farServer) Vouch(_ context.Context, request *connect.Request[wire.VouchRequest]) (*connect.Response[wire.VouchReply], error) {
+	return connect.NewResponse(v.node.claims.Vouch(request.Msg)), nil
+}
+
+func (n *Node) abreast(s base.Scope, serial uint64) *base.Mishap {
+	until := s.Clock.Mono() + time.Duration(float64(n.claims.length)*behindRatio)
+	for {
+		heard := n.risenBell.Heard()
+		held, _, _ := n.claims.Held()
+		switch {
+		case held != nil && held.Serial > serial:
+			return base.Bounce(base.Stale, "", "serial %d is in force here, not %d", held.Serial, serial)
+		case held != nil && held.Serial == serial && n.claims.Good(serial):
+			return nil
+		}
+		left := until - s.Clock.Mono()
+		if left <= 0 || s.Err() != nil {
+			return base.Bounce(base.Uncertain, "", "no majority vouches here that serial %d is the newest", serial)
+		}
+		base.Await(s, left, heard)
+	}
+}
--- a/flow/far.go
+++ b/flow/far.go
@@ -56,9 +56,12 @@
 	}
 	s, cancel := s.Within(left)
 	defer cancel()
+	if mishap := n.abreast(s, ask.Serial); mishap != nil {
+		return mishap
+	}
 	bundle := n.slice.Load()
-	if bundle == nil {
-		return base.Bounce(base.Uncertain, "", "no bundle is held here yet")
+	if bundle.Serial != ask.Serial {
+		return base.Bounce(base.Stale, "", "serial %d is in force here", bundle.Serial)
 	}
 	way, known := bundle.Way(ask.Service, ask.Route)
 	if !known {
@@ -117,6 +120,9 @@
 	if len(ask.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(ask.Body))
 	}
+	if !n.claims.Good(ask.Serial) {
+		return base.Bounce(base.Stale, "", "serial %d is no longer sure here", ask.Serial)
+	}
 	if s.Err() != nil || !n.fences.Hand(ask.Attempt) {
 		return base.Bounce(base.Fenced, "", "this attempt was barred or ran out of time")
 	}
--- a/flow/ledger.go
+++ b/flow/ledger.go
@@ -61,13 +61,23 @@
 
 func (l *Ledger) Tried(seat string) bool {
 	for _, attempt := range l.Attempts {
-		if attempt.Seat == seat {
+		if attempt.Seat == seat && attempt.Mishap.Kind != base.Stale {
 			return true
 		}
 	}
 	return false
 }
 
+func (l *Ledger) counted() int {
+	count := 0
+	for _, attempt := range l.Attempts {
+		if attempt.Mishap == nil || attempt.Mishap.Kind != base.Stale {
+			count++
+		}
+	}
+	return count
+}
+
 func (l *Ledger) Next(now time.Duration) Move {
 	last := l.Last()
 	switch {
@@ -75,7 +85,7 @@
 		return Try
 	case last.State == Answered:
 		return Relay
-	case now >= l.Until, len(l.Attempts) >= mostAttempts:
+	case now >= l.Until, l.counted() >= mostAttempts:
 		return GiveUp
 	case l.Doubtful() && !l.Way.Route.Repeatable:
 		return GiveUp
--- a/flow/near.go
+++ b/flow/near.go
@@ -72,6 +72,12 @@
 	if bundle == nil {
 		return nil, base.Bounce(base.Uncertain, "", "no bundle is held here yet")
 	}
+	if !n.claims.Good(bundle.Serial) {
+		if mishap := n.abreast(s, bundle.Serial); mishap != nil && mishap.Kind != base.Stale {
+			return nil, mishap
+		}
+		bundle = n.slice.Load()
+	}
 	way, known := bundle.Match(e.request.Method, e.request.URL.Path)
 	if !known {
 		return nil, base.Bounce(base.NoRoute, "", "no route for %s %s", e.request.Method, e.request.URL.Path)
@@ -128,6 +134,15 @@
 		case GiveUp:
 			return nil, ledger.Verdict(s.Clock.Mono())
 		}
+		if last := ledger.Last(); last != nil && last.Mishap.Kind == base.Stale {
+			base.Await(s, time.Duration(float64(n.claims.length)*behindRatio/4), n.risenBell.Heard())
+			bundle = n.slice.Load()
+			fresh, known := bundle.Way(way.Service.Name, way.Route.Name)
+			if !known {
+				return nil, base.Bounce(base.NoRoute, "", "serial %d has no such route", bundle.Serial)
+			}
+			way, ledger.Way = fresh, fresh
+		}
 		if ledger.Doubtful() && !n.repeats.Spend(way.Service.Name) {
 			return nil, ledger.Verdict(s.Clock.Mono())
 		}
--- a/flow/node.go
+++ b/flow/node.go
@@ -50,33 +50,35 @@
 
 // Lock order: picking before any other; ties, seats, gates, fences and repeats never nest.
 type Node struct {
-	scope    base.Scope
-	self     string
-	zone     string
-	dials    atomic.Pointer[Dials]
-	patience time.Duration
-	force    time.Duration
-	web      *http.Client
-	outward  *http.Transport
-	member   *kin.Member
-	seats    *Seats
-	fences   *Fences
-	ties     *Ties
-	gate     *Gate
-	repeats  *Repeats
-	budget   *Budget
-	keeper   *lens.Keeper
-	sink     *lens.Sink
-	slice    atomic.Pointer[pact.Bundle]
-	stopping atomic.Bool
-	flying   sync.WaitGroup
-	adopting sync.Mutex
-	mates    base.Table[wireconnect.FlowClient]
-	atlas    base.Table[outlook]
-	keels    []wireconnect.HelmClient
-	kept     base.Bell
-	picking  sync.Mutex
-	records  map[string]*record
+	scope     base.Scope
+	self      string
+	zone      string
+	dials     atomic.Pointer[Dials]
+	patience  time.Duration
+	force     time.Duration
+	web       *http.Client
+	outward   *http.Transport
+	member    *kin.Member
+	seats     *Seats
+	fences    *Fences
+	ties      *Ties
+	gate      *Gate
+	repeats   *Repeats
+	budget    *Budget
+	keeper    *lens.Keeper
+	sink      *lens.Sink
+	slice     atomic.Pointer[pact.Bundle]
+	stopping  atomic.Bool
+	flying    sync.WaitGroup
+	adopting  sync.Mutex
+	mates     base.Table[wireconnect.FlowClient]
+	atlas     base.Table[outlook]
+	keels     []wireconnect.HelmClient
+	kept      base.Bell
+	claims    *Claims
+	risenBell base.Bell
+	picking   sync.Mutex
+	records   map[string]*record
 }
 
 func NewNode(s base.Scope, web *http.Client, params *wire.VaneParams, trust pact.Trust) *Node {
@@ -90,6 +92,7 @@
 		gate: NewGate(s.Clock, int(params.Flights), int(params.Queue)), repeats: NewRepeats(), budget: NewBudget(s.Clock),
 		keeper: lens.NewKeeper(s.Rand), sink: lens.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
 	}
+	n.claims = NewClaims(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*claimRatio))
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
 	self := &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone}
 	n.member = kin.NewMember(s, web, self, params.Seeds, nil, time.Duration(float64(leaving)*beatRatio))
@@ -120,8 +123,9 @@
 		})
 	})
 	crew.Go(func() { n.remember(s) })
-	for _, keel := range n.keels {
-		crew.Go(func() { n.follow(s, keel) })
+	crew.Go(func() { n.vouch(s) })
+	for index, keel := range n.keels {
+		crew.Go(func() { n.follow(s, index, keel) })
 	}
 	crew.Wait()
 	n.seats.Close()
@@ -133,11 +137,28 @@
 	if err != nil || proto.Unmarshal(raw, sealed) != nil {
 		return
 	}
-	if _, mishap := n.dials.Load().Trust.Verify(sealed); mishap == nil {
-		n.scope.Note("recalled", "", "a slice from disk, not in force until a keel confirms it")
+	if bundle := n.open(sealed); bundle != nil {
+		n.claims.Recall(bundle)
+		n.scope.Note("recalled", "", "a slice from disk, in force once a majority confirms it")
 	}
 }
 
+func (n *Node) open(sealed *wire.Sealed) *pact.Bundle {
+	if sealed == nil {
+		return nil
+	}
+	if _, mishap := n.dials.Load().Trust.Verify(sealed); mishap != nil {
+		n.scope.Note("slice-bounced", "", mishap.Error())
+		return nil
+	}
+	raw, mishap := pact.Open(sealed)
+	if mishap != nil {
+		n.scope.Note("slice-bounced", "", mishap.Error())
+		return nil
+	}
+	return pact.Index(sealed, raw)
+}
+
 func (n *Node) remember(s base.Scope) {
 	for s.Err() == nil {
 		heard := n.kept.Heard()
@@ -170,24 +191,29 @@
 	}
 }
 
-func (n *Node) Ready() bool { return n.slice.Load() != nil && !n.stopping.Load() }
+func (n *Node) Ready() bool {
+	bundle := n.slice.Load()
+	return bundle != nil && n.claims.Good(bundle.Serial) && !n.stopping.Load()
+}
 
 func (n *Node) Bundle() *pact.Bundle { return n.slice.Load() }
 
 func (n *Node) Keeper() *lens.Keeper { return n.keeper }
 
-func (n *Node) follow(s base.Scope, keel wireconnect.HelmClient) {
+func (n *Node) follow(s base.Scope, index int, keel wireconnect.HelmClient) {
 	ask := &wire.NewsRequest{Node: n.self}
 	for s.Err() == nil {
 		n.fill(ask)
+		asked := s.Clock.Mono()
 		bounded, cancel := s.Within(n.force)
 		reply, err := keel.News(bounded, connect.NewRequest(ask))
 		cancel()
 		if err != nil {
 			ask.Keel = ""
-			base.Await(s, n.force/8)
+			base.Await(s, n.force/16)
 			continue
 		}
+		n.risen(n.claims.Heard(index, asked, reply.Msg, n.open))
 		n.learn(reply.Msg)
 		ask.Keel, ask.Roster = reply.Msg.Keel, reply.Msg.Roster
 	}
@@ -195,8 +221,13 @@
 
 func (n *Node) fill(ask *wire.NewsRequest) {
 	ask.Odds = n.keeper.Serial()
-	ask.Parts, ask.Seats, ask.Serial = nil, nil, 0
-	if bundle := n.slice.Load(); bundle != nil {
+	ask.Parts, ask.Seats, ask.Serial, ask.Staged = nil, nil, 0, 0
+	bundle, staged, ballot := n.claims.Held()
+	ask.Ballot = ballot
+	if staged != nil {
+		ask.Staged = staged.Serial
+	}
+	if bundle != nil {
 		ask.Serial = bundle.Serial
 		for _, part := range bundle.Sealed.Parts {
 			ask.Parts = append(ask.Parts, part.Name)
@@ -210,9 +241,6 @@
 }
 
 func (n *Node) learn(news *wire.NewsReply) {
-	if news.Slice != nil {
-		n.adopt(news.Slice)
-	}
 	if news.Odds != nil && news.Odds.Serial > n.keeper.Serial() {
 		if mishap := n.keeper.Load(news.Odds); mishap != nil {
 			n.scope.Note("odds-bounced", "", mishap.Error())
@@ -233,23 +261,15 @@
 	})
 }
 
-func (n *Node) adopt(sealed *wire.Sealed) {
-	n.adopting.Lock()
-	defer n.adopting.Unlock()
-	manifest, mishap := n.dials.Load().Trust.Verify(sealed)
-	if mishap != nil {
-		n.scope.Note("slice-bounced", "", mishap.Error())
-		return
-	}
-	if held := n.slice.Load(); held != nil && (manifest.Serial < held.Serial || (manifest.Serial == held.Serial && len(sealed.Parts) <= len(held.Sealed.Parts))) {
+func (n *Node) risen(bundle *pact.Bundle) {
+	if bundle == nil {
 		return
 	}
-	raw, mishap := pact.Open(sealed)
-	if mishap != nil {
-		n.scope.Note("slice-bounced", "", mishap.Error())
+	n.adopting.Lock()
+	defer n.adopting.Unlock()
+	if held := n.slice.Load(); held != nil && held.Serial > bundle.Serial {
 		return
 	}
-	bundle := pact.Index(sealed, raw)
 	n.repeats.Set(bundle)
 	n.budget.Set(bundle)
 	n.member.Place(bundle.Machines())
@@ -257,6 +277,7 @@
 	n.member.Change(func(roster *wire.Roster) { roster.Holding = bundle.Serial })
 	n.scope.Note("in-force", "", strconv.FormatUint(bundle.Serial, 10))
 	n.kept.Ring()
+	n.risenBell.Ring()
 }
 
 func (n *Node) Visitors() http.Handler { return n.door(false) }
--- a/flow/pick.go
+++ b/flow/pick.go
@@ -105,7 +105,7 @@
 	defer n.picking.Unlock()
 	at := n.recordOf(chosen)
 	at.flying--
-	if attempt.State != Answered && attempt.Mishap.Kind != base.Crowded {
+	if attempt.State != Answered && attempt.Mishap.Kind != base.Crowded && attempt.Mishap.Kind != base.Stale {
 		at.cool = n.scope.Clock.Mono() + n.patience
 	}
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
@@ -20,24 +18,31 @@
 )
 
 const (
-	BundleKey   = "bundle"
-	LearningKey = "learning"
-	outcomesKep = 64
+	BundleKey    = "bundle"
+	LearningKey  = "learning"
+	outcomesKept = 64
+	indexesKept  = 4
+	holdRatio    = 0.2
 )
 
 type Helm struct {
-	scope  base.Scope
-	self   string
-	trove  *trove.Trove
-	member *kin.Member
-	traces *lens.Store
-	trust  atomic.Pointer[pact.Trust]
-	limits pact.Limits
-	force  time.Duration
-	mates  map[string]wireconnect.HelmClient
-	lenses map[string]wireconnect.LensClient
-	news   base.Bell
-	index  base.Table[*pact.Bundle]
+	scope     base.Scope
+	self      string
+	trove     *trove.Trove
+	member    *kin.Member
+	traces    *lens.Store
+	trust     atomic.Pointer[pact.Trust]
+	limits    pact.Limits
+	force     time.Duration
+	mates     map[string]wireconnect.HelmClient
+	lenses    map[string]wireconnect.LensClient
+	news      base.Bell
+	index     base.Table[*pact.Bundle]
+	settled   atomic.Pointer[outline]
+	accepted  atomic.Pointer[outline]
+	confirms  base.Table[confirm]
+	confirmed base.Bell
+	hold      time.Duration
 }
 
 type Parts struct {
@@ -50,12 +55,13 @@
 	Trust   pact.Trust
 	Limits  pact.Limits
 	Force   time.Duration
+	Slide   time.Duration
 }
 
 func New(s base.Scope, web *http.Client, parts Parts) *Helm {
 	h := &Helm{
 		scope: s, self: parts.Self, trove: parts.Trove, member: parts.Member, traces: parts.Traces,
-		limits: parts.Limits, force: parts.Force,
+		limits: parts.Limits, force: parts.Force, hold: time.Duration(float64(parts.Slide) * holdRatio),
 		mates: map[string]wireconnect.HelmClient{}, lenses: map[string]wireconnect.LensClient{},
 	}
 	h.trust.Store(&parts.Trust)
@@ -98,6 +104,7 @@
 		}
 	})
 	crew.Go(func() { h.learn(s) })
+	crew.Go(func() { h.mend(s) })
 	crew.Wait()
 }
 
@@ -108,31 +115,73 @@
 	return head, proto.Unmarshal(value, head)
 }
 
-func (h *Helm) Current() *pact.Bundle {
-	entry, known := h.trove.Settled(BundleKey)
-	if !known {
-		return nil
+func serialOf(sealed *wire.Sealed) uint64 {
+	manifest := &wire.Manifest{}
+	if sealed == nil || proto.Unmarshal(sealed.Manifest, manifest) != nil {
+		return 0
 	}
-	return h.bundleOf(entry)
+	return manifest.Serial
+}
+
+type outline struct {
+	entry     *wire.Entry
+	head      *wire.Head
+	committed uint64
+	staged    uint64
 }
 
-func (h *Helm) bundleOf(entry *wire.Entry) *pact.Bundle {
+func (h *Helm) outline(entry *wire.Entry) *outline {
+	if entry == nil {
+		return &outline{head: &wire.Head{}}
+	}
+	for _, row := range []*atomic.Pointer[outline]{&h.settled, &h.accepted} {
+		if known := row.Load(); known != nil && known.entry == entry {
+			return known
+		}
+	}
 	head, err := headOf(entry.Value)
-	if err != nil || head.Sealed == nil {
+	if err != nil {
+		h.scope.Note("bundle-unreadable", "", err.Error())
+		head = &wire.Head{}
+	}
+	return &outline{entry: entry, head: head, committed: serialOf(head.Sealed), staged: serialOf(head.Staged)}
+}
+
+func (h *Helm) Settled() *outline {
+	entry, _ := h.trove.Settled(BundleKey)
+	seen := h.outline(entry)
+	h.settled.Store(seen)
+	return seen
+}
+
+func (h *Helm) Accepted() *outline {
+	_, entry := h.trove.Store().Peek(BundleKey)
+	seen := h.outline(entry)
+	h.accepted.Store(seen)
+	return seen
+}
+
+func (h *Helm) Current() *pact.Bundle { return h.bundleOf(h.Settled().head.Sealed) }
+
+func (h *Helm) bundleOf(sealed *wire.Sealed) *pact.Bundle {
+	if sealed == nil {
 		return nil
 	}
-	if indexed, ok := h.index.Get(string(head.Sealed.Signature)); ok {
+	key := string(sealed.Signature)
+	if indexed, ok := h.index.Get(key); ok {
 		return indexed
 	}
-	raw, mishap := pact.Open(head.Sealed)
+	raw, mishap := pact.Open(sealed)
 	if mishap != nil {
 		h.scope.Note("bundle-unreadable", "", mishap.Error())
 		return nil
 	}
-	bundle := pact.Index(head.Sealed, raw)
+	bundle := pact.Index(sealed, raw)
 	h.index.Change(func(rows map[string]*pact.Bundle) {
-		clear(rows)
-		rows[string(head.Sealed.Signature)] = bundle
+		if len(rows) >= indexesKept {
+			clear(rows)
+		}
+		rows[key] = bundle
 	})
 	return bundle
 }
@@ -196,42 +245,6 @@
 	return manifest, pact.Check(raw, h.limits)
 }
 
-func (h *Helm) Sign(ctx context.Context, request *wire.SignRequest) (*wire.Outcome, error) {
-	manifest, mishap := h.vet(request)
-	if mishap != nil {
-		h.scope.Note("bundle-bounced", request.Submission, mishap.Error())
-		return bounced(request.Submission, mishap), nil
-	}
-	return h.decide(ctx, request.Submission, func(head *wire.Head, serial uint64) (*wire.Head, *wire.Outcome) {
-		if manifest.Base != serial {
-			return nil, bounced(request.Submission, base.Bounce(base.StaleBase, "manifest.base", "the newest serial is %d", serial))
-		}
-		outcome := &wire.Outcome{Submission: request.Submission, Verdict: wire.Verdict_TAKEN, Serial: manifest.Serial}
-		outcomes := append(slices.Clone(head.Outcomes), outcome)
-		if over := len(outcomes) - outcomesKep; over > 0 {
-			outcomes = outcomes[over:]
-		}
-		return &wire.Head{Sealed: request.Sealed, Outcomes: outcomes}, outcome
-	}, request), nil
-}
-
-func (h *Helm) Status(ctx context.Context, submission string) (*wire.Outcome, error) {
-	return h.decide(ctx, submission, nil, &wire.SignRequest{Submission: submission}), nil
-}
-
-func (h *Helm) decide(ctx context.Context, submission string, next func(*wire.Head, uint64) (*wire.Head, *wire.Outcome), request *wire.SignRequest) *wire.Outcome {
-	s, cancel := h.scope.Under(ctx).Within(h.force * 3 / 4)
-	defer cancel()
-	if owner, _, known := h.trove.Owner(BundleKey); known && !h.trove.Mine(BundleKey) && h.standingAt(owner.Address) == kin.Well {
-		reply, err := h.mates[owner.Name].Propose(s, connect.NewRequest(&wire.ProposeRequest{Sign: request}))
-		if err == nil {
-			return reply.Msg.Outcome
-		}
-		h.scope.Note("owner-silent", owner.Name, err.Error())
-	}
-	return h.settle(s, submission, next)
-}
-
 func (h *Helm) standingAt(address string) string {
 	for sighting := range h.member.View().All() {
 		if sighting.Roster.Address == address {
@@ -241,69 +254,6 @@
 	return kin.Absent
 }
 
-func (h *Helm) settle(s base.Scope, submission string, next func(*wire.Head, uint64) (*wire.Head, *wire.Outcome)) *wire.Outcome {
-	unknown := &wire.Outcome{Submission: submission, Verdict: wire.Verdict_UNKNOWN}
-	for s.Err() == nil {
-		outcome := unknown
-		err := h.look(s, submission, next, &outcome)
-		if err == nil {
-			h.scope.Note("bundle-"+outcome.Verdict.String(), submission, outcome.GetMishap().GetReason())
-			return outcome
-		}
-		mishap := base.MishapOf(err)
-		h.scope.Note("change-failed", submission, mishap.Error())
-		if mishap.Kind != base.Outranked {
-			unknown.Mishap = &wire.Mishap{Kind: string(mishap.Kind), Path: mishap.Path, Reason: mishap.Reason}
-			return unknown
-		}
-		base.Await(s, time.Duration(float64(h.force)*(0.01+0.04*s.Rand.Float64())))
-	}
-	return unknown
-}
-
-func (h *Helm) look(s base.Scope, submission string, next func(*wire.Head, uint64) (*wire.Head, *wire.Outcome), outcome **wire.Outcome) error {
-	find := func(value []byte) (*wire.Head, uint64, bool, error) {
-		head, err := headOf(value)
-		if err != nil {
-			return nil, 0, false, err
-		}
-		for _, past := range head.Outcomes {
-			if past.Submission == submission {
-				*outcome = past
-				return head, 0, true, nil
-			}
-		}
-		manifest := &wire.Manifest{}
-		if head.Sealed != nil {
-			err = proto.Unmarshal(head.Sealed.Manifest, manifest)
-		}
-		return head, manifest.Serial, false, err
-	}
-	if next == nil {
-		value, err := h.trove.Read(s, BundleKey)
-		if err != nil {
-			return err
-		}
-		if _, _, found, err := find(value); err != nil || found {
-			return err
-		}
-		*outcome = bounced(submission, base.Bounce(base.Missing, "submission", "no such submission was taken"))
-		return nil
-	}
-	return h.trove.Change(s, BundleKey, func(old []byte) ([]byte, error) {
-		head, serial, found, err := find(old)
-		if err != nil || found {
-			return nil, err
-		}
-		changed, decided := next(head, serial)
-		*outcome = decided
-		if changed == nil {
-			return nil, nil
-		}
-		return proto.Marshal(changed)
-	})
-}
-
 func (h *Helm) Read(_ context.Context, serial uint64) (*wire.BundleReply, error) {
 	current := h.Current()
 	if current == nil {
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -106,7 +106,7 @@
 		params.Seeds, relays, time.Duration(float64(params.Bounds.Leaving.AsDuration())*beatRatio))
 	limits := pact.UsualLimits(params.Bounds.Grace.AsDuration())
 	limits.Bytes = int(params.Bundle)
-	k.Helm = New(s, web, Parts{Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force})
+	k.Helm = New(s, web, Parts{Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force, Slide: params.Bounds.SlideBack.AsDuration()})
 	mux := http.NewServeMux()
 	mux.Handle(trove.Handler(k.Trove))
 	mux.Handle(kin.Handler(member))
--- a/helm/news.go
+++ b/helm/news.go
@@ -12,6 +12,7 @@
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
+	"curlewreach/trove"
 )
 
 type server struct{ helm *Helm }
@@ -36,14 +37,17 @@
 func (v server) News(ctx context.Context, request *connect.Request[wire.NewsRequest]) (*connect.Response[wire.NewsReply], error) {
 	h := v.helm
 	s := h.scope.Under(ctx)
+	began := s.Clock.Mono()
+	h.confirm(request.Msg)
 	for {
 		heard := h.news.Heard()
 		reply, fresh := h.tell(request.Msg)
-		if fresh {
-			return connect.NewResponse(reply), nil
-		}
-		if !base.Await(s, h.force/8, heard) {
-			reply, _ := h.tell(request.Msg)
+		left := h.hold - (s.Clock.Mono() - began)
+		if fresh || left <= 0 || !base.Await(s, left, heard) {
+			if !fresh {
+				reply, _ = h.tell(request.Msg)
+			}
+			reply.HeldUs = uint64((s.Clock.Mono() - began).Microseconds())
 			return connect.NewResponse(reply), ctx.Err()
 		}
 	}
@@ -52,12 +56,26 @@
 func (h *Helm) tell(ask *wire.NewsRequest) (reply *wire.NewsReply, fresh bool) {
 	view := h.member.View()
 	reply = &wire.NewsReply{Keel: h.member.Incarnation(), Roster: view.Serial()}
+	reply.Vouches, reply.Accepted = h.trove.Ready() && !h.trove.Store().IsSick(BundleKey), h.Accepted().committed
 	concerns := func(string) bool { return true }
+	settled := h.Settled()
+	if settled.entry != nil {
+		reply.Ballot = &wire.Ballot{Epoch: settled.entry.Epoch.GetNumber(), Keel: settled.entry.Epoch.GetKeel(), Serial: settled.entry.Serial}
+		reply.Serial, reply.StagedSerial = settled.committed, settled.staged
+		fresh = trove.CompareBallots(reply.Ballot, ask.Ballot) > 0
+	}
 	if current := h.Current(); current != nil {
-		reply.Serial = current.Serial
 		concerns = current.Concerns(ask.Node, ask.Seats)
 		if slice := pact.Slice(current.Sealed, concerns); current.Serial > ask.Serial || (current.Serial == ask.Serial && lacking(slice, ask.Parts)) {
-			reply.Slice, fresh = slice, true
+			fresh = true
+			if current.Serial != ask.Staged {
+				reply.Slice = slice
+			}
+		}
+	}
+	if settled.staged > 0 && settled.staged != ask.Staged {
+		if next := h.bundleOf(settled.head.Staged); next != nil {
+			reply.Staged, fresh = pact.Slice(next.Sealed, next.Concerns(ask.Node, ask.Seats)), true
 		}
 	}
 	if learning := h.Learning(); learning.GetOdds().GetSerial() > ask.Odds {
--- /dev/null
+++ b/helm/rollout.go
@@ -0,0 +1,238 @@
+package helm
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/kin"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+)
+
+const (
+	stageRatio   = 0.5
+	confirmRatio = 0.5
+	pollRatio    = 0.005
+)
+
+type confirm struct {
+	incarnation string
+	serial      uint64
+	at          time.Duration
+}
+
+func (h *Helm) confirm(ask *wire.NewsRequest) {
+	serial := max(ask.Staged, ask.Serial)
+	prior, known := h.confirms.Get(ask.Node)
+	h.confirms.Put(ask.Node, confirm{serial: serial, at: h.scope.Clock.Mono()})
+	if !known || serial > prior.serial {
+		h.confirmed.Ring()
+	}
+}
+
+func (h *Helm) backing(current *pact.Bundle, serial uint64) (have, need int) {
+	for machine := range current.Machines() {
+		if machine.Core {
+			continue
+		}
+		confirmed, known := h.confirms.Get(machine.Name)
+		if known && confirmed.serial >= serial && h.scope.Clock.Mono()-confirmed.at < h.force/4 {
+			have++
+		}
+	}
+	return have, current.Vanes()/2 + 1
+}
+
+func (h *Helm) Sign(ctx context.Context, request *wire.SignRequest) (*wire.Outcome, error) {
+	manifest, mishap := h.vet(request)
+	if mishap != nil {
+		h.scope.Note("bundle-bounced", request.Submission, mishap.Error())
+		return bounced(request.Submission, mishap), nil
+	}
+	return h.decide(ctx, request, manifest), nil
+}
+
+func (h *Helm) Status(ctx context.Context, submission string) (*wire.Outcome, error) {
+	return h.decide(ctx, &wire.SignRequest{Submission: submission}, nil), nil
+}
+
+func (h *Helm) decide(ctx context.Context, request *wire.SignRequest, manifest *wire.Manifest) *wire.Outcome {
+	s, cancel := h.scope.Under(ctx).Within(h.force * 3 / 2)
+	defer cancel()
+	if owner, _, known := h.trove.Owner(BundleKey); known && !h.trove.Mine(BundleKey) && h.standingAt(owner.Address) == kin.Well {
+		reply, err := h.mates[owner.Name].Propose(s, connect.NewRequest(&wire.ProposeRequest{Sign: request}))
+		if err == nil {
+			return reply.Msg.Outcome
+		}
+		h.scope.Note("owner-silent", owner.Name, err.Error())
+	}
+	return h.settle(s, request, manifest)
+}
+
+func (h *Helm) settle(s base.Scope, request *wire.SignRequest, manifest *wire.Manifest) *wire.Outcome {
+	unknown := &wire.Outcome{Submission: request.Submission, Verdict: wire.Verdict_UNKNOWN}
+	for s.Err() == nil {
+		outcome, err := h.step(s, request, manifest)
+		if err == nil && outcome != nil {
+			h.scope.Note("bundle-"+outcome.Verdict.String(), request.Submission, outcome.GetMishap().GetReason())
+			return outcome
+		}
+		pause := time.Duration(float64(h.force) * pollRatio)
+		if err != nil {
+			mishap := base.MishapOf(err)
+			h.scope.Note("change-failed", request.Submission, mishap.Error())
+			unknown.Mishap = &wire.Mishap{Kind: string(mishap.Kind), Path: mishap.Path, Reason: mishap.Reason}
+			pause = time.Duration(float64(pause) * (2 + 8*s.Rand.Float64()))
+		}
+		base.Await(s, pause, h.confirmed.Heard())
+	}
+	return unknown
+}
+
+func (h *Helm) step(s base.Scope, request *wire.SignRequest, manifest *wire.Manifest) (outcome *wire.Outcome, err error) {
+	if manifest == nil {
+		return h.lookUp(s, request.Submission)
+	}
+	mine := false
+	err = h.trove.Change(s, BundleKey, func(old []byte) ([]byte, error) {
+		head, err := headOf(old)
+		if err != nil {
+			return nil, err
+		}
+		if outcome = past(head, request.Submission); outcome != nil {
+			return nil, nil
+		}
+		committed := serialOf(head.Sealed)
+		if head.Staged != nil {
+			mine = head.Submission == request.Submission
+			return nil, nil
+		}
+		if manifest.Base != committed {
+			outcome = bounced(request.Submission, base.Bounce(base.StaleBase, "manifest.base", "the newest serial is %d", committed))
+			return nil, nil
+		}
+		mine = true
+		next := &wire.Head{Sealed: head.Sealed, Outcomes: head.Outcomes, Staged: request.Sealed, Submission: request.Submission}
+		if head.Sealed == nil {
+			next = resolved(next, true)
+			outcome = past(next, request.Submission)
+		}
+		return proto.Marshal(next)
+	})
+	if err != nil || outcome != nil {
+		return outcome, err
+	}
+	if !mine {
+		h.resolve(s, false)
+		return nil, nil
+	}
+	return h.resolve(s, true)
+}
+
+func past(head *wire.Head, submission string) *wire.Outcome {
+	for _, each := range head.Outcomes {
+		if each.Submission == submission {
+			return each
+		}
+	}
+	return nil
+}
+
+func resolved(head *wire.Head, taken bool) *wire.Head {
+	outcome := &wire.Outcome{Submission: head.Submission, Verdict: wire.Verdict_TAKEN, Serial: serialOf(head.Staged)}
+	next := &wire.Head{Sealed: head.Staged}
+	if !taken {
+		outcome = bounced(head.Submission, base.Bounce(base.Unreachable, "", "too few machines confirmed it in time; it was withdrawn"))
+		next.Sealed = head.Sealed
+	}
+	next.Outcomes = append(slices.Clone(head.Outcomes), outcome)
+	if over := len(next.Outcomes) - outcomesKept; over > 0 {
+		next.Outcomes = next.Outcomes[over:]
+	}
+	return next
+}
+
+func (h *Helm) resolve(s base.Scope, asked bool) (outcome *wire.Outcome, err error) {
+	staged := h.Settled()
+	if staged.staged == 0 {
+		return nil, nil
+	}
+	current := h.Current()
+	until := s.Clock.Mono() + time.Duration(float64(h.force)*confirmRatio)
+	for {
+		heard := h.confirmed.Heard()
+		have, need := h.backing(current, staged.staged)
+		late := s.Clock.Mono() >= until
+		if have >= need || late {
+			break
+		}
+		if base.Await(s, time.Duration(float64(h.force)*pollRatio), heard); s.Err() != nil {
+			return nil, s.Err()
+		}
+	}
+	have, need := h.backing(current, staged.staged)
+	h.scope.Note("roll-out", staged.head.Submission, fmt.Sprintf("backed by %d of %d needed", have, need))
+	err = h.trove.Change(s, BundleKey, func(old []byte) ([]byte, error) {
+		head, err := headOf(old)
+		if err != nil {
+			return nil, err
+		}
+		if head.Submission != staged.head.Submission || serialOf(head.Staged) != staged.staged {
+			outcome = past(head, staged.head.Submission)
+			return nil, nil
+		}
+		next := resolved(head, have >= need)
+		outcome = past(next, staged.head.Submission)
+		return proto.Marshal(next)
+	})
+	if err != nil || !asked {
+		return nil, err
+	}
+	return outcome, nil
+}
+
+func (h *Helm) lookUp(s base.Scope, submission string) (*wire.Outcome, error) {
+	value, err := h.trove.Read(s, BundleKey)
+	if err != nil {
+		return nil, err
+	}
+	head, err := headOf(value)
+	if err != nil {
+		return nil, err
+	}
+	if outcome := past(head, submission); outcome != nil {
+		return outcome, nil
+	}
+	if head.Staged != nil && head.Submission == submission {
+		_, err := h.resolve(s, false)
+		return nil, err
+	}
+	return bounced(submission, base.Bounce(base.Missing, "submission", "no such submission was taken")), nil
+}
+
+func (h *Helm) mend(s base.Scope) {
+	var since time.Duration
+	var last uint64
+	for s.Err() == nil {
+		base.Await(s, h.force/16)
+		staged := h.Settled().staged
+		if staged != last {
+			last, since = staged, s.Clock.Mono()
+		}
+		patience := time.Duration(float64(h.force) * (stageRatio + confirmRatio*(0.1+s.Rand.Float64())))
+		if staged == 0 || s.Clock.Mono()-since < patience {
+			continue
+		}
+		h.scope.Note("mending", "", "a roll-out was left unresolved")
+		bounded, cancel := s.Within(h.force)
+		_, _ = h.resolve(bounded, false)
+		cancel()
+		since = s.Clock.Mono()
+	}
+}
--- a/proto/wire/wireconnect/flow.connect.go
+++ b/proto/wire/wireconnect/flow.connect.go
@@ -33,6 +33,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// FlowVouchProcedure is the fully-qualified name of the Flow's Vouch RPC.
+	FlowVouchProcedure = "/curlewreach.Flow/Vouch"
 	// FlowCarryProcedure is the fully-qualified name of the Flow's Carry RPC.
 	FlowCarryProcedure = "/curlewreach.Flow/Carry"
 	// FlowFenceProcedure is the fully-qualified name of the Flow's Fence RPC.
@@ -41,6 +43,7 @@
 
 // FlowClient is a client for the curlewreach.Flow service.
 type FlowClient interface {
+	Vouch(context.Context, *connect.Request[wire.VouchRequest]) (*connect.Response[wire.VouchReply], error)
 	Carry(context.Context, *connect.Request[wire.CarryRequest]) (*connect.ServerStreamForClient[wire.CarryReply], error)
 	Fence(context.Context, *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceReply], error)
 }
@@ -56,6 +59,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	flowMethods := wire.File_flow_proto.Services().ByName("Flow").Methods()
 	return &flowClient{
+		vouch: connect.NewClient[wire.VouchRequest, wire.VouchReply](
+			httpClient,
+			baseURL+FlowVouchProcedure,
+			connect.WithSchema(flowMethods.ByName("Vouch")),
+			connect.WithClientOptions(opts...),
+		),
 		carry: connect.NewClient[wire.CarryRequest, wire.CarryReply](
 			httpClient,
 			baseURL+FlowCarryProcedure,
@@ -73,10 +82,16 @@
 
 // flowClient implements FlowClient.
 type flowClient struct {
+	vouch *connect.Client[wire.VouchRequest, wire.VouchReply]
 	carry *connect.Client[wire.CarryRequest, wire.CarryReply]
 	fence *connect.Client[wire.FenceRequest, wire.FenceReply]
 }
 
+// Vouch calls curlewreach.Flow.Vouch.
+func (c *flowClient) Vouch(ctx context.Context, req *connect.Request[wire.VouchRequest]) (*connect.Response[wire.VouchReply], error) {
+	return c.vouch.CallUnary(ctx, req)
+}
+
 // Carry calls curlewreach.Flow.Carry.
 func (c *flowClient) Carry(ctx context.Context, req *connect.Request[wire.CarryRequest]) (*connect.ServerStreamForClient[wire.CarryReply], error) {
 	return c.carry.CallServerStream(ctx, req)
@@ -89,6 +104,7 @@
 
 // FlowHandler is an implementation of the curlewreach.Flow service.
 type FlowHandler interface {
+	Vouch(context.Context, *connect.Request[wire.VouchRequest]) (*connect.Response[wire.VouchReply], error)
 	Carry(context.Context, *connect.Request[wire.CarryRequest], *connect.ServerStream[wire.CarryReply]) error
 	Fence(context.Context, *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceReply], error)
 }
@@ -100,6 +116,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewFlowHandler(svc FlowHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	flowMethods := wire.File_flow_proto.Services().ByName("Flow").Methods()
+	flowVouchHandler := connect.NewUnaryHandler(
+		FlowVouchProcedure,
+		svc.Vouch,
+		connect.WithSchema(flowMethods.ByName("Vouch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	flowCarryHandler := connect.NewServerStreamHandler(
 		FlowCarryProcedure,
 		svc.Carry,
@@ -114,6 +136,8 @@
 	)
 	return "/curlewreach.Flow/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case FlowVouchProcedure:
+			flowVouchHandler.ServeHTTP(w, r)
 		case FlowCarryProcedure:
 			flowCarryHandler.ServeHTTP(w, r)
 		case FlowFenceProcedure:
@@ -127,6 +151,10 @@
 // UnimplementedFlowHandler returns CodeUnimplemented from all methods.
 type UnimplementedFlowHandler struct{}
 
+func (UnimplementedFlowHandler) Vouch(context.Context, *connect.Request[wire.VouchRequest]) (*connect.Response[wire.VouchReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Flow.Vouch is not implemented"))
+}
+
 func (UnimplementedFlowHandler) Carry(context.Context, *connect.Request[wire.CarryRequest], *connect.ServerStream[wire.CarryReply]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Flow.Carry is not implemented"))
 }
--- a/trove/store.go
+++ b/trove/store.go
@@ -227,6 +227,8 @@
 	return keys
 }
 
+func (t *Store) IsSick(key string) bool { return t.slot(key).sick.Load() }
+
 func (t *Store) Sick() []string {
 	var sick []string
 	for _, key := range t.Keys() {
