--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -72,8 +72,8 @@
 	return errors.Wrap(json.Unmarshal(body, into), file)
 }
 
-func raise(s base.Scope, a args) (f *fleet, mishap error) {
-	f = &fleet{args: a, bundle: &wire.Bundle{}, web: &http.Client{Timeout: 5 * time.Second}}
+func raise(s base.Scope, a args) (_ *fleet, mishap error) {
+	f := &fleet{args: a, bundle: &wire.Bundle{}, web: &http.Client{Timeout: 5 * time.Second}}
 	body, err := os.ReadFile(filepath.Join(a.Example, "bundle.json"))
 	if err != nil {
 		return nil, err
--- a/fleet/rig/net.go
+++ b/fleet/rig/net.go
@@ -27,6 +27,7 @@
 	cuts      map[[2]string]bool
 	bell      base.Bell
 	serial    int
+	closed    bool
 }
 
 func NewWorld(rand *base.Rand, latency Latency) *World {
@@ -59,6 +60,12 @@
 	return w.cuts[[2]string{from, to}]
 }
 
+func (w *World) over() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
 func (w *World) delay(from, to string) time.Duration {
 	usual := w.latency(from, to)
 	return usual + time.Duration(float64(usual)*w.rand.Float64())
@@ -94,6 +101,7 @@
 
 func (w *World) Close() {
 	w.mu.Lock()
+	w.closed = true
 	var ends []*end
 	var listeners []*listener
 	for each := range w.ends {
@@ -106,6 +114,7 @@
 	for _, each := range listeners {
 		_ = each.Close()
 	}
+	w.bell.Ring()
 	for _, each := range ends {
 		each.in.fail(net.ErrClosed)
 		each.out.fail(net.ErrClosed)
@@ -144,6 +153,9 @@
 	to := host(address)
 	for {
 		heard := p.world.bell.Heard()
+		if p.world.over() {
+			return nil, net.ErrClosed
+		}
 		if !p.world.severed(p.ip, to) && !p.world.severed(to, p.ip) {
 			break
 		}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -78,7 +78,7 @@
 	var crew base.Crew
 	crew.Go(func() { h.trove.Recover(s, h.force/8) })
 	crew.Go(func() {
-		base.Tick(s, h.force/8, func(s base.Scope) {
+		base.Tick(s, h.force/16, func(s base.Scope) {
 			if !h.trove.Ready() {
 				return
 			}
@@ -245,15 +245,6 @@
 	return manifest, pact.Check(raw, h.limits)
 }
 
-func (h *Helm) standingAt(address string) string {
-	for sighting := range h.member.View().All() {
-		if sighting.Roster.Address == address {
-			return sighting.Standing
-		}
-	}
-	return kin.Absent
-}
-
 func (h *Helm) Read(_ context.Context, serial uint64) (*wire.BundleReply, error) {
 	current := h.Current()
 	if current == nil {
--- a/helm/rollout.go
+++ b/helm/rollout.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -63,10 +62,12 @@
 }
 
 func (h *Helm) decide(ctx context.Context, request *wire.SignRequest, manifest *wire.Manifest) *wire.Outcome {
-	s, cancel := h.scope.Under(ctx).Within(h.force * 3 / 2)
+	s, cancel := h.scope.Under(ctx).Within(h.force * 2)
 	defer cancel()
-	if owner, _, known := h.trove.Owner(BundleKey); known && !h.trove.Mine(BundleKey) && h.standingAt(owner.Address) == kin.Well {
-		reply, err := h.mates[owner.Name].Propose(s, connect.NewRequest(&wire.ProposeRequest{Sign: request}))
+	if owner, _, known := h.trove.Owner(BundleKey); known && !h.trove.Mine(BundleKey) && h.trove.Hears(owner, h.force/2) {
+		bounded, cancel := s.Within(h.force)
+		reply, err := h.mates[owner.Name].Propose(bounded, connect.NewRequest(&wire.ProposeRequest{Sign: request}))
+		cancel()
 		if err == nil {
 			return reply.Msg.Outcome
 		}
--- a/trove/register.go
+++ b/trove/register.go
@@ -45,6 +45,7 @@
 	holds   map[string]*hold
 	settled base.Table[*wire.Entry]
 	news    base.Bell
+	heard   base.Table[time.Duration]
 }
 
 func New(s base.Scope, store *Store, web *http.Client, self string, mates []Mate, round time.Duration) *Trove {
@@ -83,6 +84,11 @@
 	return known && owner.Name == t.mates[t.self].Name
 }
 
+func (t *Trove) Hears(mate Mate, lately time.Duration) bool {
+	at, known := t.heard.Get(mate.Name)
+	return known && t.scope.Clock.Mono()-at <= lately
+}
+
 func (t *Trove) majority() int { return len(t.disks)/2 + 1 }
 
 func (t *Trove) hold(key string) *hold {
@@ -308,6 +314,9 @@
 	var highest *wire.Entry
 	count := 0
 	for _, reply := range replies {
+		if reply.err == nil {
+			t.heard.Put(t.mates[reply.disk].Name, t.scope.Clock.Mono())
+		}
 		if reply.err != nil || reply.body.Entry == nil {
 			continue
 		}
