--- a/flow/node.go
+++ b/flow/node.go
@@ -87,7 +87,7 @@
 	n := &Node{
 		scope: s, self: params.Name, zone: params.Zone,
 		patience: time.Duration(float64(leaving) * patience), force: bounds.InForce.AsDuration(), web: web,
-		outward: &http.Transport{DialContext: s.Net.Dial, DisableKeepAlives: true, DisableCompression: true},
+		outward: outwards(s.Net),
 		fences:  NewFences(s.Clock, 2*bounds.Grace.AsDuration()), ties: NewTies(s.Clock),
 		gate: NewGate(s.Clock, int(params.Flights), int(params.Queue)), repeats: NewRepeats(), budget: NewBudget(s.Clock),
 		keeper: lens.NewKeeper(s.Rand), sink: lens.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
@@ -106,6 +106,10 @@
 	return n
 }
 
+func outwards(net base.Net) *http.Transport {
+	return &http.Transport{DialContext: net.Dial, DisableKeepAlives: true, DisableCompression: true}
+}
+
 func (n *Node) enter() func() {
 	n.flying.Add(1)
 	return n.flying.Done
--- /dev/null
+++ b/pact/pact_test.go
@@ -0,0 +1,153 @@
+package pact
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+func TestPact(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "pact")
+}
+
+var limits = UsualLimits(6 * time.Second)
+
+func example(name string) *wire.Bundle {
+	body, err := os.ReadFile("../examples/" + name + "/bundle.json")
+	Expect(err).NotTo(HaveOccurred())
+	b := &wire.Bundle{}
+	Expect(protojson.Unmarshal(body, b)).To(Succeed())
+	b.Serial = 1
+	Normalise(b, limits)
+	return b
+}
+
+func keys(seed byte) (ed25519.PrivateKey, Trust) {
+	key := ed25519.NewKeyFromSeed(append(make([]byte, 31), seed))
+	trust, err := NewTrust([]string{base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))})
+	Expect(err).NotTo(HaveOccurred())
+	return key, trust
+}
+
+func signed(b *wire.Bundle, key ed25519.PrivateKey) *wire.Sealed {
+	sealed, err := Pack(b)
+	Expect(err).NotTo(HaveOccurred())
+	Sign(sealed, key)
+	return sealed
+}
+
+var _ = ginkgo.Describe("a bundle", func() {
+	ginkgo.It("given the examples, when checked, then they pass", func() {
+		Expect(Check(example("library"), limits)).To(BeNil())
+		Expect(Check(example("gauge"), limits)).To(BeNil())
+	})
+
+	ginkgo.DescribeTable("given one thing wrong, when checked, then it is bounced with its kind and path",
+		func(kind base.Kind, path string, spoil func(*wire.Bundle)) {
+			b := example("library")
+			spoil(b)
+			mishap := Check(b, limits)
+			Expect(mishap).NotTo(BeNil())
+			Expect(mishap.Kind).To(Equal(kind), mishap.Error())
+			Expect(mishap.Path).To(Equal(path))
+		},
+		ginkgo.Entry("bad name", base.OutOfRange, "services[0].name", func(b *wire.Bundle) { b.Services[0].Name = "No Good" }),
+		ginkgo.Entry("bad address", base.OutOfRange, "common.machines[0].address", func(b *wire.Bundle) { b.Common.Machines[0].Address = "host:80" }),
+		ginkgo.Entry("machine twice", base.Duplicate, "common.machines[1].name", func(b *wire.Bundle) { b.Common.Machines[1].Name = b.Common.Machines[0].Name }),
+		ginkgo.Entry("address twice", base.Duplicate, "common.machines[1].address", func(b *wire.Bundle) { b.Common.Machines[1].Address = b.Common.Machines[0].Address }),
+		ginkgo.Entry("no application machine", base.OutOfRange, "common.machines", func(b *wire.Bundle) { b.Common.Machines = b.Common.Machines[:3] }),
+		ginkgo.Entry("share of no service", base.Dangling, "common.shares[0].services[2]", func(b *wire.Bundle) { b.Common.Shares[0].Services = append(b.Common.Shares[0].Services, "ghost") }),
+		ginkgo.Entry("service in two shares", base.Duplicate, "common.shares[1].services[0]", func(b *wire.Bundle) { b.Common.Shares[1].Services = []string{"lending"} }),
+		ginkgo.Entry("service in no share", base.Dangling, "services[1].name", func(b *wire.Bundle) { b.Common.Shares[0].Services = []string{"catalogue"} }),
+		ginkgo.Entry("route's group unknown", base.Dangling, "services[0].routes[0].group", func(b *wire.Bundle) { b.Services[0].Routes[0].Group = "ghosts" }),
+		ginkgo.Entry("machine calls no service", base.Dangling, "common.machines[4].calls[0]", func(b *wire.Bundle) { b.Common.Machines[4].Calls = []string{"ghost"} }),
+		ginkgo.Entry("route twice", base.Duplicate, "services[0].routes[1].name", func(b *wire.Bundle) { b.Services[0].Routes[1].Name = "search" }),
+		ginkgo.Entry("overlapping templates", base.Overlapping, "services[1].routes[2].path", func(b *wire.Bundle) { b.Services[1].Routes[2].Path = "/catalogue/{any}" }),
+		ginkgo.Entry("overlapping holes", base.Overlapping, "services[1].routes[2].path", func(b *wire.Bundle) { b.Services[1].Routes[2].Path = "/{any}/shelf/{n}" }),
+		ginkgo.Entry("further call to nowhere", base.Dangling, "services[1].routes[0].further[0]", func(b *wire.Bundle) { b.Services[1].Routes[0].Further[0].Route = "ghost" }),
+		ginkgo.Entry("bad key field", base.OutOfRange, "services[1].routes[0].further[0].keys[0].parent", func(b *wire.Bundle) { b.Services[1].Routes[0].Further[0].Keys[0].Parent = "cookie:x" }),
+		ginkgo.Entry("deadline past the grace", base.OutOfRange, "services[0].routes[0].deadline", func(b *wire.Bundle) { b.Services[0].Routes[0].Deadline = durationpb.New(5100 * time.Millisecond) }),
+		ginkgo.Entry("too many repeats", base.OutOfRange, "services[0].repeats", func(b *wire.Bundle) { b.Services[0].Repeats = 0.3 }),
+		ginkgo.Entry("odds that could be zero", base.OutOfRange, "common.tracing.epsilon", func(b *wire.Bundle) { b.Common.Tracing.Epsilon = -1 }),
+		ginkgo.Entry("unknown utility", base.OutOfRange, "common.tracing.utility", func(b *wire.Bundle) { b.Common.Tracing.Utility = "luck" }),
+	)
+
+	ginkgo.It("given too many routes, when checked, then it is bounced as too large", func() {
+		b := example("library")
+		few := limits
+		few.Routes = 3
+		Expect(Check(b, few).Kind).To(Equal(base.TooLarge))
+	})
+
+	ginkgo.It("given a signed bundle, when sliced, then the slice verifies by itself and holds only its parts", func() {
+		key, trust := keys(1)
+		sealed := signed(example("library"), key)
+		b := Index(sealed, example("library"))
+		b.Machine("app-1").Calls = []string{"catalogue"}
+		slice := Slice(sealed, b.Concerns("app-1", nil))
+		Expect(slice.Parts).To(HaveLen(2))
+		_, mishap := trust.Verify(slice)
+		Expect(mishap).To(BeNil())
+		raw, mishap := Open(slice)
+		Expect(mishap).To(BeNil())
+		Expect(raw.Services).To(HaveLen(1))
+		Expect(Slice(sealed, b.Concerns("app-1", []string{"lending"})).Parts).To(HaveLen(3), "a seat's further calls concern it")
+	})
+
+	ginkgo.DescribeTable("given a seal that was touched, when verified, then it is refused",
+		func(kind base.Kind, touch func(*wire.Sealed)) {
+			key, trust := keys(1)
+			sealed := proto.Clone(signed(example("library"), key)).(*wire.Sealed)
+			touch(sealed)
+			_, mishap := trust.Verify(sealed)
+			Expect(mishap).NotTo(BeNil())
+			Expect(mishap.Kind).To(Equal(kind))
+		},
+		ginkgo.Entry("unsigned", base.Unsigned, func(s *wire.Sealed) { s.Signature = nil }),
+		ginkgo.Entry("another signature", base.Untrusted, func(s *wire.Sealed) { s.Signature[3] ^= 1 }),
+		ginkgo.Entry("another manifest", base.Untrusted, func(s *wire.Sealed) { s.Manifest[len(s.Manifest)-1] ^= 1 }),
+		ginkgo.Entry("a changed part", base.Malformed, func(s *wire.Sealed) { s.Parts[1].Body[9] ^= 1 }),
+		ginkgo.Entry("a part twice", base.Malformed, func(s *wire.Sealed) { s.Parts = append(s.Parts, s.Parts[1]) }),
+		ginkgo.Entry("a part not listed", base.Malformed, func(s *wire.Sealed) { s.Parts = append(s.Parts, &wire.Part{Name: "service/x"}) }),
+		ginkgo.Entry("a key nobody trusts", base.Untrusted, func(s *wire.Sealed) {
+			other, _ := keys(2)
+			Sign(s, other)
+		}),
+	)
+
+	ginkgo.It("given a small change, when applied, then only that differs", func() {
+		before := example("library")
+		after := Apply(before, &wire.Change{
+			Shares: []*wire.Share{{Group: "librarians", Carried: 2, Watched: 2}}, DropMachines: []string{"app-12"},
+		})
+		Expect(Difference(before, after)).To(ConsistOf("~ share librarians", "- machine app-12"))
+		Expect(Difference(before, before)).To(BeEmpty())
+	})
+
+	ginkgo.It("given templates, when requests are matched, then holes are filled and others are not found", func() {
+		b := Index(nil, example("library"))
+		way, known := b.Match("GET", "/catalogue/shelf/42")
+		Expect(known).To(BeTrue())
+		Expect(way.Identifier()).To(Equal("catalogue/shelf"))
+		Expect(way.Group).To(Equal("patrons"))
+		Expect(b.Holes(way, "/catalogue/shelf/42")).To(Equal(map[string]string{"card": "42"}))
+		_, known = b.Match("POST", "/catalogue/shelf/42")
+		Expect(known).To(BeFalse())
+		_, known = b.Match("GET", "/catalogue")
+		Expect(known).To(BeFalse())
+		report, _ := b.Match("GET", "/catalogue/report/1")
+		Expect(report.Group).To(Equal("librarians"))
+	})
+})
