--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -202,7 +202,7 @@
 	for _, u := range f.Seats {
 		u.Kill()
 	}
-	for _, m := range append(append([]*Machine{}, f.Vanes...), f.Keels...) {
+	for _, m := range f.Every() {
 		f.kill(m, false)
 	}
 	f.Clerk.Web.CloseIdleConnections()
@@ -252,8 +252,10 @@
 	f.World.Cut(b.IP, a.IP)
 }
 
+func (f *Fleet) Every() []*Machine { return append(append([]*Machine{}, f.Vanes...), f.Keels...) }
+
 func (f *Fleet) Isolate(m *Machine) {
-	for _, other := range append(append([]*Machine{}, f.Vanes...), f.Keels...) {
+	for _, other := range f.Every() {
 		if other != m {
 			f.Cut(m, other)
 		}
--- /dev/null
+++ b/fleet/soak_test.go
@@ -0,0 +1,259 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/mime"
+	"curlewreach/proto/wire"
+)
+
+const (
+	usualSeeds  = 6
+	soakRounds  = 8
+	recoverTime = 15 * time.Second
+)
+
+type trouble struct {
+	name  string
+	cause func(f *Fleet, rand *base.Rand) (mend func())
+}
+
+func any1(f *Fleet, rand *base.Rand) *Machine {
+	every := f.Every()
+	return every[rand.Below(len(every))]
+}
+
+func raise(f *Fleet, m *Machine) func() {
+	return func() {
+		if m.cancel == nil {
+			Expect(f.Raise(m)).To(Succeed())
+		}
+	}
+}
+
+var troubles = []trouble{
+	{"kill", func(f *Fleet, rand *base.Rand) func() {
+		m := any1(f, rand)
+		f.Kill(m)
+		return raise(f, m)
+	}},
+	{"power", func(f *Fleet, rand *base.Rand) func() {
+		m := any1(f, rand)
+		f.PowerLoss(m)
+		return raise(f, m)
+	}},
+	{"wipe", func(f *Fleet, rand *base.Rand) func() {
+		m := f.Keels[rand.Below(len(f.Keels))]
+		for _, other := range f.Keels {
+			if other.cancel == nil || !other.Keel.Helm.Ready() {
+				return func() {}
+			}
+		}
+		f.PowerLoss(m)
+		m.Disk.Wipe()
+		return raise(f, m)
+	}},
+	{"everything", func(f *Fleet, rand *base.Rand) func() {
+		var mends []func()
+		for _, m := range f.Every() {
+			f.PowerLoss(m)
+			mends = append(mends, raise(f, m))
+		}
+		return func() {
+			for _, mend := range mends {
+				mend()
+			}
+		}
+	}},
+	{"core down", func(f *Fleet, rand *base.Rand) func() {
+		var mends []func()
+		for _, m := range f.Keels {
+			f.Kill(m)
+			mends = append(mends, raise(f, m))
+		}
+		return func() {
+			for _, mend := range mends {
+				mend()
+			}
+		}
+	}},
+	{"stop", func(f *Fleet, rand *base.Rand) func() {
+		m := f.Vanes[rand.Below(len(f.Vanes))]
+		if m.Vane != nil {
+			m.Vane.Stop()
+			f.Kill(m)
+		}
+		return raise(f, m)
+	}},
+	{"cut", func(f *Fleet, rand *base.Rand) func() {
+		a, b := any1(f, rand), any1(f, rand)
+		f.World.Cut(a.IP, b.IP)
+		if rand.Below(2) == 0 {
+			f.World.Cut(b.IP, a.IP)
+		}
+		return f.World.HealAll
+	}},
+	{"isolate", func(f *Fleet, rand *base.Rand) func() {
+		f.Isolate(any1(f, rand))
+		return f.World.HealAll
+	}},
+	{"core cut off", func(f *Fleet, rand *base.Rand) func() {
+		for _, keel := range f.Keels {
+			for _, vane := range f.Vanes {
+				f.Cut(keel, vane)
+			}
+		}
+		return f.World.HealAll
+	}},
+	{"core split", func(f *Fleet, rand *base.Rand) func() {
+		for i, a := range f.Keels {
+			for _, b := range f.Keels[i+1:] {
+				f.Cut(a, b)
+			}
+		}
+		return f.World.HealAll
+	}},
+	{"faulty upstream", func(f *Fleet, rand *base.Rand) func() {
+		u := f.Seats[rand.Below(len(f.Seats))]
+		faults := []mime.Fault{mime.LoseAfter, mime.Truncate, mime.Garble, mime.Unframed, mime.Stuck, mime.Nonsense}
+		u.SetFault(faults[rand.Below(len(faults))])
+		return func() { u.SetFault(mime.Sound) }
+	}},
+	{"full disk", func(f *Fleet, rand *base.Rand) func() {
+		m := f.Keels[rand.Below(len(f.Keels))]
+		m.Disk.Fill(true)
+		return func() { m.Disk.Fill(false) }
+	}},
+	{"stalled disk", func(f *Fleet, rand *base.Rand) func() {
+		return f.Keels[rand.Below(len(f.Keels))].Disk.Stall()
+	}},
+	{"clock jump", func(f *Fleet, rand *base.Rand) func() {
+		any1(f, rand).Clock.Jump(time.Duration(rand.Below(7200)-3600) * time.Second)
+		return func() {}
+	}},
+	{"passed address", func(f *Fleet, rand *base.Rand) func() {
+		at := rand.Below(len(f.Seats))
+		old := f.Seats[at]
+		service := "catalogue"
+		if old.Service == service {
+			service = "lending"
+		}
+		for _, m := range f.Vanes {
+			if strings.HasPrefix(old.Address, m.IP+":") {
+				old.Kill()
+				f.Seats = append(f.Seats[:at], f.Seats[at+1:]...)
+				_, err := f.Seat(m, service, 8001, 16)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		return func() {}
+	}},
+}
+
+func (f *Fleet) pusher() (stop func()) {
+	s, cancel := f.Scope.Child()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for count := 0; s.Err() == nil; count++ {
+			submission := fmt.Sprint("push-", count)
+			ask, release := s.Within(8 * time.Second)
+			shown, err := f.Clerk.Show(ask, 0)
+			if err == nil {
+				outcome, err := f.Clerk.Apply(ask, submission, &wire.DraftRequest{Base: shown.Serial, Change: nudge(float64(1 + count%7))}, f.Key)
+				if err == nil {
+					f.Acks.Note(f.Scope.Clock.Mono(), outcome)
+				}
+			}
+			release()
+			base.Await(s, 1200*time.Millisecond)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func soak(f *Fleet) {
+	rand := f.rand("troubles")
+	raised(f)
+	f.Visit(50)
+	stop := f.pusher()
+	var told []string
+	for range soakRounds {
+		var mends []func()
+		for range 1 + rand.Below(2) {
+			chosen := troubles[rand.Below(len(troubles))]
+			told = append(told, fmt.Sprintf("%s %s", f.Scope.Clock.Mono(), chosen.name))
+			mends = append(mends, chosen.cause(f, rand))
+			f.Pass(time.Duration(rand.Below(600)) * time.Millisecond)
+		}
+		f.Pass(time.Duration(500+rand.Below(2500)) * time.Millisecond)
+		for _, mend := range mends {
+			mend()
+		}
+		f.Pass(time.Duration(rand.Below(2000)) * time.Millisecond)
+	}
+	for _, m := range f.Every() {
+		raise(f, m)()
+	}
+	f.Pass(recoverTime)
+	stop()
+	back := f.Scope.Clock.Mono()
+	f.Pass(3 * time.Second)
+	f.Leave()
+	story := fmt.Sprintf("seed %d: %s", f.Seed, strings.Join(told, "; "))
+	f.learnOutcomes()
+	Expect(Check(f.History, f.Acks)).To(BeEmpty(), story)
+	var late []mime.Call
+	for _, call := range f.History.Calls() {
+		if call.Begun > back {
+			late = append(late, call)
+		}
+	}
+	Expect(f.tally(late)["answered"]).To(BeNumerically(">", len(late)*3/4), story)
+	reply, err := f.Clerk.Show(f.Scope, 0)
+	Expect(err).NotTo(HaveOccurred(), story)
+	Expect(reply.Serial).To(BeNumerically(">=", f.newest()), story)
+}
+
+func (f *Fleet) learnOutcomes() {
+	known := map[uint64]bool{}
+	for _, ack := range f.Acks.All() {
+		known[ack.Outcome.Serial] = true
+	}
+	reply, err := f.Clerk.Show(f.Scope, 0)
+	Expect(err).NotTo(HaveOccurred())
+	for serial := uint64(1); serial <= reply.Serial; serial++ {
+		if !known[serial] {
+			f.Acks.Note(f.Scope.Clock.Mono(), &wire.Outcome{Serial: serial, Verdict: wire.Verdict_UNKNOWN})
+		}
+	}
+}
+
+var _ = ginkgo.Describe("a long day", func() {
+	first, count := uint64(1), usualSeeds
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		from, many, _ := strings.Cut(text, "+")
+		first, _ = strconv.ParseUint(from, 10, 64)
+		count, _ = strconv.Atoi(many)
+	}
+	var seeds []uint64
+	for i := range count {
+		seeds = append(seeds, first+uint64(i))
+	}
+	for len(seeds) > 0 {
+		batch := seeds[:min(6, len(seeds))]
+		seeds = seeds[len(batch):]
+		story(fmt.Sprintf("given random troubles of seeds %d to %d, when all is mended, then no rule was broken and service is back", batch[0], batch[len(batch)-1]), batch, soak)
+	}
+})
