--- a/cmd/quiz/main.go
+++ b/cmd/quiz/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"crypto/ed25519"
 	"crypto/rand"
@@ -70,20 +71,26 @@
 type none struct{}
 
 type args struct {
-	Keels    []string `arg:"--keels,env:CURLEW_KEELS" help:"operators' doors of the keels, IP:port"`
-	JSON     bool     `arg:"--json" help:"print JSON"`
-	Keygen   *keygen  `arg:"subcommand:keygen" help:"make a signing key"`
-	Draft    *draft   `arg:"subcommand:draft" help:"ask for a draft and see the difference"`
-	Sign     *sign    `arg:"subcommand:sign" help:"sign a draft"`
-	Submit   *submit  `arg:"subcommand:submit" help:"hand in a signed bundle"`
-	Apply    *apply   `arg:"subcommand:apply" help:"draft, sign and hand in at once"`
-	Status   *named   `arg:"subcommand:status" help:"what became of a submission"`
-	Show     *show    `arg:"subcommand:show" help:"read a bundle whole"`
-	Diff     *diff    `arg:"subcommand:diff" help:"compare two serials"`
-	Holdings *none    `arg:"subcommand:holdings" help:"which nodes are on which serial"`
-	Nodes    *none    `arg:"subcommand:nodes" help:"nodes, standing and upstreams"`
-	Odds     *none    `arg:"subcommand:odds" help:"ranking by utility, confidence and keep odds"`
-	Trace    *named   `arg:"subcommand:trace" help:"one whole trace"`
+	Keels    string  `arg:"--keels,env:CURLEW_KEELS" help:"operators' doors of the keels, IP:port, with commas between"`
+	JSON     bool    `arg:"--json" help:"print JSON"`
+	Keygen   *keygen `arg:"subcommand:keygen" help:"make a signing key"`
+	Draft    *draft  `arg:"subcommand:draft" help:"ask for a draft and see the difference"`
+	Sign     *sign   `arg:"subcommand:sign" help:"sign a draft"`
+	Submit   *submit `arg:"subcommand:submit" help:"hand in a signed bundle"`
+	Apply    *apply  `arg:"subcommand:apply" help:"draft, sign and hand in at once"`
+	Status   *named  `arg:"subcommand:status" help:"what became of a submission"`
+	Show     *show   `arg:"subcommand:show" help:"read a bundle whole"`
+	Diff     *diff   `arg:"subcommand:diff" help:"compare two serials"`
+	Holdings *none   `arg:"subcommand:holdings" help:"which nodes are on which serial"`
+	Nodes    *none   `arg:"subcommand:nodes" help:"nodes, standing and upstreams"`
+	Odds     *none   `arg:"subcommand:odds" help:"ranking by utility, confidence and keep odds"`
+	Trace    *named  `arg:"subcommand:trace" help:"one whole trace"`
+	State    *none   `arg:"subcommand:state" help:"keys, owners, epochs, the learner's holder and repair at each keel"`
+	Shares   *none   `arg:"subcommand:shares" help:"what each group was given, by node"`
+	Why      *named  `arg:"subcommand:why" help:"what the nodes did with a request (its Curlew-Trace) or a roll-out (its submission)"`
+	Counts   *none   `arg:"subcommand:counts" help:"event counters of each node"`
+	Adopt    *none   `arg:"subcommand:adopt" help:"after two disks are lost: let the one keel named by --keels recover from the whole one alone"`
+	Shell    *none   `arg:"subcommand:shell" help:"read commands from the terminal"`
 }
 
 func (args) Version() string { return "quiz " + base.Version }
@@ -97,16 +104,60 @@
 		parser.WriteHelp(os.Stderr)
 		os.Exit(2)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := a.run(ctx); err != nil {
+	if a.Shell != nil {
+		a.shell()
+		return
+	}
+	if err := a.once(); err != nil {
 		fmt.Fprintln(os.Stderr, "quiz:", err)
 		os.Exit(1)
 	}
 }
 
+func (a *args) keels() []string {
+	return strings.FieldsFunc(a.Keels, func(r rune) bool { return r == ',' })
+}
+
+func (a *args) once() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return a.run(ctx)
+}
+
+func (a *args) shell() {
+	lines := bufio.NewScanner(os.Stdin)
+	for fmt.Print("quiz> "); lines.Scan(); fmt.Print("quiz> ") {
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 {
+			continue
+		}
+		if words[0] == "exit" {
+			return
+		}
+		next := args{Keels: a.Keels, JSON: a.JSON}
+		parser, err := arg.NewParser(arg.Config{Program: "quiz"}, &next)
+		if err == nil {
+			err = parser.Parse(words)
+		}
+		switch {
+		case errors.Is(err, arg.ErrHelp) || (err == nil && parser.Subcommand() == nil):
+			parser.WriteHelp(os.Stdout)
+		case err != nil:
+			fmt.Println("mishap:", err)
+			parser.WriteUsage(os.Stdout)
+		default:
+			if next.Keels == "" {
+				next.Keels = a.Keels
+			}
+			if err := next.once(); err != nil {
+				fmt.Println("mishap:", err)
+			}
+		}
+	}
+}
+
 func (a *args) run(ctx context.Context) error {
-	clerk := &helm.Clerk{Web: http.DefaultClient, Keels: a.Keels}
+	clerk := &helm.Clerk{Web: http.DefaultClient, Keels: a.keels()}
 	switch {
 	case a.Keygen != nil:
 		return a.Keygen.run()
@@ -184,6 +235,31 @@
 			for _, each := range reply.Beliefs {
 				fmt.Printf("%-32s %-14.0f %-7.3f %-7.3f %d\n", each.Identifier, each.Utility, each.Alpha/(each.Alpha+each.Beta), each.Odds, each.Samples)
 			}
+			for _, each := range reply.Correlations {
+				fmt.Printf("%-32s %s goes with latency, r = %.2f over %d spans\n", each.Identifier, each.Tag, each.R, each.Spans)
+			}
+		})
+	case a.State != nil:
+		return a.state(ctx, clerk)
+	case a.Adopt != nil:
+		if len(a.keels()) != 1 {
+			return errors.New("adopt takes exactly one keel")
+		}
+		reply, err := clerk.Adopt(ctx)
+		return a.table(reply, err, func() { fmt.Printf("%s is %s\n", reply.Keel, reply.Phase) })
+	case a.Why != nil:
+		reply, err := clerk.Why(ctx, a.Why.ID)
+		return a.table(reply, err, func() { tellWhy(reply) })
+	case a.Shares != nil:
+		reply, err := clerk.Why(ctx, "")
+		return a.table(reply, err, func() { tellShares(reply) })
+	case a.Counts != nil:
+		reply, err := clerk.Why(ctx, "")
+		return a.table(reply, err, func() {
+			for _, each := range reply.Told {
+				fmt.Println(each.Node, sorted(each.Counts))
+			}
+			tellSilent(reply)
 		})
 	case a.Trace != nil:
 		reply, err := clerk.Trace(ctx, a.Trace.ID)
--- a/flow/budget.go
+++ b/flow/budget.go
@@ -28,6 +28,7 @@
 
 type allowance struct {
 	meter *meter
+	spent *atomic.Uint64
 	most  uint32
 }
 
@@ -46,10 +47,10 @@
 	}
 	rows := map[string]allowance{}
 	for _, share := range shares {
-		row := allowance{meter: &meter{}, most: max(uint32(bundle.Tracing().GetBudget()*share.Watched/total), 1)}
+		row := allowance{meter: &meter{}, spent: &atomic.Uint64{}, most: max(uint32(bundle.Tracing().GetBudget()*share.Watched/total), 1)}
 		if prior := b.rows.Load(); prior != nil {
 			if kept, ok := (*prior)[share.Group]; ok {
-				row.meter = kept.meter
+				row.meter, row.spent = kept.meter, kept.spent
 			}
 		}
 		rows[share.Group] = row
@@ -63,5 +64,19 @@
 		return false
 	}
 	row, ok := (*rows)[group]
-	return ok && row.meter.spend(uint64(b.clock.Mono()/time.Second), row.most)
+	if !ok || !row.meter.spend(uint64(b.clock.Mono()/time.Second), row.most) {
+		return false
+	}
+	row.spent.Add(1)
+	return true
+}
+
+func (b *Budget) Spent() map[string]uint64 {
+	spent := map[string]uint64{}
+	if rows := b.rows.Load(); rows != nil {
+		for group, row := range *rows {
+			spent[group] = row.spent.Load()
+		}
+	}
+	return spent
 }
--- a/flow/far.go
+++ b/flow/far.go
@@ -30,7 +30,7 @@
 
 func (n *Node) serve(ctx context.Context, ask *wire.CarryRequest, tell emit) error {
 	if mishap := n.carry(ctx, ask, tell); mishap != nil {
-		n.scope.Note("far-"+string(mishap.Kind), ask.Attempt, mishap.Reason)
+		n.scope.Note("far-"+string(mishap.Kind), ask.Trail.GetTrace(), ask.Attempt+": "+mishap.Reason)
 		return tell(mishapPiece(ask.Attempt, mishap))
 	}
 	return nil
@@ -128,7 +128,7 @@
 	}
 	keeps := f.trail.GetSampled() && n.keeper.Keep(f.way.Identifier()) && n.budget.Spend(f.way.Group)
 	n.ties.Board(f)
-	n.scope.Note("handed", ask.Attempt, at.report.Address)
+	n.scope.Note("handed", ask.Trail.GetTrace(), ask.Attempt+" to "+at.report.Address)
 	status, mishap := n.exchange(s, conn, request, ask, tell)
 	self, uncertain := n.ties.Land(f)
 	if keeps {
--- a/flow/near.go
+++ b/flow/near.go
@@ -50,7 +50,8 @@
 		defer leave()
 		response, err := next(ctx, request)
 		if err != nil {
-			n.scope.Note("bounce-"+string(base.MishapOf(err).Kind), request.(*errand).request.URL.Path, base.MishapOf(err).Reason)
+			e := request.(*errand)
+			n.scope.Note("bounce-"+string(base.MishapOf(err).Kind), e.w.Header().Get(traceHeader), e.request.URL.Path+": "+base.MishapOf(err).Reason)
 		}
 		return response, err
 	}
@@ -258,7 +259,7 @@
 		Method: e.request.Method, Target: e.request.URL.RequestURI(), Headers: headersOf(e.request.Header), Body: body,
 		NotAfterUs: (until + chosen.offset).Microseconds(), Trail: trail,
 	}
-	n.scope.Note("attempt", attempt.Name, way.Identifier()+" at "+chosen.node+" "+attempt.Seat)
+	n.scope.Note("attempt", trail.Trace, attempt.Name+" of "+way.Identifier()+" at "+chosen.node+" "+attempt.Seat)
 	err := n.courier(chosen)(s, ask, caught.take)
 	switch {
 	case caught.flowing && (!caught.whole || err != nil):
@@ -290,7 +291,7 @@
 			attempt.Mishap.Kind = base.Unreachable
 		}
 	}
-	n.scope.Note("attempt-mishap", attempt.Name, attempt.Mishap.Error())
+	n.scope.Note("attempt-mishap", trail.Trace, attempt.Name+": "+attempt.Mishap.Error())
 	return nil
 }
 
--- a/flow/node.go
+++ b/flow/node.go
@@ -96,6 +96,9 @@
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
 	self := &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone}
 	n.member = kin.NewMember(s, web, self, params.Seeds, nil, time.Duration(float64(leaving)*beatRatio))
+	n.member.Enrich = func(reply *wire.TellReply) {
+		reply.Carried, reply.Watched = n.gate.Granted(), n.budget.Spent()
+	}
 	n.seats = NewSeats(s, time.Duration(float64(leaving)*oldestRatio), int(params.Queue), func(rows []*wire.Seat) {
 		slices.SortFunc(rows, func(a, b *wire.Seat) int { return strings.Compare(a.Address, b.Address) })
 		n.member.Change(func(roster *wire.Roster) { roster.Seats = rows })
--- a/helm/clerk.go
+++ b/helm/clerk.go
@@ -94,6 +94,31 @@
 	return reply, c.ask(ctx, http.MethodGet, "/v1/trace/"+url.PathEscape(trace), nil, reply)
 }
 
+func (c *Clerk) Why(ctx context.Context, subject string) (*wire.ToldReply, error) {
+	reply := &wire.ToldReply{}
+	return reply, c.ask(ctx, http.MethodGet, "/v1/why?subject="+url.QueryEscape(subject), nil, reply)
+}
+
+func (c *Clerk) State(ctx context.Context) (*wire.StateReply, error) {
+	reply := &wire.StateReply{}
+	return reply, c.ask(ctx, http.MethodGet, "/v1/state", nil, reply)
+}
+
+func (c *Clerk) Adopt(ctx context.Context) (*wire.StateReply, error) {
+	reply := &wire.StateReply{}
+	return reply, c.ask(ctx, http.MethodPost, "/v1/adopt", nil, reply)
+}
+
+func (c *Clerk) Each() func(yield func(string, *Clerk) bool) {
+	return func(yield func(string, *Clerk) bool) {
+		for _, keel := range c.Keels {
+			if !yield(keel, &Clerk{Web: c.Web, Keels: []string{keel}}) {
+				return
+			}
+		}
+	}
+}
+
 func (c *Clerk) Apply(ctx context.Context, submission string, request *wire.DraftRequest, key ed25519.PrivateKey) (*wire.Outcome, error) {
 	draft, err := c.Draft(ctx, request)
 	if err != nil {
--- a/helm/desk.go
+++ b/helm/desk.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/kit/endpoint"
@@ -51,6 +52,18 @@
 	serve("GET /v1/trace/{id}", func(ctx context.Context, request any) (any, error) {
 		return h.Trace(ctx, request.(*http.Request).PathValue("id")), nil
 	}, whole)
+	serve("GET /v1/why", func(ctx context.Context, request any) (any, error) {
+		s, cancel := h.scope.Under(ctx).Within(h.force / 2)
+		defer cancel()
+		return h.member.Ask(s, &wire.TellRequest{Subject: request.(*http.Request).URL.Query().Get("subject")}), nil
+	}, whole)
+	serve("GET /v1/state", func(context.Context, any) (any, error) { return h.State(), nil }, whole)
+	serve("POST /v1/adopt", func(ctx context.Context, _ any) (any, error) {
+		if !h.trove.Adopt(h.scope.Under(ctx)) {
+			return nil, base.Bounce(base.Amnesiac, "", "this disk could not be adopted now: one whole disk must be reachable")
+		}
+		return h.State(), nil
+	}, whole)
 	mux.HandleFunc("GET /v1/journal", func(w http.ResponseWriter, r *http.Request) {
 		base.Reply(w, http.StatusOK, slices.Collect(h.scope.Journal.About(r.URL.Query().Get("subject"))))
 	})
@@ -67,6 +80,17 @@
 	return mux
 }
 
+func (h *Helm) State() *wire.StateReply {
+	seen := h.Settled()
+	reply := &wire.StateReply{Keel: h.self, Phase: strings.ToLower(h.trove.Store().Phase().String()), Committed: seen.committed, Staged: seen.staged, Learner: h.Learning().GetHolder()}
+	for _, key := range h.trove.Store().Keys() {
+		owner, epoch, _ := h.trove.Owner(key)
+		_, entry := h.trove.Store().Peek(key)
+		reply.Keys = append(reply.Keys, &wire.KeyState{Key: key, Owner: owner.Name, Epoch: epoch.GetNumber(), Serial: entry.GetSerial(), Sick: h.trove.Store().IsSick(key)})
+	}
+	return reply
+}
+
 func (h *Helm) Trace(ctx context.Context, trace string) *wire.TraceReply {
 	s, cancel := h.scope.Under(ctx).Within(h.force / 4)
 	defer cancel()
--- a/kin/member.go
+++ b/kin/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	relays  []string
 	nudge   base.Bell
 	callees base.Table[wireconnect.KinClient]
+	Enrich  func(*wire.TellReply)
 }
 
 func NewMember(s base.Scope, web *http.Client, self *wire.Roster, seeds, relays []string, beat time.Duration) *Member {
@@ -146,8 +148,43 @@
 	}
 }
 
+func (m *Member) Tell(ask *wire.TellRequest) *wire.TellReply {
+	reply := &wire.TellReply{Node: m.self.Node, Counts: m.scope.Journal.Counts()}
+	if ask.Subject != "" {
+		for event := range m.scope.Journal.About(ask.Subject) {
+			reply.Happenings = append(reply.Happenings, &wire.Happening{Serial: event.Serial, AtUs: event.At.UnixMicro(), Topic: event.Topic, Subject: event.Subject, Detail: event.Detail})
+		}
+	}
+	if m.Enrich != nil {
+		m.Enrich(reply)
+	}
+	return reply
+}
+
+func (m *Member) Ask(s base.Scope, ask *wire.TellRequest) *wire.ToldReply {
+	reply := &wire.ToldReply{}
+	var mu sync.Mutex
+	base.All(slices.Collect(m.view.All()), func(sighting *wire.Sighting) {
+		told, err := m.callee(sighting.Roster.Address).Tell(s, connect.NewRequest(ask))
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			reply.Silent = append(reply.Silent, sighting.Roster.Node)
+			return
+		}
+		reply.Told = append(reply.Told, told.Msg)
+	})
+	slices.Sort(reply.Silent)
+	slices.SortFunc(reply.Told, func(a, b *wire.TellReply) int { return strings.Compare(a.Node, b.Node) })
+	return reply
+}
+
 type server struct{ member *Member }
 
+func (v server) Tell(_ context.Context, request *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellReply], error) {
+	return connect.NewResponse(v.member.Tell(request.Msg)), nil
+}
+
 func Handler(m *Member) (string, http.Handler) { return wireconnect.NewKinHandler(server{m}) }
 
 func (v server) Beat(_ context.Context, request *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatReply], error) {
--- a/lens/learner.go
+++ b/lens/learner.go
@@ -76,7 +76,10 @@
 			beliefs[identifier].Utility = utility
 		}
 	}
-	learning := &wire.Learning{Holder: prior.GetHolder(), Cycle: prior.GetCycle() + 1}
+	learning := &wire.Learning{Holder: prior.GetHolder(), Cycle: prior.GetCycle() + 1, Correlations: Correlate(spans)}
+	if len(learning.Correlations) == 0 {
+		learning.Correlations = prior.GetCorrelations()
+	}
 	for _, belief := range beliefs {
 		learning.Beliefs = append(learning.Beliefs, belief)
 	}
--- a/proto/wire/wireconnect/kin.connect.go
+++ b/proto/wire/wireconnect/kin.connect.go
@@ -33,6 +33,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// KinTellProcedure is the fully-qualified name of the Kin's Tell RPC.
+	KinTellProcedure = "/curlewreach.Kin/Tell"
 	// KinBeatProcedure is the fully-qualified name of the Kin's Beat RPC.
 	KinBeatProcedure = "/curlewreach.Kin/Beat"
 	// KinSightProcedure is the fully-qualified name of the Kin's Sight RPC.
@@ -41,6 +43,7 @@
 
 // KinClient is a client for the curlewreach.Kin service.
 type KinClient interface {
+	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellReply], error)
 	Beat(context.Context, *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatReply], error)
 	Sight(context.Context, *connect.Request[wire.SightRequest]) (*connect.Response[wire.SightReply], error)
 }
@@ -56,6 +59,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	kinMethods := wire.File_kin_proto.Services().ByName("Kin").Methods()
 	return &kinClient{
+		tell: connect.NewClient[wire.TellRequest, wire.TellReply](
+			httpClient,
+			baseURL+KinTellProcedure,
+			connect.WithSchema(kinMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
 		beat: connect.NewClient[wire.BeatRequest, wire.BeatReply](
 			httpClient,
 			baseURL+KinBeatProcedure,
@@ -73,10 +82,16 @@
 
 // kinClient implements KinClient.
 type kinClient struct {
+	tell  *connect.Client[wire.TellRequest, wire.TellReply]
 	beat  *connect.Client[wire.BeatRequest, wire.BeatReply]
 	sight *connect.Client[wire.SightRequest, wire.SightReply]
 }
 
+// Tell calls curlewreach.Kin.Tell.
+func (c *kinClient) Tell(ctx context.Context, req *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellReply], error) {
+	return c.tell.CallUnary(ctx, req)
+}
+
 // Beat calls curlewreach.Kin.Beat.
 func (c *kinClient) Beat(ctx context.Context, req *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatReply], error) {
 	return c.beat.CallUnary(ctx, req)
@@ -89,6 +104,7 @@
 
 // KinHandler is an implementation of the curlewreach.Kin service.
 type KinHandler interface {
+	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellReply], error)
 	Beat(context.Context, *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatReply], error)
 	Sight(context.Context, *connect.Request[wire.SightRequest]) (*connect.Response[wire.SightReply], error)
 }
@@ -100,6 +116,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewKinHandler(svc KinHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	kinMethods := wire.File_kin_proto.Services().ByName("Kin").Methods()
+	kinTellHandler := connect.NewUnaryHandler(
+		KinTellProcedure,
+		svc.Tell,
+		connect.WithSchema(kinMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
 	kinBeatHandler := connect.NewUnaryHandler(
 		KinBeatProcedure,
 		svc.Beat,
@@ -114,6 +136,8 @@
 	)
 	return "/curlewreach.Kin/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case KinTellProcedure:
+			kinTellHandler.ServeHTTP(w, r)
 		case KinBeatProcedure:
 			kinBeatHandler.ServeHTTP(w, r)
 		case KinSightProcedure:
@@ -127,6 +151,10 @@
 // UnimplementedKinHandler returns CodeUnimplemented from all methods.
 type UnimplementedKinHandler struct{}
 
+func (UnimplementedKinHandler) Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Kin.Tell is not implemented"))
+}
+
 func (UnimplementedKinHandler) Beat(context.Context, *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Kin.Beat is not implemented"))
 }
