--- a/helm/keel.go
+++ b/helm/keel.go
@@ -130,6 +130,7 @@
 func (k *Keel) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(k.params.Bounds.Grace.AsDuration())*stopRatio))
 	defer cancel()
+	k.Helm.HandOver(k.Helm.scope.Under(ctx))
 	k.cancel()
 	for _, door := range k.doors {
 		door.Drain(ctx)
--- a/helm/learn.go
+++ b/helm/learn.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/kin"
 	"curlewreach/lens"
 	"curlewreach/proto/wire"
 )
@@ -41,6 +42,7 @@
 		readers[name] = &reader{}
 	}
 	progress, since := uint64(0), s.Clock.Mono()
+	cycled := -time.Hour
 	for s.Err() == nil {
 		current := h.Current()
 		if current == nil || !h.trove.Ready() {
@@ -54,13 +56,21 @@
 		}
 		holder := learning.GetHolder()
 		overdue := s.Clock.Mono()-since > missedCycles*cycle
-		if holder == h.self || overdue || (holder == "" && h.first(current.Raw)) {
+		if (holder == h.self && s.Clock.Mono()-cycled >= cycle/2) || overdue || (holder == "" && h.first(current.Raw)) {
+			cycled = s.Clock.Mono()
 			h.cycle(s, current.Tracing(), readers, holder)
 		}
-		base.Await(s, cycle)
+		base.Await(s, cycle, h.handed(holder))
 	}
 }
 
+func (h *Helm) handed(holder string) <-chan struct{} {
+	if holder == h.self {
+		return nil
+	}
+	return h.trove.News()
+}
+
 func (h *Helm) first(b *wire.Bundle) bool {
 	for _, machine := range b.GetCommon().GetMachines() {
 		if machine.Core {
@@ -115,3 +125,30 @@
 	}
 	return spans
 }
+
+func (h *Helm) HandOver(s base.Scope) {
+	if h.Learning().GetHolder() != h.self {
+		return
+	}
+	successor := ""
+	for sighting := range h.member.View().All() {
+		if sighting.Roster.Core && sighting.Roster.Node != h.self && sighting.Standing == kin.Well && !sighting.Roster.Stopping {
+			successor = sighting.Roster.Node
+			break
+		}
+	}
+	if successor == "" {
+		return
+	}
+	err := h.trove.Change(s, LearningKey, func(old []byte) ([]byte, error) {
+		learning := &wire.Learning{}
+		if err := proto.Unmarshal(old, learning); err != nil || learning.Holder != h.self {
+			return nil, err
+		}
+		learning.Holder = successor
+		return proto.Marshal(learning)
+	})
+	if err == nil {
+		h.scope.Note("duty", "learner", "handed to "+successor)
+	}
+}
--- a/mime/upstream.go
+++ b/mime/upstream.go
@@ -120,6 +120,12 @@
 	u.report(u.Scope)
 }
 
+func (u *Upstream) Resize(capacity int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Capacity = capacity
+}
+
 func (u *Upstream) SetFault(fault Fault) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
