--- a/cmd/drill/day.go
+++ b/cmd/drill/day.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,7 +13,11 @@
 	"curlewreach/proto/wire"
 )
 
+const settling = 10 * time.Second
+
 type summary struct {
+	NotWhole int                `json:"takenForWholeButNot"`
+	Returned string             `json:"quarterOfRequestsBackAfter,omitempty"`
 	Calls    int                `json:"calls"`
 	Whole    int                `json:"whole"`
 	NotRun   int                `json:"notRun"`
@@ -52,12 +57,25 @@
 		return nil, err
 	}
 	sum.InForce = fmt.Sprintf("%dms after its ack, %dms after its draft", time.Since(acked).Milliseconds(), time.Since(begun).Milliseconds())
+	begunTrouble := s.Clock.Mono()
+	if err := troubles[f.args.Trouble](f, s); err != nil {
+		return nil, err
+	}
+	if f.args.Trouble != "none" {
+		if left := length - s.Clock.Mono(); left < settling {
+			base.Await(s, settling)
+		}
+	}
 	crew.Wait()
+	sum.Returned = returned(history.Calls(), begunTrouble, f.args.Trouble)
 	for _, call := range history.Calls() {
 		sum.Calls++
 		switch {
 		case call.Broken != "":
 			sum.Broken++
+			if strings.HasPrefix(call.Broken, "not whole") {
+				sum.NotWhole++
+			}
 			sum.Samples = append(sum.Samples, call.Route+" "+call.Broken)
 		case call.Outcome == "not-run":
 			sum.NotRun++
@@ -95,6 +113,32 @@
 	return sum, nil
 }
 
+func returned(calls []mime.Call, since time.Duration, name string) string {
+	if name == "none" {
+		return ""
+	}
+	const stretch = 500 * time.Millisecond
+	asked, got := map[int]int{}, map[int]int{}
+	last := 0
+	for _, call := range calls {
+		at := int((call.Begun - since) / stretch)
+		if call.Begun < since {
+			continue
+		}
+		last = max(last, at)
+		asked[at]++
+		if call.Broken == "" && call.Outcome == "" {
+			got[at]++
+		}
+	}
+	for at := last; at >= 0; at-- {
+		if got[at]*4 < asked[at] {
+			return fmt.Sprintf("%s after the trouble began", time.Duration(at+1)*stretch)
+		}
+	}
+	return "never below a quarter in any half second"
+}
+
 func (f *fleet) allOn(serial uint64) bool {
 	for _, each := range f.vanes {
 		if at, ready := f.ready(each, opsPort); !ready || at < serial {
@@ -112,8 +156,8 @@
 	switch {
 	case s.Calls == 0:
 		return errors.New("no call was made")
-	case s.Broken > 0:
-		return errors.Errorf("%d answers were not whole", s.Broken)
+	case s.NotWhole > 0:
+		return errors.Errorf("%d answers were not whole", s.NotWhole)
 	case s.Repeated > 0:
 		return errors.Errorf("%d requests ran more than once", s.Repeated)
 	case s.Whole*100 < s.Calls*owed:
