A closed probe is dialled again when the same socket still listens

Cause: servers that close idle connections (ours after 10 s) closed the probe, which made the seat void until its next report. Seen as 'no upstream is known at that address now' in drills with a frozen core; ruled out: the core, report age. Before: the story of idle upstreams fails. After: it passes, no seat is ever void in it.

--- a/cmd/drill/day.go
+++ b/cmd/drill/day.go
@@ -30,6 +30,7 @@
 	TiedElse int                `json:"notTiedToTheRightParent"`
 	InForce  string             `json:"secondBundleInForceAfter"`
 	Kept     uint64             `json:"spansRecorded"`
+	Kinds    map[string]int     `json:"bouncesByKind,omitempty"`
 	Odds     map[string]float64 `json:"odds"`
 }
 
@@ -43,7 +44,7 @@
 		crew.Go(func() { visitors.Run(bounded) })
 	}
 	base.Await(bounded, length/2)
-	sum := &summary{Odds: map[string]float64{}}
+	sum := &summary{Kinds: map[string]int{}, Odds: map[string]float64{}}
 	begun := time.Now()
 	outcome, err := f.change(s, "second", 1)
 	if err != nil {
@@ -70,6 +71,9 @@
 	sum.Returned = returned(history.Calls(), begunTrouble, f.args.Trouble)
 	for _, call := range history.Calls() {
 		sum.Calls++
+		if call.Kind != "" {
+			sum.Kinds[fmt.Sprintf("%s of %s (%s) in second %d", call.Kind, call.Route, call.Reason, (call.Begun-begunTrouble)/time.Second)]++
+		}
 		switch {
 		case call.Broken != "":
 			sum.Broken++
--- a/fleet/answers_test.go
+++ b/fleet/answers_test.go
@@ -166,6 +166,18 @@
 		Expect(f.tally(f.History.Calls())["answered"]).To(BeNumerically(">", 400))
 	})
 
+	story("given upstreams that close idle connections, when none of them ends, then no request is bounced for it", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		f.Visit(40)
+		f.Pass(32 * time.Second)
+		f.Leave()
+		sound(f)
+		Expect(f.tally(f.History.Calls())).To(HaveLen(1))
+		for _, m := range f.Vanes {
+			Expect(m.Journal.Counts()["seat-void"]).To(BeZero())
+		}
+	})
+
 	story("given an address passed on silently, when the probe still stands, then the new listener is noticed before a byte is sent", []uint64{1}, func(f *Fleet) {
 		raised(f)
 		first := f.seatsOf("lending")[0]
--- a/flow/seats.go
+++ b/flow/seats.go
@@ -26,6 +26,7 @@
 	changed func([]*wire.Seat)
 	mu      sync.Mutex
 	seats   map[string]*seat
+	closed  bool
 }
 
 func NewSeats(s base.Scope, oldest time.Duration, queue int, changed func([]*wire.Seat)) *Seats {
@@ -65,20 +66,38 @@
 	t.seats[report.Address] = next
 	t.mu.Unlock()
 	t.scope.Note("seat", report.Address, report.Service)
-	go t.guard(next)
+	go t.guard(t.scope, next)
 	t.publish()
 	return nil
 }
 
-func (t *Seats) guard(at *seat) {
-	var one [1]byte
-	_, err := at.probe.Read(one[:])
-	reason := "the upstream spoke out of turn"
+func (t *Seats) guard(s base.Scope, at *seat) {
+	for probe := at.probe; probe != nil; probe = t.again(s, at) {
+		var one [1]byte
+		_, _ = probe.Read(one[:])
+		_ = probe.Close()
+	}
+	t.Void(at, "the probe connection closed")
+}
+
+func (t *Seats) again(s base.Scope, at *seat) net.Conn {
+	if at.holder == "" || !t.Held(at) {
+		return nil
+	}
+	bounded, cancel := s.Within(t.oldest / 3)
+	defer cancel()
+	probe, err := t.scope.Net.Dial(bounded, "tcp", at.report.Address)
 	if err != nil {
-		reason = "the probe connection closed"
+		return nil
 	}
-	_ = at.probe.Close()
-	t.Void(at, reason)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.void != "" || t.closed {
+		_ = probe.Close()
+		return nil
+	}
+	at.probe = probe
+	return probe
 }
 
 func (t *Seats) Held(at *seat) bool { return t.scope.Net.Holder(at.report.Address) == at.holder }
@@ -147,6 +166,7 @@
 func (t *Seats) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closed = true
 	for _, at := range t.seats {
 		_ = at.probe.Close()
 	}
--- a/mime/history.go
+++ b/mime/history.go
@@ -30,6 +30,7 @@
 	Status  int
 	Outcome string
 	Kind    string
+	Reason  string
 	Broken  string
 }
 
--- a/mime/visitors.go
+++ b/mime/visitors.go
@@ -86,14 +86,14 @@
 	call.Ended = s.Clock.Mono()
 	call.Status = response.StatusCode
 	call.Outcome = response.Header.Get("Curlew-Outcome")
-	var said struct{ ID, Service, Kind string }
+	var said struct{ ID, Service, Kind, Reason string }
 	switch {
 	case err != nil:
 		call.Broken = "torn: " + err.Error()
 	case json.Unmarshal(body, &said) != nil:
 		call.Broken = "not whole: no JSON"
 	case call.Outcome != "":
-		call.Kind = said.Kind
+		call.Kind, call.Reason = said.Kind, said.Reason
 	case said.ID != id || said.Service != habit.Service:
 		call.Broken = "not whole: someone else's answer"
 	case !sound(response.Header.Get("Content-Digest"), body):
