--- a/fleet/suite_test.go
+++ b/fleet/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,9 @@
 }
 
 func story(text string, seeds []uint64, tell func(f *Fleet)) {
+	if few, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		seeds = seeds[:min(few, len(seeds))]
+	}
 	ginkgo.It(text, func() {
 		base.All(seeds, func(seed uint64) { bubble(seed, shape(4), tell) })
 	})
