--- /dev/null
+++ b/fleet/desk_test.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/flow"
+	"curlewreach/helm"
+	"curlewreach/mime"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+)
+
+func (f *Fleet) post(path, body string) (int, *base.Mishap) {
+	response, err := f.Clerk.Web.Post("http://"+f.Clerk.Keels[1]+path, "application/json", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	said, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	var reply struct{ Mishap *base.Mishap }
+	Expect(json.NewDecoder(bytes.NewReader(said)).Decode(&reply)).To(Succeed(), string(said))
+	return response.StatusCode, reply.Mishap
+}
+
+func (f *Fleet) drafted(change *wire.Change) *wire.Sealed {
+	reply, err := f.Clerk.Draft(f.Scope, &wire.DraftRequest{Base: 1, Change: change})
+	Expect(err).NotTo(HaveOccurred())
+	return reply.Sealed
+}
+
+func (f *Fleet) handIn(id string, sealed *wire.Sealed) (int, *base.Mishap) {
+	body, err := protojson.Marshal(&wire.SignRequest{Submission: id, Sealed: sealed})
+	Expect(err).NotTo(HaveOccurred())
+	return f.post("/v1/sign", string(body))
+}
+
+func bundleFiles(m *Machine) []string {
+	var names []string
+	for _, name := range m.Disk.Names() {
+		if strings.HasPrefix(name, "keys/62756e646c65/") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+var _ = ginkgo.Describe("the operators' desk", func() {
+	story("given broken submissions of every kind, when handed in, then each is bounced with its kind and nothing is written", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		var before [][]string
+		for _, m := range f.Keels {
+			before = append(before, bundleFiles(m))
+		}
+		expect := func(status int, mishap *base.Mishap, wanted base.Kind) {
+			Expect(mishap).NotTo(BeNil())
+			Expect(mishap.Kind).To(Equal(wanted), mishap.Reason)
+			Expect(status).To(Equal(base.Answers[wanted].Status))
+			Expect(mishap.Reason).NotTo(BeEmpty())
+		}
+		status, mishap := f.post("/v1/draft", `{"base": 1, "bundle": {`)
+		expect(status, mishap, base.Malformed)
+		status, mishap = f.post("/v1/draft", `{"base": 1, "bundel": {}}`)
+		expect(status, mishap, base.Malformed)
+		status, mishap = f.post("/v1/draft", `{"base": 1, "change": {"dropServices": ["lending"]}}`)
+		expect(status, mishap, base.Dangling)
+		status, mishap = f.post("/v1/draft", `{"base": 7, "change": {}}`)
+		expect(status, mishap, base.StaleBase)
+		status, mishap = f.handIn("unsigned", f.drafted(nudge(2)))
+		expect(status, mishap, base.Unsigned)
+		forged := f.drafted(nudge(2))
+		pact.Sign(forged, f.Key)
+		forged.Signature[0] ^= 1
+		status, mishap = f.handIn("forged", forged)
+		expect(status, mishap, base.Untrusted)
+		short := f.drafted(nudge(2))
+		pact.Sign(short, f.Key)
+		short.Parts = short.Parts[:1]
+		status, mishap = f.handIn("short", short)
+		expect(status, mishap, base.Malformed)
+		spoiled := proto.Clone(f.Shape).(*wire.Bundle)
+		spoiled.Serial, spoiled.Base = 2, 1
+		spoiled.Services[0].Routes[0].Path = "no slash"
+		sealed, err := pact.Pack(spoiled)
+		Expect(err).NotTo(HaveOccurred())
+		pact.Sign(sealed, f.Key)
+		status, mishap = f.handIn("signed but broken", sealed)
+		expect(status, mishap, base.OutOfRange)
+		stale := proto.Clone(f.Shape).(*wire.Bundle)
+		pact.Normalise(stale, pact.UsualLimits(6*time.Second))
+		stale.Serial, stale.Base = 6, 5
+		sealed, err = pact.Pack(stale)
+		Expect(err).NotTo(HaveOccurred())
+		pact.Sign(sealed, f.Key)
+		status, mishap = f.handIn("wrong base", sealed)
+		expect(status, mishap, base.StaleBase)
+		for i, m := range f.Keels {
+			Expect(bundleFiles(m)).To(Equal(before[i]))
+		}
+	})
+
+	story("given a submission handed in twice at different keels, when the second comes, then it is decided once", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		sealed := f.drafted(nudge(2))
+		pact.Sign(sealed, f.Key)
+		for _, one := range f.Clerk.Each() {
+			outcome, err := one.Sign(f.Scope, "once", sealed)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(outcome.Verdict).To(Equal(wire.Verdict_TAKEN))
+			Expect(outcome.Serial).To(Equal(uint64(2)))
+		}
+		outcome, err := f.Clerk.Sign(f.Scope, "replayed under another id", sealed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Verdict).To(Equal(wire.Verdict_BOUNCED))
+	})
+
+	story("given several serials, when an older one is asked for, then it is read whole and verifies", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		for serial := uint64(1); serial < 4; serial++ {
+			Expect(f.push(fmt.Sprint("s", serial), serial, nudge(float64(serial+1))).Verdict).To(Equal(wire.Verdict_TAKEN))
+		}
+		trust, err := pact.NewTrust(f.trusted)
+		Expect(err).NotTo(HaveOccurred())
+		for serial := uint64(1); serial <= 4; serial++ {
+			reply, err := f.Clerk.Show(f.Scope, serial)
+			Expect(err).NotTo(HaveOccurred())
+			manifest, mishap := trust.Verify(reply.Sealed)
+			Expect(mishap).To(BeNil())
+			Expect(manifest.Serial).To(Equal(serial))
+			Expect(pact.Whole(reply.Sealed, manifest)).To(BeTrue())
+		}
+		_, err = f.Clerk.Show(f.Scope, 9)
+		Expect(err).To(HaveOccurred())
+	})
+
+	story("given a very large bundle, when it rolls out, then it is in force in time and one over the limit is bounced", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		f.Visit(40)
+		grow := func(services int) *wire.Change {
+			change := &wire.Change{Shares: []*wire.Share{{Group: "bulk", Carried: 1, Watched: 1}}}
+			for i := range services {
+				service := &wire.Service{Name: fmt.Sprint("bulk-", i)}
+				for j := range 50 {
+					service.Routes = append(service.Routes, &wire.Route{Name: fmt.Sprint("r", j), Method: "GET", Path: fmt.Sprintf("/bulk-%d/r%d/{x}", i, j)})
+				}
+				change.Services = append(change.Services, service)
+				change.Shares[0].Services = append(change.Shares[0].Services, service.Name)
+			}
+			return change
+		}
+		Expect(f.push("large", 1, grow(200)).Verdict).To(Equal(wire.Verdict_TAKEN))
+		Expect(f.Until(2*time.Second, func() bool { return f.AllOn(2) })).To(BeTrue())
+		_, err := f.Clerk.Draft(f.Scope, &wire.DraftRequest{Base: 2, Change: grow(450)})
+		Expect(err).To(MatchError(ContainSubstring("too-large")))
+		f.Pass(time.Second)
+		f.Leave()
+		sound(f)
+	})
+})
+
+var _ = ginkgo.Describe("params", func() {
+	ginkgo.It("given many things wrong, when checked, then all are listed at once", func() {
+		vane := &wire.VaneParams{Name: "Bad Name", Mates: "nowhere", Seeds: []string{"1.2.3.4"}, Log: "loud", Held: 1}
+		flow.Usual(vane)
+		Expect(len(base.Mishaps(flow.Check(vane)))).To(BeNumerically(">=", 10))
+		keel := &wire.KeelParams{Name: "k", Serials: 1}
+		helm.Usual(keel)
+		Expect(len(base.Mishaps(helm.Check(keel)))).To(BeNumerically(">=", 6))
+	})
+
+	story("given visitors calling, when params are reloaded, then good ones turn, bad ones are bounced, and nothing is dropped", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		f.Visit(80)
+		f.Pass(time.Second)
+		vane := f.Vanes[0]
+		with := func(change func(*wire.VaneParams)) error {
+			params := &wire.VaneParams{
+				Name: vane.Name, Zone: vane.Zone, Mates: vane.Address, Visitors: vane.At(visitorsPort), Upstreams: vane.At(upstreamsPort), Ops: vane.At(opsPort),
+				Seeds: f.seeds, Folder: "data", Trusted: f.trusted,
+			}
+			change(params)
+			return vane.Vane.Reload(params)
+		}
+		Expect(with(func(p *wire.VaneParams) { p.Held = 2048 })).To(Succeed())
+		f.Pass(time.Second)
+		Expect(with(func(p *wire.VaneParams) { p.Trusted = []string{"nonsense"} })).NotTo(Succeed())
+		Expect(with(func(p *wire.VaneParams) { p.Mates = "10.9.0.77:7001" })).NotTo(Succeed())
+		Expect(with(func(p *wire.VaneParams) { p.Held = 1 })).NotTo(Succeed())
+		f.Pass(time.Second)
+		f.Leave()
+		sound(f)
+		Expect(f.tally(f.History.Calls())).To(HaveLen(1))
+	})
+})
+
+var _ = ginkgo.Describe("the trace store", func() {
+	story("given recorded calls, when stored, then each span is on two of three cores and outlives a keel", []uint64{1, 2}, func(f *Fleet) {
+		f.Plan = []mime.Habitual{{Service: "lending", Route: "borrow", Group: "patrons", Method: "POST", Path: "/lending/borrow/{n}", Part: 1}}
+		raised(f)
+		f.Visit(40)
+		f.Pass(4 * time.Second)
+		f.Leave()
+		f.Pass(3 * time.Second)
+		copies := map[string]int{}
+		for _, m := range f.Keels {
+			spans, _ := m.Keel.Traces.Recent(0, 100000)
+			for _, span := range spans {
+				copies[span.Id]++
+			}
+		}
+		Expect(len(copies)).To(BeNumerically(">", 100))
+		for _, count := range copies {
+			Expect(count).To(Equal(2))
+		}
+		f.PowerLoss(f.Keels[0])
+		Expect(f.Raise(f.Keels[0])).To(Succeed())
+		spans, _ := f.Keels[0].Keel.Traces.Recent(0, 100000)
+		Expect(len(spans)).To(BeNumerically(">", len(copies)/3))
+		for _, span := range spans {
+			if span.Parent != "" {
+				whole, err := f.Clerk.Trace(f.Scope, span.Trace)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(whole.Spans).To(HaveLen(2))
+				break
+			}
+		}
+	})
+})
--- /dev/null
+++ b/fleet/kin_test.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/kin"
+)
+
+func (f *Fleet) standing(keel, of *Machine) string {
+	for sighting := range keel.Keel.Helm.View().All() {
+		if sighting.Roster.Node == of.Name {
+			return sighting.Standing
+		}
+	}
+	return kin.Absent
+}
+
+var _ = ginkgo.Describe("failure detection", func() {
+	story("given a node lost without a word, when its watchers miss it, then every keel calls it absent within the leaving bound", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		lost := f.Vanes[int(f.Seed)%4]
+		for _, keel := range f.Keels {
+			Expect(f.standing(keel, lost)).To(Equal(kin.Well))
+		}
+		f.PowerLoss(lost)
+		begun := f.Scope.Clock.Mono()
+		for _, keel := range f.Keels {
+			Expect(f.Until(2*time.Second, func() bool { return f.standing(keel, lost) == kin.Absent })).To(BeTrue())
+		}
+		ginkgo.GinkgoWriter.Printf("MEASURE detection, seed %d: absent at all keels after %s\n", f.Seed, f.Scope.Clock.Mono()-begun)
+		Expect(f.Raise(lost)).To(Succeed())
+		for _, keel := range f.Keels {
+			Expect(f.Until(time.Second, func() bool { return f.standing(keel, lost) == kin.Well })).To(BeTrue())
+		}
+	})
+
+	story("given links cut one way and for moments, when nodes are alive, then none is called absent", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		for round := range 20 {
+			a, b := f.Every()[round%7], f.Every()[(round*3+1)%7]
+			if a == b {
+				continue
+			}
+			f.World.Cut(a.IP, b.IP)
+			f.Pass(400 * time.Millisecond)
+			f.World.Heal(a.IP, b.IP)
+			f.Pass(100 * time.Millisecond)
+		}
+		alarms := 0
+		for _, keel := range f.Keels {
+			for event := range keel.Journal.About("") {
+				if event.Topic == "standing" && event.Detail == kin.Absent {
+					alarms++
+				}
+			}
+		}
+		Expect(alarms).To(BeZero())
+	})
+})
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -121,6 +121,8 @@
 	})
 }
 
+func (h *Helm) View() *kin.View { return h.member.View() }
+
 func (h *Helm) Ready() bool { return h.trove.Ready() }
 
 func headOf(value []byte) (*wire.Head, error) {
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -61,6 +61,7 @@
 type Keel struct {
 	Helm   *Helm
 	Trove  *trove.Trove
+	Traces *lens.Store
 	params *wire.KeelParams
 	cancel context.CancelFunc
 	doors  []*base.Door
@@ -102,6 +103,7 @@
 	}
 	k.Trove = trove.New(s, store, web, self, mates, time.Duration(float64(force)*roundRatio))
 	traces := lens.OpenStore(s, int(params.Traces))
+	k.Traces = traces
 	member := kin.NewMember(s, web, &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone, Core: true},
 		params.Seeds, relays, time.Duration(float64(params.Bounds.Leaving.AsDuration())*beatRatio))
 	limits := pact.UsualLimits(params.Bounds.Grace.AsDuration())
--- a/pact/check.go
+++ b/pact/check.go
@@ -53,7 +53,7 @@
 	}
 	t := b.Common.Tracing
 	fill(&t.Sample, 1)
-	fill(&t.Percentile, 0.9)
+	fill(&t.Percentile, 0.75)
 	fill(&t.Epsilon, 0.05)
 	fill(&t.Draws, 1000)
 	fill(&t.Memory, 0.3)
