--- a/flow/far.go
+++ b/flow/far.go
@@ -97,7 +97,7 @@
 }
 
 func (n *Node) hand(s base.Scope, ask *wire.CarryRequest, at *seat, f *flight, target *url.URL, headers http.Header, tell emit) *base.Mishap {
-	conn, err := n.outward.NewClientConn(s, "http", at.report.Address)
+	conn, err := n.outward.NewClientConn(s, "http", at.said().Address)
 	if err != nil {
 		if s.Err() == nil {
 			n.seats.Void(at, "dial: "+err.Error())
@@ -113,7 +113,7 @@
 	}
 	headers.Set(serialHeader, strconv.FormatUint(ask.Serial, 10))
 	request := (&http.Request{
-		Method: ask.Method, Host: ask.Service, URL: &url.URL{Scheme: "http", Host: at.report.Address, Path: target.Path, RawPath: target.RawPath, RawQuery: target.RawQuery},
+		Method: ask.Method, Host: ask.Service, URL: &url.URL{Scheme: "http", Host: at.said().Address, Path: target.Path, RawPath: target.RawPath, RawQuery: target.RawQuery},
 		Header: headers, Body: http.NoBody, ContentLength: int64(len(ask.Body)),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Close: true,
 	}).WithContext(s)
@@ -128,7 +128,7 @@
 	}
 	keeps := f.trail.GetSampled() && n.keeper.Keep(f.way.Identifier()) && n.budget.Spend(f.way.Group)
 	n.ties.Board(f)
-	n.scope.Note("handed", ask.Trail.GetTrace(), ask.Attempt+" to "+at.report.Address)
+	n.scope.Note("handed", ask.Trail.GetTrace(), ask.Attempt+" to "+at.said().Address)
 	status, mishap := n.exchange(s, conn, request, ask, tell)
 	self, uncertain := n.ties.Land(f)
 	if keeps {
@@ -141,9 +141,9 @@
 	took := n.scope.Clock.Mono() - f.began
 	span := &wire.Span{
 		Trace: f.trail.Trace, Id: f.span, Parent: f.trail.Parent, Service: f.way.Service.Name, Route: f.way.Route.Name,
-		Node: n.self, Seat: f.seat.report.Address, Group: f.way.Group,
+		Node: n.self, Seat: f.seat.said().Address, Group: f.way.Group,
 		StartedUs: n.scope.Clock.Wall().Add(-took).UnixMicro(), DurationUs: uint64(took.Microseconds()), SelfUs: uint64(self.Microseconds()),
-		Status: uint32(status), Tags: map[string]string{"zone": f.seat.report.Zone, "seat": f.seat.report.Address},
+		Status: uint32(status), Tags: map[string]string{"zone": f.seat.said().Zone, "seat": f.seat.said().Address},
 		Candidates: f.trail.Candidates,
 	}
 	if uncertain {
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -265,6 +265,7 @@
 			again, mishap := t.Apart(s, &flight{way: way, seat: &seat{}})
 			Expect(mishap).To(BeNil())
 			again()
+			Expect(t.apart).To(BeEmpty(), "nothing is kept for keys no longer waited for")
 		})
 	})
 })
--- a/flow/node.go
+++ b/flow/node.go
@@ -69,7 +69,7 @@
 	sink      *lens.Sink
 	slice     atomic.Pointer[pact.Bundle]
 	stopping  atomic.Bool
-	flying    sync.WaitGroup
+	flying    atomic.Int64
 	adopting  sync.Mutex
 	mates     base.Table[wireconnect.FlowClient]
 	atlas     base.Table[outlook]
@@ -115,7 +115,7 @@
 
 func (n *Node) enter() func() {
 	n.flying.Add(1)
-	return n.flying.Done
+	return func() { n.flying.Add(-1) }
 }
 
 func (n *Node) Run(s base.Scope) {
@@ -186,15 +186,9 @@
 	n.stopping.Store(true)
 	n.member.Change(func(roster *wire.Roster) { roster.Stopping = true })
 	n.scope.Note("stopping", "", "")
-	done := make(chan struct{})
-	go func() {
-		base.Await(n.scope.Under(ctx), n.patience)
-		n.flying.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	s := n.scope.Under(ctx)
+	for base.Await(s, n.patience); n.flying.Load() > 0 && s.Err() == nil; {
+		base.Await(s, n.patience/64)
 	}
 }
 
--- a/flow/seats.go
+++ b/flow/seats.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"curlewreach/base"
@@ -10,7 +11,7 @@
 )
 
 type seat struct {
-	report *wire.Seat
+	report atomic.Pointer[wire.Seat]
 	at     time.Duration
 	probe  net.Conn
 	void   string
@@ -19,6 +20,8 @@
 	holder string
 }
 
+func (at *seat) said() *wire.Seat { return at.report.Load() }
+
 type Seats struct {
 	scope   base.Scope
 	oldest  time.Duration
@@ -36,11 +39,12 @@
 func (t *Seats) Report(s base.Scope, report *wire.Seat) *base.Mishap {
 	t.mu.Lock()
 	known := t.seats[report.Address]
-	fresh := known == nil || known.void != "" || known.report.Service != report.Service
+	fresh := known == nil || known.void != "" || known.said().Service != report.Service
 	t.mu.Unlock()
 	if !fresh {
 		t.mu.Lock()
-		known.report, known.at = report, t.scope.Clock.Mono()
+		known.report.Store(report)
+		known.at = t.scope.Clock.Mono()
 		known.gate.Resize(int(report.Capacity))
 		t.mu.Unlock()
 		t.publish()
@@ -57,7 +61,8 @@
 		_ = probe.Close()
 		return base.Bounce(base.Unreachable, "address", "the reporter is gone")
 	}
-	next := &seat{report: report, at: t.scope.Clock.Mono(), probe: probe, holder: holder, gate: NewGate(t.scope.Clock, int(report.Capacity), t.queue)}
+	next := &seat{at: t.scope.Clock.Mono(), probe: probe, holder: holder, gate: NewGate(t.scope.Clock, int(report.Capacity), t.queue)}
+	next.report.Store(report)
 	t.mu.Lock()
 	if prior := t.seats[report.Address]; prior != nil && prior.probe != nil {
 		_ = prior.probe.Close()
@@ -86,7 +91,7 @@
 	}
 	bounded, cancel := s.Within(t.oldest / 3)
 	defer cancel()
-	probe, err := t.scope.Net.Dial(bounded, "tcp", at.report.Address)
+	probe, err := t.scope.Net.Dial(bounded, "tcp", at.said().Address)
 	if err != nil {
 		return nil
 	}
@@ -100,7 +105,7 @@
 	return probe
 }
 
-func (t *Seats) Held(at *seat) bool { return t.scope.Net.Holder(at.report.Address) == at.holder }
+func (t *Seats) Held(at *seat) bool { return t.scope.Net.Holder(at.said().Address) == at.holder }
 
 func (t *Seats) Void(at *seat, reason string) {
 	t.mu.Lock()
@@ -111,7 +116,7 @@
 	at.void = reason
 	_ = at.probe.Close()
 	t.mu.Unlock()
-	t.scope.Note("seat-void", at.report.Address, reason)
+	t.scope.Note("seat-void", at.said().Address, reason)
 	t.publish()
 }
 
@@ -126,9 +131,9 @@
 	switch {
 	case at == nil || !t.live(at):
 		return nil, base.Bounce(base.NoSeat, "", "no upstream is known at that address now")
-	case at.report.Service != service:
+	case at.said().Service != service:
 		return nil, base.Bounce(base.NoSeat, "", "that address belongs to another service now")
-	case at.report.Leaving:
+	case at.said().Leaving:
 		return nil, base.Bounce(base.NoSeat, "", "the upstream is leaving")
 	}
 	return at, nil
@@ -156,7 +161,7 @@
 	var rows []*wire.Seat
 	for _, at := range t.seats {
 		if t.live(at) {
-			rows = append(rows, at.report)
+			rows = append(rows, at.said())
 		}
 	}
 	t.mu.Unlock()
--- a/flow/tie.go
+++ b/flow/tie.go
@@ -44,15 +44,20 @@
 	return total
 }
 
+type turnstile struct {
+	latch base.Latch
+	users int
+}
+
 type Ties struct {
 	clock   base.Clock
 	mu      sync.Mutex
 	flights map[string]*flight
-	apart   map[string]chan struct{}
+	apart   map[string]*turnstile
 }
 
 func NewTies(clock base.Clock) *Ties {
-	return &Ties{clock: clock, flights: map[string]*flight{}, apart: map[string]chan struct{}{}}
+	return &Ties{clock: clock, flights: map[string]*flight{}, apart: map[string]*turnstile{}}
 }
 
 func (t *Ties) Board(f *flight) {
@@ -170,21 +175,20 @@
 	}
 	slices.Sort(keys)
 	keys = slices.Compact(keys)
-	var held []chan struct{}
+	var held []string
 	leave = func() {
-		for _, at := range held {
-			<-at
+		for _, key := range held {
+			t.turn(key).latch.Drop()
+			t.quit(key, 2)
 		}
 	}
 	for _, key := range keys {
-		at := t.lock(key)
-		select {
-		case at <- struct{}{}:
-			held = append(held, at)
-		case <-s.Done():
+		if !t.turn(key).latch.Take(s) {
+			t.quit(key, 1)
 			leave()
 			return nil, base.Bounce(base.Expired, "", "the deadline passed while kept apart")
 		}
+		held = append(held, key)
 	}
 	return leave, nil
 }
@@ -195,13 +199,23 @@
 	return at.passes
 }
 
-func (t *Ties) lock(key string) chan struct{} {
+func (t *Ties) turn(key string) *turnstile {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at := t.apart[key]
 	if at == nil {
-		at = make(chan struct{}, 1)
+		at = &turnstile{latch: base.NewLatch()}
 		t.apart[key] = at
 	}
+	at.users++
 	return at
 }
+
+func (t *Ties) quit(key string, users int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.apart[key]
+	if at.users -= users; at.users == 0 {
+		delete(t.apart, key)
+	}
+}
