--- a/fleet/answers_test.go
+++ b/fleet/answers_test.go
@@ -165,6 +165,24 @@
 		Expect(f.Vanes[3].Journal.Counts()["far-no-seat"]).To(BeNumerically(">", 0))
 	})
 
+	story("given upstreams in several zones, when all are well, then the visitor's zone goes first, and another serves when it has none", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		near := f.seatsOf("lending")[1]
+		Expect(near.Zone).To(Equal(f.Vanes[0].Zone))
+		for i := range 40 {
+			f.ask(f.Vanes[0], hold, fmt.Sprint("zone-", i))
+		}
+		Expect(near.Counts().Ran).To(BeNumerically(">=", 38))
+		near.Leave()
+		f.Pass(time.Second)
+		ran := near.Counts().Ran
+		for i := range 20 {
+			Expect(f.ask(f.Vanes[0], hold, fmt.Sprint("elsewhere-", i)).Status).To(Equal(200))
+		}
+		Expect(near.Counts().Ran).To(Equal(ran))
+		sound(f)
+	})
+
 	story("given an upstream that ends, when another service takes its address at once, then it gets none of the first's requests", []uint64{1, 2, 3}, func(f *Fleet) {
 		raised(f)
 		f.Visit(120)
--- a/fleet/rig/net.go
+++ b/fleet/rig/net.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	bell      base.Bell
 	serial    int
 	closed    bool
+	sent      atomic.Uint64
+	packets   atomic.Uint64
 }
 
 func NewWorld(rand *base.Rand, latency Latency) *World {
@@ -99,6 +102,8 @@
 	}
 }
 
+func (w *World) Sent() (bytes, packets uint64) { return w.sent.Load(), w.packets.Load() }
+
 func (w *World) Close() {
 	w.mu.Lock()
 	w.closed = true
@@ -281,6 +286,8 @@
 			p.packets = append(p.packets, packet{p.arrival(), append([]byte(nil), data...)})
 			p.size += len(data)
 			p.mu.Unlock()
+			p.world.sent.Add(uint64(len(data)))
+			p.world.packets.Add(1)
 			p.bell.Ring()
 			return len(data), nil
 		}
--- a/flow/claims.go
+++ b/flow/claims.go
@@ -39,10 +39,11 @@
 	ballot   *wire.Ballot
 	wanted   uint64
 	definite bool
+	since    time.Duration
 }
 
-func NewClaims(clock base.Clock, self string, keels int, length time.Duration) *Claims {
-	return &Claims{clock: clock, self: self, keels: make([]word, keels), mates: map[string]word{}, length: length}
+func NewClaims(clock base.Clock, self string, keels int, length, settling time.Duration) *Claims {
+	return &Claims{clock: clock, since: clock.Mono() + settling, self: self, keels: make([]word, keels), mates: map[string]word{}, length: length}
 }
 
 func (c *Claims) Held() (held, staged *pact.Bundle, ballot *wire.Ballot) {
@@ -124,7 +125,7 @@
 }
 
 func (c *Claims) settle() {
-	if c.held != nil && c.held.Serial >= c.wanted && c.byCore(c.held.Serial, 0) {
+	if c.clock.Mono() >= c.since && c.held != nil && c.held.Serial >= c.wanted && c.byCore(c.held.Serial, 0) {
 		c.definite = true
 	}
 }
--- a/flow/node.go
+++ b/flow/node.go
@@ -92,7 +92,7 @@
 		gate: NewGate(s.Clock, int(params.Flights), int(params.Queue)), repeats: NewRepeats(), budget: NewBudget(s.Clock),
 		keeper: lens.NewKeeper(s.Rand), sink: lens.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
 	}
-	n.claims = NewClaims(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*claimRatio))
+	n.claims = NewClaims(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*claimRatio), bounds.InForce.AsDuration())
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
 	self := &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone}
 	n.member = kin.NewMember(s, web, self, params.Seeds, nil, time.Duration(float64(leaving)*beatRatio))
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -21,6 +21,8 @@
 	beatRatio  = 0.1
 	roundRatio = 0.25
 	stopRatio  = 0.9
+	// A roll-out writes its head twice, and a new owner once more.
+	changesEach = 3
 )
 
 var named = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
@@ -79,7 +81,7 @@
 	}
 	s, cancel := s.Child()
 	k := &Keel{params: params, cancel: cancel}
-	store, err := trove.OpenStore(s, int(params.Serials))
+	store, err := trove.OpenStore(s, int(params.Serials)*changesEach)
 	if err != nil {
 		cancel()
 		return nil, errors.Wrap(err, "data folder")
--- a/helm/news.go
+++ b/helm/news.go
@@ -43,13 +43,14 @@
 	h.confirm(request.Msg)
 	for {
 		heard := h.news.Heard()
+		held := s.Clock.Mono() - began
 		reply, fresh := h.tell(request.Msg)
-		left := h.hold - (s.Clock.Mono() - began)
-		if fresh || left <= 0 || !base.Await(s, left, heard) {
+		if fresh || held >= h.hold || !base.Await(s, h.hold-held, heard) {
 			if !fresh {
+				held = s.Clock.Mono() - began
 				reply, _ = h.tell(request.Msg)
 			}
-			reply.HeldUs = uint64((s.Clock.Mono() - began).Microseconds())
+			reply.HeldUs = uint64(held.Microseconds())
 			return connect.NewResponse(reply), ctx.Err()
 		}
 	}
--- a/trove/trove_test.go
+++ b/trove/trove_test.go
@@ -62,6 +62,31 @@
 		Expect(t.read(2)).To(Equal("kept"))
 	})
 
+	story("given many changes, when the bound is reached, then old files go and the newest stay readable", func(t *trio) {
+		t.founded()
+		for i := range 20 {
+			Expect(t.write(0, strings.Repeat("x", i+1))).To(Succeed())
+		}
+		for _, m := range t.members {
+			values, rolls := 0, 0
+			for _, name := range m.disk.Names() {
+				if strings.Contains(name, "/v-") {
+					values++
+				}
+				if strings.HasPrefix(name, rollPrefix) {
+					rolls++
+				}
+			}
+			Expect(values).To(And(BeNumerically(">", 0), BeNumerically("<=", 4)))
+			Expect(rolls).To(BeNumerically("<=", rollsKept+1))
+		}
+		var past []int
+		for entry := range t.members[0].trove.store.Past("key") {
+			past = append(past, len(entry.Value))
+		}
+		Expect(past).To(Equal([]int{20, 19, 18, 17}))
+	})
+
 	story("given no majority, when a change is tried, then it is never acked", func(t *trio) {
 		t.founded()
 		Expect(t.write(0, "one")).To(Succeed())
