--- a/cmd/keel/main.go
+++ b/cmd/keel/main.go
@@ -12,7 +12,7 @@
 )
 
 type args struct {
-	Params    string   `arg:"--params" help:"settings file in JSON; flags go first"`
+	Params    string   `arg:"--params" help:"params file in JSON; flags go first"`
 	Name      string   `arg:"--name" help:"this machine's name in the bundle"`
 	Zone      string   `arg:"--zone"`
 	Mates     string   `arg:"--mates" help:"IP:port for other nodes; one of the seeds"`
--- a/fleet/rig/net.go
+++ b/fleet/rig/net.go
@@ -359,16 +359,16 @@
 func expired(by time.Time) bool { return !by.IsZero() && !time.Now().Before(by) }
 
 func pause(first, second <-chan struct{}, by time.Time) {
-	var wakeup <-chan time.Time
+	var due <-chan time.Time
 	if !by.IsZero() {
-		timer := time.NewTimer(time.Until(by))
-		defer timer.Stop()
-		wakeup = timer.C
+		wakeup := time.NewTimer(time.Until(by))
+		defer wakeup.Stop()
+		due = wakeup.C
 	}
 	select {
 	case <-first:
 	case <-second:
-	case <-wakeup:
+	case <-due:
 	}
 }
 
--- a/flow/near.go
+++ b/flow/near.go
@@ -147,26 +147,26 @@
 		if ledger.Doubtful() && !n.repeats.Spend(way.Service.Name) {
 			return nil, ledger.Verdict(s.Clock.Mono())
 		}
-		chosen, found := n.pick(bundle, way, ledger)
+		picked, found := n.pick(bundle, way, ledger)
 		if !found {
 			return nil, ledger.Verdict(s.Clock.Mono())
 		}
-		attempt := &Attempt{Name: n.scope.Rand.Name(8), Node: chosen.node, Seat: chosen.seat.Address, Started: s.Clock.Mono()}
+		attempt := &Attempt{Name: n.scope.Rand.Name(8), Node: picked.node, Seat: picked.seat.Address, Started: s.Clock.Mono()}
 		ledger.Add(attempt)
-		got = n.attempt(s, e, bundle, chosen, attempt, way, until, body, trail)
-		n.judge(chosen, attempt)
+		got = n.attempt(s, e, bundle, picked, attempt, way, until, body, trail)
+		n.judge(picked, attempt)
 	}
 }
 
 type courier func(ctx context.Context, ask *wire.CarryRequest, tell emit) error
 
-func (n *Node) courier(chosen place) courier {
-	if chosen.node == n.self {
+func (n *Node) courier(picked place) courier {
+	if picked.node == n.self {
 		return n.serve
 	}
-	client := n.mate(chosen.address)
+	callee := n.mate(picked.address)
 	return func(ctx context.Context, ask *wire.CarryRequest, tell emit) error {
-		stream, err := client.Carry(ctx, connect.NewRequest(ask))
+		stream, err := callee.Carry(ctx, connect.NewRequest(ask))
 		if err != nil {
 			return err
 		}
@@ -181,12 +181,12 @@
 }
 
 func (n *Node) mate(address string) wireconnect.FlowClient {
-	if client, ok := n.mates.Get(address); ok {
-		return client
+	if callee, ok := n.mates.Get(address); ok {
+		return callee
 	}
-	client := wireconnect.NewFlowClient(n.web, "http://"+address)
-	n.mates.Put(address, client)
-	return client
+	callee := wireconnect.NewFlowClient(n.web, "http://"+address)
+	n.mates.Put(address, callee)
+	return callee
 }
 
 type catch struct {
@@ -251,16 +251,16 @@
 	return err
 }
 
-func (n *Node) attempt(s base.Scope, e *errand, bundle *pact.Bundle, chosen place, attempt *Attempt, way pact.Way, until time.Duration, body []byte, trail *wire.Trail) *answer {
+func (n *Node) attempt(s base.Scope, e *errand, bundle *pact.Bundle, picked place, attempt *Attempt, way pact.Way, until time.Duration, body []byte, trail *wire.Trail) *answer {
 	caught := &catch{node: n, errand: e, attempt: attempt}
 	ask := &wire.CarryRequest{
-		Attempt: attempt.Name, Incarnation: chosen.incarnation, Serial: bundle.Serial,
-		Service: way.Service.Name, Route: way.Route.Name, Seat: chosen.seat.Address, Group: way.Group,
+		Attempt: attempt.Name, Incarnation: picked.incarnation, Serial: bundle.Serial,
+		Service: way.Service.Name, Route: way.Route.Name, Seat: picked.seat.Address, Group: way.Group,
 		Method: e.request.Method, Target: e.request.URL.RequestURI(), Headers: headersOf(e.request.Header), Body: body,
-		NotAfterUs: (until + chosen.offset).Microseconds(), Trail: trail,
+		NotAfterUs: (until + picked.offset).Microseconds(), Trail: trail,
 	}
-	n.scope.Note("attempt", trail.Trace, attempt.Name+" of "+way.Identifier()+" at "+chosen.node+" "+attempt.Seat)
-	err := n.courier(chosen)(s, ask, caught.take)
+	n.scope.Note("attempt", trail.Trace, attempt.Name+" of "+way.Identifier()+" at "+picked.node+" "+attempt.Seat)
+	err := n.courier(picked)(s, ask, caught.take)
 	switch {
 	case caught.flowing && (!caught.whole || err != nil):
 		panic(http.ErrAbortHandler)
@@ -286,7 +286,7 @@
 		if s.Err() != nil {
 			attempt.Mishap = base.Bounce(base.Expired, "", "no answer within the deadline")
 		}
-		if n.neverRan(s, chosen, attempt) {
+		if n.neverRan(s, picked, attempt) {
 			attempt.State = NotRun
 			attempt.Mishap.Kind = base.Unreachable
 		}
@@ -295,12 +295,12 @@
 	return nil
 }
 
-func (n *Node) neverRan(s base.Scope, chosen place, attempt *Attempt) bool {
-	if chosen.node == n.self {
+func (n *Node) neverRan(s base.Scope, picked place, attempt *Attempt) bool {
+	if picked.node == n.self {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s), n.patience)
 	defer cancel()
-	reply, err := n.mate(chosen.address).Fence(ctx, connect.NewRequest(&wire.FenceRequest{Attempt: attempt.Name, Incarnation: chosen.incarnation}))
+	reply, err := n.mate(picked.address).Fence(ctx, connect.NewRequest(&wire.FenceRequest{Attempt: attempt.Name, Incarnation: picked.incarnation}))
 	return err == nil && reply.Msg.Never
 }
--- a/flow/pick.go
+++ b/flow/pick.go
@@ -100,10 +100,10 @@
 	return score
 }
 
-func (n *Node) judge(chosen place, attempt *Attempt) {
+func (n *Node) judge(picked place, attempt *Attempt) {
 	n.picking.Lock()
 	defer n.picking.Unlock()
-	at := n.recordOf(chosen)
+	at := n.recordOf(picked)
 	at.flying--
 	if attempt.State != Answered && attempt.Mishap.Kind != base.Crowded && attempt.Mishap.Kind != base.Stale {
 		at.cool = n.scope.Clock.Mono() + n.patience
--- a/kin/member.go
+++ b/kin/member.go
@@ -95,12 +95,12 @@
 }
 
 func (m *Member) callee(address string) wireconnect.KinClient {
-	if client, ok := m.callees.Get(address); ok {
-		return client
+	if callee, ok := m.callees.Get(address); ok {
+		return callee
 	}
-	client := wireconnect.NewKinClient(m.web, "http://"+address)
-	m.callees.Put(address, client)
-	return client
+	callee := wireconnect.NewKinClient(m.web, "http://"+address)
+	m.callees.Put(address, callee)
+	return callee
 }
 
 func (m *Member) Run(s base.Scope) {
--- a/mime/visitors.go
+++ b/mime/visitors.go
@@ -44,13 +44,13 @@
 			break
 		}
 		id := fmt.Sprintf("%s-%d-%s", v.Name, count, s.Rand.Name(4))
-		habit := v.choose(s.Rand.Float64())
+		habit := v.pick(s.Rand.Float64())
 		v.crew.Go(func() { v.History.Called(v.Ask(s, habit, id)) })
 	}
 	v.crew.Wait()
 }
 
-func (v *Visitors) choose(at float64) Habitual {
+func (v *Visitors) pick(at float64) Habitual {
 	total := 0.0
 	for _, habit := range v.Habits {
 		total += habit.Part
