--- a/base/web.go
+++ b/base/web.go
@@ -18,6 +18,11 @@
 }
 
 func Open(s Scope, address string, handler http.Handler) (*Door, error) {
+	return OpenWith(s, address, handler, func(*http.Server) {})
+}
+
+// OpenWith opens a door whose server is set further before it serves.
+func OpenWith(s Scope, address string, handler http.Handler, set func(*http.Server)) (*Door, error) {
 	listener, err := s.Net.Listen(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen %s", address)
@@ -29,6 +34,7 @@
 		ReadHeaderTimeout: 10 * time.Second,
 		ErrorLog:          s.Log.StandardLogger(nil),
 	}}
+	set(door.server)
 	door.crew.Go(func() { _ = door.server.Serve(listener) })
 	return door, nil
 }
--- a/fleet/rig/net.go
+++ b/fleet/rig/net.go
@@ -117,9 +117,11 @@
 	}
 	for _, each := range ends {
 		each.in.fail(syscall.ECONNRESET)
-		if !silent {
-			each.out.fail(syscall.ECONNRESET)
+		if silent {
+			each.other.abandon()
+			continue
 		}
+		each.out.fail(syscall.ECONNRESET)
 	}
 }
 
@@ -214,6 +216,7 @@
 	theirs := &end{world: p.world, owner: l.owner, local: to, remote: p.ip + ":0", in: there, out: back}
 	p.world.serial += 2
 	mine.serial, theirs.serial = p.world.serial, p.world.serial+1
+	mine.other, theirs.other = theirs, mine
 	p.world.ends[mine], p.world.ends[theirs] = true, true
 	select {
 	case l.queue <- theirs:
@@ -404,14 +407,16 @@
 }
 
 type end struct {
-	world  *World
-	serial int
-	owner  string
-	local  string
-	remote string
-	in     *pipe
-	out    *pipe
-	once   sync.Once
+	world    *World
+	serial   int
+	owner    string
+	local    string
+	remote   string
+	in       *pipe
+	out      *pipe
+	once     sync.Once
+	other    *end
+	patience atomic.Int64
 }
 
 func (e *end) Read(into []byte) (int, error) {
--- /dev/null
+++ b/flow/ford/dock.go
@@ -0,0 +1,111 @@
+package ford
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+const (
+	silentBeats = 4
+	usualHold   = 150 * time.Millisecond
+)
+
+// Dock is the upstream beside this node, as it told of itself.
+type Dock struct {
+	clock   base.Clock
+	beat    time.Duration
+	mu      sync.Mutex
+	berth   *wire.Berth
+	heard   time.Duration
+	gone    map[string]time.Duration
+	gate    *Gate
+	number  uint64
+	changed base.Bell
+}
+
+// NewDock believes an upstream for four beats.
+func NewDock(clock base.Clock, beat time.Duration) *Dock {
+	return &Dock{clock: clock, beat: beat, gone: map[string]time.Duration{}, gate: NewGate(clock, 1, usualHold)}
+}
+
+// Beat takes an upstream's word on itself. A late one changes nothing.
+func (d *Dock) Beat(b *wire.Berth) *base.Mishap {
+	if b.GetId() == "" || b.Service == "" || b.Address == "" {
+		return base.Bounce(base.Malformed, "id", "an upstream tells its id, service and address")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, left := d.gone[b.Id]; left {
+		return nil
+	}
+	old := d.berth
+	if old != nil && old.Id == b.Id && b.Sequence < old.Sequence {
+		return nil
+	}
+	if old != nil && old.Id != b.Id {
+		d.gone[old.Id] = d.clock.Mono()
+	}
+	b = proto.Clone(b).(*wire.Berth)
+	if old != nil && old.Id == b.Id && old.Leaving {
+		b.Leaving = true
+	}
+	d.heard = d.clock.Mono()
+	fresh := old == nil || old.Id != b.Id
+	if fresh {
+		d.gate = NewGate(d.clock, int(b.Capacity), usualHold)
+	} else if old.Capacity != b.Capacity {
+		d.gate.Resize(int(b.Capacity))
+	}
+	d.berth = b
+	if fresh || old.Leaving != b.Leaving || old.Capacity != b.Capacity || old.Address != b.Address || old.Service != b.Service {
+		d.risen()
+	}
+	return nil
+}
+
+func (d *Dock) risen() {
+	d.number++
+	d.changed.Ring()
+}
+
+// Leave takes an upstream's last word.
+func (d *Dock) Leave(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gone[id] = d.clock.Mono()
+	if d.berth.GetId() == id {
+		d.berth = nil
+		d.risen()
+	}
+}
+
+// Void drops an upstream that another was found in place of.
+func (d *Dock) Void(id string) { d.Leave(id) }
+
+// Now tells who is there, and the gate in front of it.
+func (d *Dock) Now() (*wire.Berth, *Gate, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.berth, d.gate, d.number
+}
+
+// Sweep drops an upstream that has been silent for four beats.
+func (d *Dock) Sweep() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Mono()
+	if d.berth != nil && now-d.heard > silentBeats*d.beat {
+		d.berth = nil
+		d.risen()
+	}
+	for id, at := range d.gone {
+		if now-at > time.Minute {
+			delete(d.gone, id)
+		}
+	}
+}
--- /dev/null
+++ b/flow/ford/ford.go
@@ -0,0 +1,231 @@
+// Package ford carries requests in an open fleet, whose members no bundle lists: each node learns its mates from the keels.
+package ford
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"curlewreach/base"
+	"curlewreach/lens"
+	"curlewreach/pact/chart"
+	"curlewreach/proto/wire"
+)
+
+const (
+	headBytes    = 64 << 10
+	headTime     = 5 * time.Second
+	idleTime     = 30 * time.Second
+	mateIdle     = 20 * time.Second
+	upIdle       = 8 * time.Second
+	dialRatio    = 0.15
+	silentRatio  = 0.35
+	sweepEvery   = 500 * time.Millisecond
+	forgetAfter  = time.Minute
+	spanEvery    = time.Second
+	spansBound   = 512
+	lameRatio    = 0.4
+	lastRatio    = 0.94
+	farLameRatio = 0.1
+)
+
+// Node is a node of an open fleet.
+type Node struct {
+	scope       base.Scope
+	params      *wire.FordParams
+	speech      Speech
+	incarnation string
+	born        time.Duration
+	web         *http.Client
+	across      *Lines
+	upward      *Lines
+	roster      *Roster
+	dock        *Dock
+	purse       *Purse
+	usual       *Usual
+	ties        *Ties
+	keeper      *lens.Keeper
+	sink        *lens.Sink
+	table       atomic.Pointer[chart.Table]
+	stopping    atomic.Bool
+	closed      atomic.Bool
+	inside      atomic.Int64
+	turns       atomic.Uint64
+	behind      base.Bell
+	mu          sync.Mutex
+	callers     map[string]*caller
+	counts      base.Table[*atomic.Uint64]
+	doors       []*base.Door
+	cancel      context.CancelFunc
+	crew        base.Crew
+}
+
+// Usual fills in what params leave out.
+func UsualParams(p *wire.FordParams) {
+	if p.Log == "" {
+		p.Log = "info"
+	}
+	if p.RepeatRatio == 0 {
+		p.RepeatRatio = 0.2
+	}
+}
+
+// Check lists every fault of params.
+func Check(p *wire.FordParams) error {
+	return validation.ValidateStruct(p,
+		validation.Field(&p.Name, validation.Required),
+		validation.Field(&p.Zone, validation.Required),
+		validation.Field(&p.Service, validation.Required),
+		validation.Field(&p.Outward, validation.Required, base.IsAddress),
+		validation.Field(&p.Inward, validation.Required, base.IsAddress),
+		validation.Field(&p.Ready, validation.Required, base.IsAddress),
+		validation.Field(&p.Control, validation.Required, base.IsAddress),
+		validation.Field(&p.Seeds, validation.Required, validation.Each(base.IsAddress)),
+		validation.Field(&p.Beat, validation.Required),
+		validation.Field(&p.Leaving, validation.Required),
+		validation.Field(&p.InForce, validation.Required),
+		validation.Field(&p.Grace, validation.Required),
+		validation.Field(&p.RepeatRatio, validation.Min(0.0), validation.Max(1.0)),
+		validation.Field(&p.RepeatSlack, validation.Min(0.0)),
+		validation.Field(&p.Log, validation.In("trace", "debug", "info", "warn", "error")),
+	)
+}
+
+// Start opens a node's doors. control answers on the address where the upstream reports.
+func Start(s base.Scope, p *wire.FordParams, speech Speech, control func(*Node) http.Handler) (*Node, error) {
+	UsualParams(p)
+	if err := Check(p); err != nil {
+		return nil, err
+	}
+	s, cancel := s.Child()
+	force := p.InForce.AsDuration()
+	portion := func(ratio float64) time.Duration { return time.Duration(float64(force) * ratio) }
+	n := &Node{
+		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.Wire(s),
+		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
+		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
+		roster: NewRoster(s.Clock, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
+		usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: map[string]*caller{}, cancel: cancel,
+	}
+	n.purse = NewPurse(p.RepeatRatio, p.RepeatSlack, n.roster.Size)
+	n.sink = lens.NewSink(s, n.web, p.Seeds, spansBound)
+	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
+	for _, each := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{p.Inward, http.HandlerFunc(n.inward)}, {p.Control, control(n)}, {p.Ready, http.HandlerFunc(n.readiness)}, {p.Outward, http.HandlerFunc(n.outward)},
+	} {
+		door, err := base.OpenWith(s, each.address, each.handler, func(server *http.Server) {
+			server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = headBytes, headTime, idleTime
+		})
+		if err != nil {
+			n.Kill()
+			return nil, err
+		}
+		n.doors = append(n.doors, door)
+	}
+	n.enlist(p.Seeds)
+	n.crew.Go(func() { n.watchDock(s) })
+	n.crew.Go(func() { n.sink.Run(s, spanEvery) })
+	n.crew.Go(func() {
+		base.Tick(s, sweepEvery, func(base.Scope) {
+			n.dock.Sweep()
+			n.across.Sweep()
+			n.upward.Sweep()
+			n.roster.Sweep(forgetAfter)
+		})
+	})
+	s.Log.Info("started", "zone", p.Zone, "service", p.Service)
+	return n, nil
+}
+
+func (n *Node) serial() uint64 {
+	if table := n.table.Load(); table != nil {
+		return table.Serial()
+	}
+	return 0
+}
+
+func (n *Node) tally(what string) {
+	count, known := n.counts.Get(what)
+	if !known {
+		n.counts.Change(func(rows map[string]*atomic.Uint64) {
+			if rows[what] == nil {
+				rows[what] = &atomic.Uint64{}
+			}
+			count = rows[what]
+		})
+	}
+	count.Add(1)
+}
+
+// Ready tells whether visitors may come.
+func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
+
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Beat takes the word of the upstream beside this node.
+func (n *Node) Beat(b *wire.Berth) *base.Mishap {
+	if mishap := n.dock.Beat(b); mishap != nil {
+		return mishap
+	}
+	return nil
+}
+
+// Leave takes its last word.
+func (n *Node) Leave(id string) *base.Mishap {
+	n.dock.Leave(id)
+	return nil
+}
+
+// Reload takes params that can change while running.
+func (n *Node) Reload(p *wire.FordParams) error {
+	UsualParams(p)
+	if err := Check(p); err != nil {
+		return err
+	}
+	n.enlist(p.Seeds)
+	return nil
+}
+
+// Stop ends a node in order: no longer ready, mates told, visitors served a while, what is in flight finished.
+func (n *Node) Stop() {
+	began := n.scope.Clock.Mono()
+	grace := n.params.Grace.AsDuration()
+	portion := func(ratio float64) time.Duration { return time.Duration(float64(grace) * ratio) }
+	n.scope.Log.Info("stopping")
+	n.stopping.Store(true)
+	n.turns.Add(1)
+	n.rehail()
+	outward := n.doors[len(n.doors)-1]
+	outward.Wind()
+	base.Await(n.scope, portion(lameRatio))
+	outward.Fold()
+	base.Await(n.scope, portion(farLameRatio))
+	n.closed.Store(true)
+	for n.inside.Load() > 0 && n.scope.Clock.Mono()-began < portion(lastRatio) {
+		base.Await(n.scope, 20*time.Millisecond)
+	}
+	n.scope.Log.Info("stopped", "inside", n.inside.Load())
+	n.Kill()
+}
+
+// Kill ends a node at once.
+func (n *Node) Kill() {
+	n.cancel()
+	for _, door := range n.doors {
+		door.Slam()
+	}
+	n.crew.Wait()
+}
--- /dev/null
+++ b/flow/ford/ledger.go
@@ -0,0 +1,119 @@
+package ford
+
+import (
+	"slices"
+	"time"
+
+	"curlewreach/base"
+)
+
+// State of an attempt.
+type State int
+
+const (
+	Running State = iota
+	Answered
+	Failed
+	NotRun
+	Doubtful
+)
+
+type attempt struct {
+	node    string
+	state   State
+	arrived bool
+	kind    base.Kind
+	began   time.Duration
+	answer  *answer
+	after   time.Duration
+}
+
+// Move is what a ledger asks for next.
+type Move int
+
+const (
+	Try Move = iota
+	Await
+	Relay
+	GiveUp
+)
+
+const mostBounces = 8
+
+// Ledger lists a request's attempts; the next move is read off it.
+type Ledger struct {
+	repeatable bool
+	tries      int
+	until      time.Duration
+	attempts   []*attempt
+}
+
+func (l *Ledger) last() *attempt {
+	if len(l.attempts) == 0 {
+		return nil
+	}
+	return l.attempts[len(l.attempts)-1]
+}
+
+func (l *Ledger) count(fits func(*attempt) bool) (n int) {
+	for _, each := range l.attempts {
+		if fits(each) {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) running() int {
+	return l.count(func(a *attempt) bool { return a.state == Running })
+}
+
+func (l *Ledger) arrivals() int {
+	return l.count(func(a *attempt) bool { return a.arrived || a.state == Running })
+}
+
+func (l *Ledger) doubtful() bool {
+	return slices.ContainsFunc(l.attempts, func(a *attempt) bool { return a.state == Running || a.state == Doubtful || a.state == Failed })
+}
+
+func (l *Ledger) tried(node string) bool {
+	return slices.ContainsFunc(l.attempts, func(a *attempt) bool { return a.node == node })
+}
+
+func (l *Ledger) best() *attempt {
+	for _, each := range l.attempts {
+		if each.state == Answered {
+			return each
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) failed() *attempt {
+	for _, each := range l.attempts {
+		if each.state == Failed {
+			return each
+		}
+	}
+	return nil
+}
+
+// Next derives the move.
+func (l *Ledger) Next(now time.Duration) Move {
+	switch {
+	case l.best() != nil:
+		return Relay
+	case l.running() > 0:
+		return Await
+	case l.last() == nil:
+		return Try
+	case now >= l.until, l.arrivals() >= max(l.tries, 1), len(l.attempts) >= mostBounces:
+	case l.doubtful() && !l.repeatable:
+	default:
+		return Try
+	}
+	if l.failed() != nil {
+		return Relay
+	}
+	return GiveUp
+}
--- /dev/null
+++ b/flow/ford/near.go
@@ -0,0 +1,303 @@
+package ford
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/pact/chart"
+)
+
+const (
+	nearHeld     = 512 << 10
+	firstGuess   = 0.35
+	holdMargin   = 1.3
+	lateMargin   = 1.5
+	leastAgain   = 50 * time.Millisecond
+	mostAgain    = 1.0 / 3
+	usualCutoff  = 10 * time.Second
+	startingWait = 250 * time.Millisecond
+)
+
+type visit struct {
+	node    *Node
+	way     Way
+	route   *chart.Route
+	attempt string
+	m       *message
+	began   time.Duration
+	until   time.Duration
+	left    time.Duration
+	again   bool
+	usual   time.Duration
+	ledger  *Ledger
+	ended   chan landed
+	ctx     context.Context
+}
+
+type landed struct {
+	at *attempt
+	o  outcome
+}
+
+func (n *Node) refuse(w http.ResponseWriter, kind base.Kind, reason string, after, left time.Duration) {
+	status := base.Answers[kind].Status
+	if status == http.StatusServiceUnavailable {
+		after = max(after, leastAgain)
+		if left > 0 {
+			after = min(after, time.Duration(float64(left)*mostAgain))
+		}
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	n.tally(string(kind))
+	base.Reply(w, status, map[string]string{"kind": string(kind), "reason": reason})
+}
+
+// outward serves visitors and the upstream beside this node.
+func (n *Node) outward(w http.ResponseWriter, r *http.Request) {
+	n.inside.Add(1)
+	defer n.inside.Add(-1)
+	began := n.scope.Clock.Mono()
+	attemptId := r.Header.Get(n.speech.Attempt)
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	left := usualCutoff
+	if ms, err := strconv.ParseFloat(r.Header.Get(n.speech.Left), 64); err == nil {
+		left = time.Duration(ms * float64(time.Millisecond))
+	}
+	table := n.table.Load()
+	if table == nil || n.closed.Load() {
+		n.refuse(w, base.Stopping, "this node is starting or stopping", startingWait, left)
+		return
+	}
+	route, known := table.Find(r.Host, r.URL.Path)
+	if !known {
+		n.refuse(w, base.NoRoute, "no route here fits", 0, 0)
+		return
+	}
+	if attemptId == "" {
+		n.refuse(w, base.Malformed, "a request carries an id", 0, 0)
+		return
+	}
+	again := n.usual.Again(route.Name(), left)
+	limit := min(left, route.Cutoff())
+	if limit <= 0 {
+		n.refuse(w, base.Expired, "no time was left", 0, 0)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, bodyMost+1))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if len(body) > bodyMost {
+		n.refuse(w, base.TooLarge, "the body has no room here", 0, 0)
+		return
+	}
+	header := passing(r.Header, n.speech.Target, n.speech.Caller)
+	header[n.speech.Caller] = []string{n.params.Service}
+	if _, given := header["User-Agent"]; !given {
+		delete(header, "User-Agent")
+	}
+	service := route.Pick(n.scope.Rand.Float64())
+	v := &visit{
+		node: n, route: route, attempt: attemptId, began: began, until: began + limit, left: left, again: again,
+		m:      &message{method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: body},
+		way:    Way{Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Serial: table.Serial(), Sampled: true, Trace: n.ties.trace(began, began+left)},
+		usual:  n.usual.Mean(route.Name(), time.Duration(float64(route.Aim())*firstGuess)),
+		ledger: &Ledger{repeatable: route.Repeatable(), tries: route.Tries(), until: began + limit},
+		ended:  make(chan landed, mostBounces+1),
+	}
+	n.purse.Earn(service)
+	ctx, cancel := context.WithTimeout(n.scope.Context, limit)
+	gone := context.AfterFunc(r.Context(), cancel)
+	defer gone()
+	v.ctx = ctx
+	v.run(w, r.Context())
+	n.ties.inner(v.way.Trace, began, v.now())
+	if v.ledger.running() == 0 {
+		cancel()
+	} else {
+		go v.rest(cancel)
+	}
+}
+
+func (v *visit) rest(cancel context.CancelFunc) {
+	defer cancel()
+	for v.ledger.running() > 0 {
+		each := <-v.ended
+		v.settle(each)
+		each.at.answer.drop()
+	}
+}
+
+func (v *visit) now() time.Duration { return v.node.scope.Clock.Mono() }
+
+func (v *visit) allow() (patience, stay time.Duration, late bool) {
+	now := v.now()
+	stay = v.until - now - time.Duration(lateMargin*float64(v.usual))
+	patience = v.began + v.route.Aim() - now - time.Duration(holdMargin*float64(v.usual))
+	late = patience <= 0
+	if v.again {
+		patience = stay
+	}
+	return max(patience, 0), max(stay, 0), late
+}
+
+// next chooses where to try, or says why not.
+func (v *visit) next(hedging bool) (to Option, way Way, mishap *base.Mishap) {
+	n := v.node
+	way = v.way
+	options := n.roster.Options(v.way.Service, n.params.Zone, v.usual, v.ledger.tried, n.scope.Rand)
+	for _, o := range options {
+		if o.free && !o.avoided {
+			return o, way, nil
+		}
+	}
+	if hedging {
+		return to, way, base.Bounce(base.Crowded, "", "no free place")
+	}
+	patience, stay, late := v.allow()
+	way.Patience, way.Stay, way.Late = patience, stay, late
+	least := -1
+	for i, o := range options {
+		if least < 0 || o.avoided == options[least].avoided && o.wait < options[least].wait || !o.avoided && options[least].avoided {
+			least = i
+		}
+	}
+	wait, known := time.Duration(0), least >= 0
+	if known {
+		to, wait = options[least], options[least].wait
+	}
+	for _, each := range v.ledger.attempts {
+		if each.state == NotRun && each.kind == base.Crowded && !each.arrived && (!known || each.after < wait) {
+			if o, there := n.roster.Option(each.node, v.way.Service); there {
+				to, wait, known = o, each.after, true
+			}
+		}
+	}
+	if !known {
+		return to, way, base.Bounce(base.NoSeat, "", "no upstream of %s is known here", v.way.Service).Later(startingWait)
+	}
+	if wait > patience {
+		return to, way, base.Bounce(base.Crowded, "", "every upstream of %s is taken", v.way.Service).Later(wait)
+	}
+	return to, way, nil
+}
+
+func (v *visit) start(to Option, way Way) {
+	at := &attempt{node: to.node, began: v.now()}
+	v.ledger.attempts = append(v.ledger.attempts, at)
+	n := v.node
+	n.roster.Start(to.node)
+	go func() {
+		o := n.carry(v.ctx, to, way, v.m, v.attempt, v.until)
+		took := n.scope.Clock.Mono() - at.began
+		n.roster.End(to.node, o.weight, took, v.usual, o.state == Answered && way.Patience == 0)
+		if o.kind == base.NoSeat || o.kind == base.Stopping {
+			n.roster.Bar(to.node, to.berth)
+		}
+		if o.state == Answered {
+			n.usual.Took(v.route.Name(), took)
+		}
+		v.ended <- landed{at, o}
+	}()
+}
+
+func (v *visit) settle(each landed) {
+	at, o := each.at, each.o
+	at.state, at.kind, at.arrived, at.after, at.answer = o.state, o.kind, o.arrived, o.after, o.answer
+}
+
+func (v *visit) run(w http.ResponseWriter, visitor context.Context) {
+	n := v.node
+	hedge := time.NewTimer(time.Hour)
+	defer hedge.Stop()
+	if long := n.usual.Long(v.route.Name()); v.ledger.repeatable && long > 0 && !v.route.Bulk() {
+		hedge.Reset(long)
+	}
+	late := time.NewTimer(v.until - v.now())
+	defer late.Stop()
+	for {
+		switch v.ledger.Next(v.now()) {
+		case Relay:
+			best := v.ledger.best()
+			if best == nil {
+				best = v.ledger.failed()
+			}
+			n.tally("answered")
+			relay(w, best.answer)
+			return
+		case GiveUp:
+			v.giveUp(w, nil)
+			return
+		case Try:
+			repeat := v.ledger.arrivals() > 0
+			if repeat && !n.purse.Spend(v.way.Service) {
+				n.tally("repeat-unpaid")
+				if failed := v.ledger.failed(); failed != nil {
+					relay(w, failed.answer)
+					return
+				}
+				v.giveUp(w, nil)
+				return
+			}
+			to, way, mishap := v.next(false)
+			if mishap != nil {
+				if repeat {
+					n.purse.Refund(v.way.Service)
+				}
+				if failed := v.ledger.failed(); failed != nil {
+					relay(w, failed.answer)
+					return
+				}
+				v.giveUp(w, mishap)
+				return
+			}
+			way.Repeat = repeat
+			v.start(to, way)
+			continue
+		}
+		select {
+		case each := <-v.ended:
+			v.settle(each)
+		case <-hedge.C:
+			if v.ledger.running() == 1 && v.ledger.arrivals() < v.ledger.tries {
+				if to, way, mishap := v.next(true); mishap == nil && n.purse.Spend(v.way.Service) {
+					way.Repeat = true
+					n.tally("hedged")
+					v.start(to, way)
+				}
+			}
+		case <-visitor.Done():
+			return
+		case <-late.C:
+			v.giveUp(w, nil)
+			return
+		}
+	}
+}
+
+func (v *visit) giveUp(w http.ResponseWriter, mishap *base.Mishap) {
+	n := v.node
+	if v.ledger.doubtful() {
+		if v.now() >= v.until {
+			n.refuse(w, base.Expired, "no answer in time", 0, 0)
+			return
+		}
+		n.refuse(w, base.Lost, "the answer was lost; the request may have run", 0, 0)
+		return
+	}
+	if mishap == nil {
+		mishap = base.Bounce(base.Crowded, "", "nobody could take it").Later(startingWait)
+		for _, each := range v.ledger.attempts {
+			if each.kind == base.Crowded {
+				mishap.After = max(mishap.After, each.after)
+			}
+		}
+	}
+	n.refuse(w, mishap.Kind, mishap.Reason, mishap.After, v.until-v.now())
+}
--- /dev/null
+++ b/flow/ford/roster.go
@@ -0,0 +1,288 @@
+package ford
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+const (
+	shortestAvoid = 150 * time.Millisecond
+	longestAvoid  = 2 * time.Second
+	speedMemory   = 0.15
+	weightFades   = 400 * time.Millisecond
+)
+
+type sight struct {
+	absent bool
+}
+
+// Place is a mate with the upstream beside it, and what this node knows of both.
+type Place struct {
+	post     *wire.Post
+	heard    time.Duration
+	sights   map[string]sight
+	flying   int
+	weight   Weight
+	weighed  time.Duration
+	atWeight int
+	speed    float64
+	avoid    time.Duration
+	penalty  time.Duration
+	barred   string
+}
+
+// Roster merges what the keels say of the mates with what requests saw of them.
+type Roster struct {
+	clock  base.Clock
+	fresh  time.Duration
+	mu     sync.Mutex
+	places map[string]*Place
+	keels  map[string]time.Duration
+}
+
+// NewRoster believes a keel's word on who is absent for as long as fresh after it last spoke.
+func NewRoster(clock base.Clock, fresh time.Duration) *Roster {
+	return &Roster{clock: clock, fresh: fresh, places: map[string]*Place{}, keels: map[string]time.Duration{}}
+}
+
+// Heard folds in a keel's sightings.
+func (r *Roster) Heard(keel string, whole bool, sights []*wire.Sight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Mono()
+	r.keels[keel] = now
+	if whole {
+		for _, at := range r.places {
+			delete(at.sights, keel)
+		}
+	}
+	for _, each := range sights {
+		post := each.GetPost()
+		if post.GetNode() == "" {
+			continue
+		}
+		at := r.places[post.Node]
+		if at == nil {
+			at = &Place{speed: 1, sights: map[string]sight{}}
+			r.places[post.Node] = at
+		}
+		at.sights[keel] = sight{each.Absent}
+		heard := now - time.Duration(each.SilenceMs)*time.Millisecond
+		same := at.post.GetIncarnation() == post.Incarnation
+		if at.post == nil || same && post.Number > at.post.Number || !same && heard > at.heard {
+			if !same || at.post.GetBerth().GetId() != post.GetBerth().GetId() {
+				at.weight, at.weighed, at.avoid, at.penalty, at.barred = Weight{}, 0, 0, 0, ""
+				at.speed = 1
+			}
+			at.post = post
+		}
+		at.heard = max(at.heard, heard)
+	}
+}
+
+func (r *Roster) absent(at *Place) bool {
+	now, said := r.clock.Mono(), false
+	for keel, spoke := range r.keels {
+		if now-spoke > r.fresh {
+			continue
+		}
+		each, knows := at.sights[keel]
+		if knows && !each.absent {
+			return false
+		}
+		said = said || knows
+	}
+	return said
+}
+
+// Spoke notes that a keel answered without news.
+func (r *Roster) Spoke(keel string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keels[keel] = r.clock.Mono()
+}
+
+// Size counts the nodes that are there.
+func (r *Roster) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, at := range r.places {
+		if !r.absent(at) {
+			count++
+		}
+	}
+	return max(count, 1)
+}
+
+// Sweep forgets mates that every fresh keel has forgotten.
+func (r *Roster) Sweep(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, at := range r.places {
+		if at.flying == 0 && r.clock.Mono()-at.heard > after && r.absent(at) {
+			delete(r.places, name)
+		}
+	}
+}
+
+// Option is a place that may serve, with what is expected of it.
+type Option struct {
+	node    string
+	inward  string
+	berth   string
+	zone    string
+	free    bool
+	wait    time.Duration
+	score   float64
+	avoided bool
+}
+
+func (r *Roster) serving(service string) iter.Seq2[string, *Place] {
+	return func(yield func(string, *Place) bool) {
+		for _, name := range slices.Sorted(maps.Keys(r.places)) {
+			at := r.places[name]
+			berth := at.post.GetBerth()
+			if berth == nil || berth.Service != service || berth.Leaving || at.post.Stopping || at.barred == berth.Id || r.absent(at) {
+				continue
+			}
+			if !yield(name, at) {
+				return
+			}
+		}
+	}
+}
+
+func (at *Place) guess(now time.Duration) (flying float64, limit int) {
+	limit = max(int(at.post.GetBerth().GetCapacity()), 1)
+	others := 0.0
+	if at.weighed > 0 {
+		others = float64(max(at.weight.Flying+at.weight.Waiting-at.atWeight, 0))
+		if age := now - at.weighed; age > weightFades {
+			others *= float64(weightFades) / float64(age)
+		}
+	}
+	return others + float64(at.flying), limit
+}
+
+const (
+	farZone    = 0.25
+	filling    = 0.35
+	jitter     = 0.1
+	warmFactor = 2
+)
+
+// Options lists who may serve, the best first.
+func (r *Roster) Options(service, zone string, hold time.Duration, tried func(node string) bool, rand *base.Rand) []Option {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Mono()
+	var options []Option
+	for name, at := range r.serving(service) {
+		if tried(name) {
+			continue
+		}
+		flying, limit := at.guess(now)
+		speed := at.speed
+		if now < at.heard+time.Duration(at.post.Berth.WarmMs)*time.Millisecond {
+			speed *= warmFactor
+		}
+		over := flying + 1 - float64(limit)
+		o := Option{node: name, inward: at.post.Inward, berth: at.post.Berth.Id, zone: at.post.Zone, free: over <= 0, avoided: now < at.avoid}
+		usual := hold
+		if at.weight.HoldMs > 0 {
+			usual = time.Duration(at.weight.HoldMs) * time.Millisecond
+		}
+		if over > 0 {
+			o.wait = time.Duration(over / float64(limit) * float64(usual))
+		}
+		o.score = speed*(1+filling*min(flying/float64(limit), 1)) + max(over, 0)/float64(limit)*2 + jitter*rand.Float64()
+		if at.post.Zone != zone {
+			o.score += farZone
+		}
+		if o.avoided {
+			o.score += 100 + float64(at.avoid-now)/float64(time.Second)
+		}
+		options = append(options, o)
+	}
+	slices.SortFunc(options, func(a, b Option) int { return cmp.Compare(a.score, b.score) })
+	return options
+}
+
+// Start notes a request on its way to a place.
+func (r *Roster) Start(node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at := r.places[node]; at != nil {
+		at.flying++
+	}
+}
+
+// End notes how an attempt went: what its gate said, and how it took beside what such requests take.
+func (r *Roster) End(node string, weight *Weight, took, usual time.Duration, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.places[node]
+	if at == nil {
+		return
+	}
+	at.flying = max(at.flying-1, 0)
+	if weight != nil {
+		at.weight, at.weighed, at.atWeight = *weight, r.clock.Mono(), at.flying
+		at.avoid, at.penalty = 0, 0
+	}
+	if good && usual > 0 {
+		ratio := min(max(took.Seconds()/usual.Seconds(), 0.2), 5)
+		at.speed += speedMemory * (ratio - at.speed)
+		at.speed = min(max(at.speed, 0.3), 4)
+	}
+}
+
+// Avoid steers clear of a mate that could not be reached, for longer each time, up to two seconds.
+func (r *Roster) Avoid(node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at := r.places[node]; at != nil {
+		at.penalty = min(max(2*at.penalty, shortestAvoid), longestAvoid)
+		at.avoid = r.clock.Mono() + at.penalty
+	}
+}
+
+// Bar notes that a berth is no longer there or is leaving.
+func (r *Roster) Bar(node, berth string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at := r.places[node]; at != nil && at.post.GetBerth().GetId() == berth {
+		at.barred = berth
+	}
+}
+
+// Posts lists the mates as last heard.
+func (r *Roster) Posts() []*wire.Post {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var posts []*wire.Post
+	for _, name := range slices.Sorted(maps.Keys(r.places)) {
+		posts = append(posts, r.places[name].post)
+	}
+	return posts
+}
+
+// Option finds one place, however full.
+func (r *Roster) Option(node, service string) (Option, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, at := range r.serving(service) {
+		if name == node {
+			return Option{node: name, inward: at.post.Inward, berth: at.post.Berth.Id, zone: at.post.Zone}, true
+		}
+	}
+	return Option{}, false
+}
--- /dev/null
+++ b/flow/ford/usual.go
@@ -0,0 +1,82 @@
+package ford
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	usualMemory = 0.05
+	usualSpread = 5
+	fewestSeen  = 20
+)
+
+type pace struct {
+	mean float64
+	off  float64
+	seen int
+	left float64
+}
+
+// Usual learns how long requests of a route take and how long their visitors give them.
+type Usual struct {
+	mu    sync.Mutex
+	paces map[string]*pace
+}
+
+// NewUsual knows nothing yet.
+func NewUsual() *Usual { return &Usual{paces: map[string]*pace{}} }
+
+func (u *Usual) at(route string) *pace {
+	p := u.paces[route]
+	if p == nil {
+		p = &pace{}
+		u.paces[route] = p
+	}
+	return p
+}
+
+// Took folds in one answered request.
+func (u *Usual) Took(route string, took time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p, s := u.at(route), took.Seconds()
+	if p.seen == 0 {
+		p.mean, p.off = s, s/2
+	}
+	p.seen++
+	memory := max(usualMemory, 1/float64(p.seen))
+	off := s - p.mean
+	p.mean += memory * off
+	p.off += memory * (max(off, -off) - p.off)
+}
+
+// Mean is the usual length, other while too little was seen.
+func (u *Usual) Mean(route string, other time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.at(route); p.seen > 0 {
+		return time.Duration(p.mean * float64(time.Second))
+	}
+	return other
+}
+
+// Long is a length that few requests reach; zero while too little was seen.
+func (u *Usual) Long(route string) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.at(route)
+	if p.seen < fewestSeen {
+		return 0
+	}
+	return time.Duration(max(p.mean+usualSpread*p.off, 2*p.mean) * float64(time.Second))
+}
+
+// Again tells whether a visitor with so much time left seems to ask once more.
+func (u *Usual) Again(route string, left time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.at(route)
+	p.left = max(p.left, left.Seconds())
+	return left.Seconds() < 0.99*p.left
+}
--- /dev/null
+++ b/helm/moor/join.go
@@ -0,0 +1,153 @@
+package moor
+
+import (
+	"context"
+	"io/fs"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"curlewreach/base"
+	"curlewreach/lens"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+	"curlewreach/trove"
+)
+
+const (
+	matesFile   = "mates"
+	valuesKept  = 4
+	spansEachMb = 20
+	spansMost   = 50000
+)
+
+func (m *Moor) join(s base.Scope) *core {
+	for s.Err() == nil {
+		c, err := m.enter(s)
+		if err == nil {
+			return c
+		}
+		s.Note("joining", "", err.Error())
+		s.Log.Warn("not joined yet", "error", err)
+		base.Await(s, part(m.params.Load().InForce, 2*stepRatio))
+	}
+	return nil
+}
+
+func (m *Moor) enter(s base.Scope) (*core, error) {
+	p := m.params.Load()
+	mates, saved, err := m.mates(s, p)
+	if err != nil {
+		return nil, err
+	}
+	store, err := trove.OpenStore(s, valuesKept)
+	if err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	c := &core{mates: mates, saved: saved, moors: map[string]wireconnect.MoorClient{}, lenses: map[string]wireconnect.LensClient{}}
+	var all []trove.Mate
+	var relays []string
+	for _, address := range mates {
+		all = append(all, trove.Mate{Name: address, Address: address})
+		c.lenses[address] = wireconnect.NewLensClient(m.web, "http://"+address)
+		if address != m.self {
+			c.moors[address] = wireconnect.NewMoorClient(m.web, "http://"+address)
+			relays = append(relays, address)
+		}
+	}
+	var options []trove.Option
+	if !saved {
+		options = append(options, trove.Joining)
+	}
+	c.trove = trove.New(s, store, m.web, m.self, all, part(p.Ack, roundRatio), options...)
+	c.traces = lens.OpenStore(s, min(int(p.MemoryMb)*spansEachMb, spansMost))
+	c.traces.Mates(m.web, relays)
+	_, c.votes = trove.Handler(c.trove)
+	_, c.spans = lens.Handler(c.traces)
+	return c, nil
+}
+
+// A saved list also says that this disk wasn't wiped since the fleet began.
+func (m *Moor) mates(s base.Scope, p *wire.MoorParams) (mates []string, saved bool, err error) {
+	list := &wire.KeelsReply{}
+	raw, err := s.Disk.Read(matesFile)
+	if err == nil {
+		err = base.Unframe(raw, list)
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		return nil, false, errors.Wrap(err, "mates")
+	}
+	if err == nil && slices.Contains(list.Keels, m.self) {
+		return list.Keels, true, nil
+	}
+	if p.Founding {
+		mates = append(others(p), m.self)
+		slices.Sort(mates)
+		return mates, true, save(s, mates)
+	}
+	mates, err = m.ask(s, p)
+	return mates, false, err
+}
+
+func save(s base.Scope, mates []string) error {
+	raw, err := base.Frame(&wire.KeelsReply{Keels: mates})
+	if err != nil {
+		return err
+	}
+	return base.Keep(s.Disk, matesFile, raw)
+}
+
+func (m *Moor) ask(s base.Scope, p *wire.MoorParams) ([]string, error) {
+	bounded, cancel := s.Within(part(p.Ack, 2*roundRatio))
+	defer cancel()
+	var mu sync.Mutex
+	var found []string
+	base.All(others(p), func(address string) {
+		ctx, stop := context.WithCancel(bounded)
+		defer stop()
+		reply, err := wireconnect.NewMoorClient(m.web, "http://"+address).Keels(ctx, connect.NewRequest(&wire.KeelsRequest{}))
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if found == nil {
+			found = reply.Msg.Keels
+			cancel()
+		}
+	})
+	if found == nil {
+		return nil, errors.New("no founded keel answered")
+	}
+	if !slices.Contains(found, m.self) {
+		return nil, errors.Errorf("%s is not among the keels %v", m.self, found)
+	}
+	return found, nil
+}
+
+func (m *Moor) recover(s base.Scope, c *core) {
+	known := c.trove.Ready()
+	c.trove.Recover(s, part(m.params.Load().InForce, stepRatio))
+	if !c.trove.Ready() {
+		return
+	}
+	if !known {
+		s.Log.Info("founded", "recovered", !c.saved, "mates", c.mates)
+	}
+	for !c.saved && s.Err() == nil {
+		if err := save(s, c.mates); err == nil {
+			return
+		}
+		base.Await(s, time.Second)
+	}
+}
+
+func (v server) Keels(context.Context, *connect.Request[wire.KeelsRequest]) (*connect.Response[wire.KeelsReply], error) {
+	c := v.moor.core.Load()
+	if c == nil || !c.trove.Ready() {
+		return nil, base.Bounce(base.Amnesiac, "", "this keel is not founded")
+	}
+	return connect.NewResponse(&wire.KeelsReply{Keels: c.mates}), nil
+}
--- /dev/null
+++ b/helm/moor/learn.go
@@ -0,0 +1,196 @@
+package moor
+
+import (
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/lens"
+	"curlewreach/pact"
+	"curlewreach/proto/wire"
+)
+
+const (
+	recentMost     = 5000
+	missedCycles   = 3
+	shortestCycles = 16
+)
+
+type learning struct {
+	entry *wire.Entry
+	said  *wire.Learning
+}
+
+func (l *learning) next(s base.Scope, entry *wire.Entry) *learning {
+	if entry == nil || entry == l.entry {
+		return l
+	}
+	said := &wire.Learning{}
+	if err := proto.Unmarshal(entry.Value, said); err != nil {
+		s.Note("learning-unreadable", LearningKey, err.Error())
+		return l
+	}
+	return &learning{entry: entry, said: said}
+}
+
+type cursor struct {
+	after       uint64
+	incarnation string
+}
+
+type learner struct {
+	moor    *Moor
+	core    *core
+	tracing *wire.Tracing
+	cycle   time.Duration
+	cursors map[string]*cursor
+	local   uint64
+	owed    time.Duration
+	moved   time.Duration
+	last    uint64
+}
+
+func newLearner(m *Moor, c *core) *learner {
+	usual := &wire.Bundle{Common: &wire.Common{Tracing: &wire.Tracing{Cycle: durationpb.New(5 * time.Second)}}}
+	pact.Normalise(usual, pact.UsualLimits(m.params.Load().Grace.AsDuration()))
+	l := &learner{moor: m, core: c, tracing: usual.Common.Tracing, cursors: map[string]*cursor{}, moved: m.scope.Clock.Mono(), owed: -1}
+	l.cycle = l.tracing.Cycle.AsDuration()
+	for address := range c.lenses {
+		l.cursors[address] = &cursor{}
+	}
+	return l
+}
+
+func (l *learner) run(s base.Scope) {
+	cycled := -time.Hour
+	for s.Err() == nil {
+		chart, learned := l.moor.view.Load().head.GetChart(), l.moor.learning.Load().said
+		if chart == nil || !l.core.trove.Ready() {
+			base.Await(s, part(l.moor.params.Load().InForce, 1.0/shortestCycles))
+			continue
+		}
+		holder := learned.GetHolder()
+		mine := holder == l.moor.self
+		if mine && s.Clock.Mono()-cycled >= l.cycle/2 || l.overdue(s, learned) || holder == "" && l.core.mates[0] == l.moor.self {
+			cycled = s.Clock.Mono()
+			l.learn(s, chart, holder)
+		}
+		var handed <-chan struct{}
+		if !mine {
+			handed = l.core.trove.News()
+		}
+		base.Await(s, l.cycle, handed)
+	}
+}
+
+// A holder has missed its cycles if it is silent, or if spans wait here and the key stands still.
+func (l *learner) overdue(s base.Scope, learned *wire.Learning) bool {
+	now := s.Clock.Mono()
+	spans, _ := l.core.traces.Recent(l.local, 1)
+	if learned.GetCycle() != l.last || l.last == 0 && len(spans) == 0 {
+		l.last, l.moved, l.owed = learned.GetCycle(), now, -1
+		_, l.local = l.core.traces.Recent(l.local, spansMost)
+	} else if len(spans) > 0 && l.owed < 0 {
+		l.owed = now
+	}
+	if learned.GetHolder() == l.moor.self {
+		return false
+	}
+	if l.owed >= 0 && now-l.owed > missedCycles*l.cycle {
+		return true
+	}
+	return now-l.moved > missedCycles*l.cycle && !l.core.hears(learned.GetHolder(), missedCycles*l.cycle)
+}
+
+func (l *learner) learn(s base.Scope, chart *wire.Chart, holder string) {
+	bounded, cancel := s.Within(l.cycle)
+	defer cancel()
+	spans := l.recent(bounded)
+	if len(spans) == 0 && holder == l.moor.self {
+		return
+	}
+	err := l.core.trove.Change(bounded, LearningKey, func(old []byte) ([]byte, error) {
+		prior := &wire.Learning{}
+		if err := proto.Unmarshal(old, prior); err != nil {
+			return nil, err
+		}
+		if prior.Holder != holder && prior.Holder != l.moor.self {
+			return nil, nil
+		}
+		prior.Holder = l.moor.self
+		return proto.Marshal(lens.Learn(prior, spans, l.tracing, s.Rand, names(chart)))
+	})
+	switch {
+	case err != nil:
+		s.Note("learner-stuck", LearningKey, err.Error())
+	case holder != l.moor.self:
+		s.Log.Info("took the learner's duty", "from", holder)
+		s.Note("duty", "learner", "taken from "+holder)
+	}
+}
+
+func (l *learner) recent(s base.Scope) []*wire.Span {
+	seen := map[string]bool{}
+	var spans []*wire.Span
+	for _, address := range l.core.mates {
+		at := l.cursors[address]
+		bounded, cancel := s.Within(part(l.moor.params.Load().InForce, 0.25))
+		reply, err := l.core.lenses[address].Recent(bounded, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
+		cancel()
+		if err != nil {
+			continue
+		}
+		if at.incarnation != reply.Msg.Incarnation && at.after > 0 {
+			at.incarnation, at.after = reply.Msg.Incarnation, 0
+			continue
+		}
+		at.incarnation, at.after = reply.Msg.Incarnation, reply.Msg.After
+		for _, span := range reply.Msg.Spans {
+			if !seen[span.Id] {
+				seen[span.Id] = true
+				spans = append(spans, span)
+			}
+		}
+	}
+	return spans
+}
+
+func names(chart *wire.Chart) func(identifier string) bool {
+	known := map[string]bool{}
+	for _, route := range chart.GetRoutes() {
+		if route.Service != nil {
+			known[route.GetService()+"/"+route.Name] = true
+		}
+		for _, fork := range route.Forks {
+			known[fork.Service+"/"+route.Name] = true
+		}
+	}
+	return func(identifier string) bool { return known[identifier] }
+}
+
+func (m *Moor) handOver(s base.Scope, c *core) {
+	if m.learning.Load().said.GetHolder() != m.self {
+		return
+	}
+	at := slices.IndexFunc(c.mates, func(mate string) bool { return mate != m.self && c.hears(mate, m.lately()) })
+	if at < 0 {
+		return
+	}
+	successor := c.mates[at]
+	err := c.trove.Change(s, LearningKey, func(old []byte) ([]byte, error) {
+		held := &wire.Learning{}
+		if err := proto.Unmarshal(old, held); err != nil || held.Holder != m.self {
+			return nil, err
+		}
+		held.Holder = successor
+		return proto.Marshal(held)
+	})
+	if err == nil {
+		s.Log.Info("handed over the learner's duty", "to", successor)
+		s.Note("duty", "learner", "handed to "+successor)
+	}
+}
--- /dev/null
+++ b/helm/moor/params.go
@@ -0,0 +1,74 @@
+package moor
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+// Usual fills in what was left out.
+func Usual(p *wire.MoorParams) {
+	usual := func(at **durationpb.Duration, d time.Duration) {
+		if (*at).AsDuration() == 0 {
+			*at = durationpb.New(d)
+		}
+	}
+	usual(&p.Ack, 4*time.Second)
+	usual(&p.InForce, 2*time.Second)
+	usual(&p.Grace, 6*time.Second)
+	usual(&p.Absent, 1500*time.Millisecond)
+	if p.MemoryMb == 0 {
+		p.MemoryMb = 256
+	}
+	if p.Log == "" {
+		p.Log = "info"
+	}
+}
+
+// Check tells what is wrong with the params.
+func Check(p *wire.MoorParams) error {
+	within := func(low, high time.Duration) validation.Rule {
+		return validation.By(func(value any) error {
+			return validation.Validate(value.(*durationpb.Duration).AsDuration(), validation.Min(low), validation.Max(high))
+		})
+	}
+	return validation.ValidateStruct(p,
+		validation.Field(&p.Name, validation.Required),
+		validation.Field(&p.Mates, validation.Required, base.IsAddress),
+		validation.Field(&p.Operators, validation.Required, base.IsAddress),
+		validation.Field(&p.Seeds, validation.Each(base.IsAddress)),
+		validation.Field(&p.Folder, validation.Required),
+		validation.Field(&p.Ack, within(400*time.Millisecond, time.Minute)),
+		validation.Field(&p.InForce, within(200*time.Millisecond, time.Minute)),
+		validation.Field(&p.Grace, within(time.Second, 5*time.Minute)),
+		validation.Field(&p.Absent, within(200*time.Millisecond, time.Minute)),
+		validation.Field(&p.Log, validation.In("trace", "debug", "info", "warn", "error")),
+	)
+}
+
+func others(p *wire.MoorParams) []string {
+	_, port, _ := net.SplitHostPort(p.Mates)
+	var found []string
+	for _, seed := range p.Seeds {
+		at, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			continue
+		}
+		if address := net.JoinHostPort(at.Addr().String(), port); address != p.Mates {
+			found = append(found, address)
+		}
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
+func part(d *durationpb.Duration, ratio float64) time.Duration {
+	return time.Duration(float64(d.AsDuration()) * ratio)
+}
--- /dev/null
+++ b/helm/moor/propose.go
@@ -0,0 +1,236 @@
+package moor
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/pact/chart"
+	"curlewreach/proto/wire"
+)
+
+const (
+	marksKept   = 64
+	pauseLeast  = 4 * time.Millisecond
+	pauseSpread = 24 * time.Millisecond
+)
+
+// Propose answers once a majority of disks has taken the chart or it can never be taken; else with a mishap.
+func (m *Moor) Propose(ctx context.Context, p *wire.ChartProposal) (*wire.ChartOutcome, error) {
+	if outcome := vet(p); outcome != nil {
+		m.told(p, outcome)
+		return outcome, nil
+	}
+	c := m.core.Load()
+	if c == nil {
+		return nil, base.Bounce(base.Uncertain, "", "this keel has not joined its mates")
+	}
+	s, cancel := m.scope.Under(ctx).Within(part(m.params.Load().Ack, callRatio))
+	defer cancel()
+	outcome := m.decide(s, c, p)
+	if outcome == nil {
+		m.scope.Log.Warn("chart undecided", "serial", serialOf(p))
+		return nil, base.Bounce(base.Uncertain, "", "whether serial %d is taken is not known yet", serialOf(p))
+	}
+	m.told(p, outcome)
+	return outcome, nil
+}
+
+func (m *Moor) decide(s base.Scope, c *core, p *wire.ChartProposal) *wire.ChartOutcome {
+	if p.Relayed {
+		return m.settle(s, c, p)
+	}
+	wait := part(m.params.Load().Ack, relayRatio)
+	asked := ""
+	if owner, _, known := c.trove.Owner(ChartKey); known && owner.Address != m.self && c.hears(owner.Address, m.lately()) {
+		asked = owner.Address
+		if outcome := m.relay(s, c, asked, p, wait); outcome != nil {
+			return outcome
+		}
+	}
+	return m.race(s, c, p, asked, wait)
+}
+
+// The disk here may stand still; then another keel is asked as well. Either may answer: marks keep them of one mind.
+func (m *Moor) race(s base.Scope, c *core, p *wire.ChartProposal, asked string, wait time.Duration) *wire.ChartOutcome {
+	own := make(chan *wire.ChartOutcome, 1)
+	other := make(chan *wire.ChartOutcome, 1)
+	moved := make(chan struct{})
+	go func() {
+		own <- m.settle(s, c, p)
+		close(moved)
+	}()
+	if c.trove.Ready() {
+		base.Await(s, wait, moved)
+	}
+	waiting := 1
+	if len(own) == 0 {
+		if mate := m.mate(c, asked); mate != "" {
+			waiting = 2
+			go func() { other <- m.relay(s, c, mate, p, wait*8) }()
+		}
+	}
+	for range waiting {
+		select {
+		case outcome := <-own:
+			if outcome != nil {
+				return outcome
+			}
+		case outcome := <-other:
+			if outcome != nil {
+				return outcome
+			}
+		case <-s.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+func (m *Moor) mate(c *core, but string) string {
+	start := m.scope.Rand.Below(len(c.mates))
+	for i := range c.mates {
+		mate := c.mates[(start+i)%len(c.mates)]
+		if mate != m.self && mate != but && c.hears(mate, m.lately()) {
+			return mate
+		}
+	}
+	return ""
+}
+
+func (m *Moor) relay(s base.Scope, c *core, mate string, p *wire.ChartProposal, wait time.Duration) *wire.ChartOutcome {
+	bounded, cancel := s.Within(wait)
+	defer cancel()
+	reply, err := c.moors[mate].Propose(bounded, connect.NewRequest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change, Relayed: true}))
+	if err != nil {
+		m.scope.Note("relay-failed", mate, err.Error())
+		return nil
+	}
+	return reply.Msg
+}
+
+func (m *Moor) settle(s base.Scope, c *core, p *wire.ChartProposal) *wire.ChartOutcome {
+	for s.Err() == nil {
+		outcome, err := m.attempt(s, c, p)
+		if err == nil {
+			return outcome
+		}
+		m.scope.Note("change-failed", ChartKey, err.Error())
+		m.pause(s)
+	}
+	return nil
+}
+
+func (m *Moor) pause(s base.Scope) {
+	base.Await(s, pauseLeast+time.Duration(s.Rand.Float64()*float64(pauseSpread)))
+}
+
+func (m *Moor) attempt(s base.Scope, c *core, p *wire.ChartProposal) (outcome *wire.ChartOutcome, err error) {
+	var seen []byte
+	err = c.trove.Change(s, ChartKey, func(old []byte) ([]byte, error) {
+		head := &wire.ChartHead{}
+		if err := proto.Unmarshal(old, head); err != nil {
+			return nil, err
+		}
+		var next *wire.ChartHead
+		seen = old
+		if next, outcome = judge(head, p); next == nil {
+			return nil, nil
+		}
+		return proto.Marshal(next)
+	})
+	if err != nil || outcome.Kind == "" {
+		return outcome, err
+	}
+	// An owner that was overtaken unawares may have judged by an older chart.
+	value, err := c.trove.Read(s, ChartKey)
+	if err == nil && !bytes.Equal(value, seen) {
+		err = base.Bounce(base.Outranked, ChartKey, "judged by an older chart")
+	}
+	return outcome, err
+}
+
+func judge(head *wire.ChartHead, p *wire.ChartProposal) (*wire.ChartHead, *wire.ChartOutcome) {
+	serial, current, digest := serialOf(p), head.GetChart().GetSerial(), digestOf(p)
+	for _, mark := range head.GetMarks() {
+		if mark.Serial == serial && bytes.Equal(mark.Digest, digest) {
+			return nil, &wire.ChartOutcome{Serial: serial}
+		}
+	}
+	if baseOf(p) != current {
+		return nil, bounced(serial, base.Bounce(base.StaleBase, "base", "serial %d is current", current))
+	}
+	if serial <= current {
+		return nil, bounced(serial, base.Bounce(base.OutOfRange, "serial", "must be above %d", current))
+	}
+	next := p.Chart
+	if p.Change != nil {
+		next = chart.Apply(head.GetChart(), p.Change)
+		if mishaps := chart.Check(next); len(mishaps) > 0 {
+			return nil, bounced(serial, mishaps...)
+		}
+	}
+	marks := append(slices.Clone(head.GetMarks()), &wire.ChartMark{Serial: serial, Digest: digest})
+	return &wire.ChartHead{Chart: next, Marks: marks[max(0, len(marks)-marksKept):]}, &wire.ChartOutcome{Serial: serial}
+}
+
+func vet(p *wire.ChartProposal) *wire.ChartOutcome {
+	switch {
+	case (p.GetChart() == nil) == (p.GetChange() == nil):
+		return bounced(0, base.Bounce(base.Malformed, "chart", "give a chart or a change"))
+	case serialOf(p) == 0:
+		return bounced(0, base.Bounce(base.OutOfRange, "serial", "must be above 0"))
+	case p.Chart != nil:
+		if mishaps := chart.Check(p.Chart); len(mishaps) > 0 {
+			return bounced(p.Chart.Serial, mishaps...)
+		}
+	}
+	return nil
+}
+
+func bounced(serial uint64, mishaps ...*base.Mishap) *wire.ChartOutcome {
+	outcome := &wire.ChartOutcome{Serial: serial, Kind: string(mishaps[0].Kind)}
+	for _, each := range mishaps {
+		outcome.Reasons = append(outcome.Reasons, each.Error())
+	}
+	return outcome
+}
+
+func serialOf(p *wire.ChartProposal) uint64 {
+	return max(p.GetChart().GetSerial(), p.GetChange().GetSerial())
+}
+
+func baseOf(p *wire.ChartProposal) uint64 {
+	return max(p.GetChart().GetBase(), p.GetChange().GetBase())
+}
+
+func digestOf(p *wire.ChartProposal) []byte {
+	return chart.Digest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change})
+}
+
+func (m *Moor) told(p *wire.ChartProposal, outcome *wire.ChartOutcome) {
+	if outcome.Kind == "" {
+		m.scope.Log.Info("chart taken", "serial", outcome.Serial, "relayed", p.GetRelayed())
+		m.scope.Note("chart-taken", ChartKey, "")
+		return
+	}
+	m.scope.Log.Info("chart bounced", "serial", outcome.Serial, "kind", outcome.Kind, "reasons", outcome.Reasons)
+	m.scope.Note("chart-bounced", ChartKey, outcome.Kind)
+}
+
+func (m *Moor) lately() time.Duration { return part(m.params.Load().InForce, latelyRatio) }
+
+func (v server) Propose(ctx context.Context, request *connect.Request[wire.ChartProposal]) (*connect.Response[wire.ChartOutcome], error) {
+	p := request.Msg
+	p.Relayed = true
+	outcome, err := v.moor.Propose(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(outcome), nil
+}
--- /dev/null
+++ b/helm/moor/suite_test.go
@@ -0,0 +1,226 @@
+package moor
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/fleet/rig"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+var suite *testing.T
+
+func TestMoor(t *testing.T) {
+	suite = t
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "moor")
+}
+
+type keel struct {
+	at     int
+	disk   *rig.Disk
+	mount  *rig.Mount
+	clock  *rig.Clock
+	moor   *Moor
+	life   string
+	lives  int
+	cancel context.CancelFunc
+}
+
+type fleet struct {
+	seed   uint64
+	born   time.Time
+	world  *rig.World
+	keels  []*keel
+	scope  base.Scope
+	web    *http.Client
+	tuning func(*wire.MoorParams)
+}
+
+func ip(i int) string { return fmt.Sprintf("10.9.0.%d", i+1) }
+
+func at(i int) string { return ip(i) + ":7001" }
+
+func newFleet(seed uint64, count int) *fleet {
+	f := &fleet{seed: seed, born: time.Now()}
+	f.world = rig.NewWorld(base.SeededRand(seed), func(_, _ string) time.Duration { return time.Millisecond })
+	f.scope = f.scoped("10.9.9.9", "story", rig.NewDisk(base.SeededRand(seed)), rig.NewClock(f.born))
+	f.web = base.Wire(f.scope)
+	for i := range count {
+		f.keels = append(f.keels, &keel{at: i, disk: rig.NewDisk(base.SeededRand(seed*31 + uint64(i))), clock: rig.NewClock(f.born)})
+	}
+	for i := range f.keels {
+		f.raise(i, true)
+	}
+	return f
+}
+
+func (f *fleet) scoped(ip, life string, disk base.Disk, clock base.Clock) base.Scope {
+	f.seed++
+	return base.Scope{
+		Context: context.Background(), Node: ip, Clock: clock, Net: f.world.At(ip, life), Disk: disk,
+		Rand: base.SeededRand(f.seed * 7919), Log: hclog.NewNullLogger(), Journal: base.NewJournal(2000),
+	}
+}
+
+func (f *fleet) raise(i int, founding bool) {
+	k := f.keels[i]
+	k.lives++
+	k.life = fmt.Sprintf("keel %d life %d", i, k.lives)
+	k.mount = rig.NewMount(k.disk)
+	s := f.scoped(ip(i), k.life, k.mount, k.clock)
+	s, k.cancel = s.Child()
+	p := &wire.MoorParams{Name: fmt.Sprint("core-", i+1), Zone: "z", Mates: at(i), Operators: ip(i) + ":7005", Founding: founding, Folder: "data"}
+	for j := range f.keels {
+		p.Seeds = append(p.Seeds, ip(j)+":7005")
+	}
+	if f.tuning != nil {
+		f.tuning(p)
+	}
+	m, err := Start(s, p, func(*Moor) http.Handler { return http.NotFoundHandler() })
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	k.moor = m
+}
+
+func (f *fleet) kill(i int) { f.fell(i, false) }
+
+func (f *fleet) fell(i int, silent bool) {
+	k := f.keels[i]
+	if k.moor == nil {
+		return
+	}
+	k.cancel()
+	k.mount.Unmount()
+	f.world.Crash(ip(i), k.life, silent)
+	k.moor.Kill()
+	k.moor = nil
+}
+
+func (f *fleet) powerLoss(i int) {
+	f.fell(i, true)
+	f.keels[i].disk.PowerLoss()
+}
+
+func (f *fleet) end() {
+	for i := range f.keels {
+		f.keels[i].disk.Release()
+		f.kill(i)
+	}
+	f.web.CloseIdleConnections()
+	f.world.Close()
+	time.Sleep(time.Minute)
+}
+
+func (f *fleet) until(reached func() bool) bool { return f.within(20*time.Second, reached) }
+
+func (f *fleet) within(longest time.Duration, reached func() bool) bool {
+	for begun := time.Now(); time.Since(begun) < longest; time.Sleep(5 * time.Millisecond) {
+		if reached() {
+			return true
+		}
+	}
+	return reached()
+}
+
+func (f *fleet) ready() bool {
+	for _, k := range f.keels {
+		if k.moor != nil && !k.moor.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) cut(a, b int) {
+	f.world.Cut(ip(a), ip(b))
+	f.world.Cut(ip(b), ip(a))
+}
+
+func (f *fleet) propose(i int, p *wire.ChartProposal) (*wire.ChartOutcome, error) {
+	m := f.keels[i].moor
+	if m == nil {
+		return nil, base.Bounce(base.Unreachable, "", "down")
+	}
+	return m.Propose(f.scope, p)
+}
+
+func (f *fleet) taken(i int, p *wire.ChartProposal) bool {
+	outcome, err := f.propose(i, p)
+	return err == nil && outcome.Kind == ""
+}
+
+// insist goes from keel to keel until one gives a clear answer.
+func (f *fleet) insist(from int, p *wire.ChartProposal) (outcome *wire.ChartOutcome) {
+	turn := from
+	gomega.Expect(f.until(func() bool {
+		said, err := f.propose(turn%len(f.keels), p)
+		turn++
+		outcome = said
+		return err == nil
+	})).To(gomega.BeTrue(), "no clear answer")
+	return outcome
+}
+
+func (f *fleet) newest(i int) uint64 {
+	m := f.keels[i].moor
+	if m == nil {
+		return 0
+	}
+	chart, err := m.Chart(f.scope)
+	if err != nil {
+		return 0
+	}
+	return chart.GetSerial()
+}
+
+func (f *fleet) hail(i int, ask *wire.HailRequest) (*wire.HailReply, error) {
+	reply, err := wireconnect.NewMoorClient(f.web, "http://"+at(i)).Hail(f.scope, connect.NewRequest(ask))
+	if err != nil {
+		return nil, err
+	}
+	return reply.Msg, nil
+}
+
+func service(name string) *string { return &name }
+
+func whole(serial, on uint64, prefixes ...string) *wire.ChartProposal {
+	c := &wire.Chart{
+		Serial: serial, Base: on, Services: []*wire.ChartService{{Name: "loans", Probe: "/health", ConnLimit: 9, Protocol: "h1"}},
+		Limits: &wire.ChartLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderMs: 3000, IdleMs: 9000},
+	}
+	for i, prefix := range append([]string{"/"}, prefixes...) {
+		c.Routes = append(c.Routes, &wire.ChartRoute{Name: fmt.Sprint("r-", i), Host: "a.example", Prefix: prefix, CutoffMs: 2000, AimMs: 500, Tries: 2, Service: service("loans")})
+	}
+	return &wire.ChartProposal{Chart: c}
+}
+
+func post(node string, number uint64) *wire.Post {
+	return &wire.Post{Node: node, Incarnation: "one", Number: number, Inward: "10.9.1.1:7002", Zone: "z", Service: "loans"}
+}
+
+func story(text string, tell func(f *fleet)) { storyOf(3, text, tell) }
+
+func storyOf(count int, text string, tell func(f *fleet)) {
+	for seed := range uint64(3) {
+		ginkgo.It(fmt.Sprintf("%s (seed %d)", text, seed+1), func() {
+			synctest.Test(suite, func(*testing.T) {
+				defer ginkgo.GinkgoRecover()
+				f := newFleet(100*seed+1, count)
+				defer f.end()
+				gomega.Expect(f.until(f.ready)).To(gomega.BeTrue(), "blank disks make a new fleet")
+				tell(f)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pact/chart/change.go
@@ -0,0 +1,56 @@
+package chart
+
+import (
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/proto/wire"
+)
+
+// Apply makes the chart that a change leads to; the old one stays as it is.
+func Apply(old *wire.Chart, change *wire.ChartChange) *wire.Chart {
+	next := &wire.Chart{
+		Serial: change.GetSerial(), Base: change.GetBase(), Limits: old.GetLimits(),
+		Routes:   merge(old.GetRoutes(), change.GetRoutes(), change.GetDropRoutes(), (*wire.ChartRoute).GetName),
+		Services: merge(old.GetServices(), change.GetServices(), change.GetDropServices(), (*wire.ChartService).GetName),
+	}
+	if change.GetLimits() != nil {
+		next.Limits = change.Limits
+	}
+	return proto.Clone(next).(*wire.Chart)
+}
+
+func merge[T any](current, put []T, drop []string, name func(T) string) []T {
+	dropped := make(map[string]bool, len(drop))
+	for _, each := range drop {
+		dropped[each] = true
+	}
+	merged := make([]T, 0, len(current)+len(put))
+	at := make(map[string]int, len(current)+len(put))
+	for _, item := range current {
+		if !dropped[name(item)] {
+			at[name(item)] = len(merged)
+			merged = append(merged, item)
+		}
+	}
+	for _, item := range put {
+		if i, known := at[name(item)]; known {
+			merged[i] = item
+			continue
+		}
+		at[name(item)] = len(merged)
+		merged = append(merged, item)
+	}
+	return merged
+}
+
+// Digest is the same for equal messages.
+func Digest(message proto.Message) []byte {
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		return nil
+	}
+	sum := sha256.Sum256(body)
+	return sum[:]
+}
--- /dev/null
+++ b/pact/chart/check.go
@@ -0,0 +1,113 @@
+package chart
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+type faults []*base.Mishap
+
+func (f *faults) add(kind base.Kind, path, format string, args ...any) {
+	*f = append(*f, base.Bounce(kind, path, format, args...))
+}
+
+// Check tells every fault of a chart.
+func Check(c *wire.Chart) []*base.Mishap {
+	var found faults
+	if c.GetSerial() == 0 {
+		found.add(base.OutOfRange, "serial", "must be above 0")
+	}
+	services := map[string]bool{}
+	for i, service := range c.GetServices() {
+		path := "services." + called(service.GetName(), i)
+		found.named(path, service.GetName(), services)
+	}
+	names := map[string]bool{}
+	places := map[place]string{}
+	for i, route := range c.GetRoutes() {
+		path := "routes." + called(route.GetName(), i)
+		found.named(path, route.GetName(), names)
+		found.place(path, route, places)
+		found.target(path, route, services)
+		found.positive(path+".cutoff", route.GetCutoffMs())
+		found.positive(path+".aim", route.GetAimMs())
+		if route.GetTries() == 0 {
+			found.add(base.OutOfRange, path+".tries", "must be 1 or more")
+		}
+	}
+	for path, ms := range map[string]float64{"limits.header": c.GetLimits().GetHeaderMs(), "limits.idle": c.GetLimits().GetIdleMs()} {
+		if !(ms >= 0) || math.IsInf(ms, 1) {
+			found.add(base.OutOfRange, path, "must not be negative")
+		}
+	}
+	return found
+}
+
+type place struct{ host, prefix string }
+
+func called(name string, at int) string {
+	if name == "" {
+		return fmt.Sprintf("#%d", at)
+	}
+	return name
+}
+
+func (f *faults) named(path, name string, taken map[string]bool) {
+	switch {
+	case name == "":
+		f.add(base.Malformed, path+".name", "is empty")
+	case taken[name]:
+		f.add(base.Duplicate, path, "the name is taken")
+	}
+	taken[name] = true
+}
+
+func (f *faults) place(path string, route *wire.ChartRoute, taken map[place]string) {
+	host, prefix := hostOf(route.GetHost()), route.GetPrefix()
+	if host == "" {
+		f.add(base.OutOfRange, path+".host", "is empty")
+	}
+	if !strings.HasPrefix(prefix, "/") || !strings.HasSuffix(prefix, "/") {
+		f.add(base.OutOfRange, path+".prefix", "must begin and end with a slash")
+	}
+	at := place{host, prefix}
+	if other, held := taken[at]; held {
+		f.add(base.Overlapping, path, "shares its host and prefix with %s", other)
+		return
+	}
+	taken[at] = called(route.GetName(), len(taken))
+}
+
+func (f *faults) target(path string, route *wire.ChartRoute, services map[string]bool) {
+	if route.Service == nil && len(route.Forks) == 0 {
+		f.add(base.Malformed, path, "names neither a service nor forks")
+	}
+	if route.Service != nil && !services[*route.Service] {
+		f.add(base.Dangling, path+".service", "there is no service %q", *route.Service)
+	}
+	total := 0.0
+	for i, fork := range route.Forks {
+		at := fmt.Sprintf("%s.forks.%d", path, i)
+		if !services[fork.GetService()] {
+			f.add(base.Dangling, at+".service", "there is no service %q", fork.GetService())
+		}
+		if !(fork.GetWeight() >= 0) || math.IsInf(fork.GetWeight(), 1) {
+			f.add(base.OutOfRange, at+".weight", "must not be negative")
+			continue
+		}
+		total += fork.GetWeight()
+	}
+	if len(route.Forks) > 0 && !(total > 0) {
+		f.add(base.OutOfRange, path+".forks", "the weights come to nothing")
+	}
+}
+
+func (f *faults) positive(path string, ms float64) {
+	if !(ms > 0) || math.IsInf(ms, 1) {
+		f.add(base.OutOfRange, path, "must be above 0")
+	}
+}
--- /dev/null
+++ b/pact/chart/table.go
@@ -0,0 +1,76 @@
+package chart
+
+import (
+	"strings"
+
+	"curlewreach/proto/wire"
+)
+
+// Table looks routes and services up; it never changes.
+type Table struct {
+	chart    *wire.Chart
+	hosts    map[string]*host
+	services map[string]*wire.ChartService
+}
+
+type host struct {
+	prefixes map[string]*Route
+	longest  int
+}
+
+// NewTable prepares a chart, which must not be changed afterwards.
+func NewTable(c *wire.Chart) *Table {
+	t := &Table{chart: c, hosts: map[string]*host{}, services: make(map[string]*wire.ChartService, len(c.GetServices()))}
+	for _, service := range c.GetServices() {
+		t.services[service.GetName()] = service
+	}
+	for _, raw := range c.GetRoutes() {
+		name := hostOf(raw.GetHost())
+		at := t.hosts[name]
+		if at == nil {
+			at = &host{prefixes: map[string]*Route{}}
+			t.hosts[name] = at
+		}
+		at.prefixes[raw.GetPrefix()] = NewRoute(raw)
+		at.longest = max(at.longest, len(raw.GetPrefix()))
+	}
+	return t
+}
+
+func (t *Table) Serial() uint64 { return t.chart.GetSerial() }
+
+func (t *Table) Chart() *wire.Chart { return t.chart }
+
+// Find gives the route of the host with the longest prefix that begins the path.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	at := t.hosts[hostOf(host)]
+	if at == nil {
+		return nil, false
+	}
+	path = path[:min(len(path), at.longest)]
+	for {
+		slash := strings.LastIndexByte(path, '/')
+		if slash < 0 {
+			return nil, false
+		}
+		if route, known := at.prefixes[path[:slash+1]]; known {
+			return route, true
+		}
+		path = path[:slash]
+	}
+}
+
+// Service gives a service by its name.
+func (t *Table) Service(name string) (*wire.ChartService, bool) {
+	service, known := t.services[name]
+	return service, known
+}
+
+func hostOf(name string) string {
+	if colon := strings.LastIndexByte(name, ':'); colon >= 0 && strings.Trim(name[colon+1:], "0123456789") == "" {
+		if !strings.Contains(name[:colon], ":") || name[colon-1] == ']' {
+			name = name[:colon]
+		}
+	}
+	return strings.ToLower(name)
+}
--- a/trove/recover.go
+++ b/trove/recover.go
@@ -11,6 +11,10 @@
 )
 
 func (t *Trove) Recover(s base.Scope, every time.Duration) {
+	if t.joining && t.store.Phase() == wire.Phase_BLANK {
+		// Whoever still counts on a promise of the lost self has given up by then.
+		base.Await(s, 2*t.round)
+	}
 	for !t.step(s, false) {
 		if base.Await(s, every); s.Err() != nil {
 			return
@@ -45,23 +49,37 @@
 	}
 	others := len(t.disks) - 1
 	switch {
-	case phase == wire.Phase_BLANK && counts[wire.Phase_BLANK]+counts[wire.Phase_FRESH] == others:
+	case phase == wire.Phase_BLANK && t.blank(counts) == others:
 		_ = t.store.setPhase(wire.Phase_FRESH)
 		return others == 0 && t.store.setPhase(wire.Phase_FOUNDED) == nil
 	case phase == wire.Phase_FRESH && counts[wire.Phase_FRESH]+counts[wire.Phase_FOUNDED] == others:
 		return t.store.setPhase(wire.Phase_FOUNDED) == nil
 	case phase == wire.Phase_FRESH:
 		return false
-	case counts[wire.Phase_FOUNDED] == others, adopting && counts[wire.Phase_FOUNDED] > 0:
+	case counts[wire.Phase_FOUNDED] >= t.witnesses(), adopting && counts[wire.Phase_FOUNDED] > 0:
 		for _, key := range t.store.Sick() {
 			keys[key] = true
 		}
-		return t.fetch(s, keys, counts[wire.Phase_FOUNDED])
+		return t.fetch(s, keys, min(t.witnesses(), counts[wire.Phase_FOUNDED]))
 	}
 	t.scope.Note("waiting", "", "the other disks do not allow recovery yet")
 	return false
 }
 
+// Any majority that the lost self was part of has one of so many others in it.
+func (t *Trove) witnesses() int { return len(t.disks) - t.majority() + 1 }
+
+// A wiped disk may begin anew only with others that have begun and never voted.
+func (t *Trove) blank(counts map[wire.Phase]int) int {
+	if t.joining && len(t.disks) > 1 {
+		return counts[wire.Phase_FRESH]
+	}
+	if t.joining {
+		return -1
+	}
+	return counts[wire.Phase_BLANK] + counts[wire.Phase_FRESH]
+}
+
 func (t *Trove) others() []disk {
 	others := make([]disk, 0, len(t.disks)-1)
 	for i, each := range t.disks {
--- a/trove/register.go
+++ b/trove/register.go
@@ -49,9 +49,15 @@
 	news    base.Bell
 	heard   base.Table[time.Duration]
 	copies  base.Table[int]
+	joining bool
 }
 
-func New(s base.Scope, store *Store, web *http.Client, self string, mates []Mate, round time.Duration) *Trove {
+type Option func(*Trove)
+
+// Joining says that a blank disk here was wiped and is no new fleet's.
+func Joining(t *Trove) { t.joining = true }
+
+func New(s base.Scope, store *Store, web *http.Client, self string, mates []Mate, round time.Duration, options ...Option) *Trove {
 	mates = slices.Clone(mates)
 	slices.SortFunc(mates, func(a, b Mate) int { return strings.Compare(a.Name, b.Name) })
 	t := &Trove{scope: s, store: store, mates: mates, round: round, holds: map[string]*hold{}}
@@ -63,6 +69,9 @@
 		}
 		t.disks = append(t.disks, wireconnect.NewTroveClient(web, "http://"+mate.Address))
 	}
+	for _, option := range options {
+		option(t)
+	}
 	return t
 }
 
@@ -312,12 +321,19 @@
 }
 
 func (t *Trove) Refresh(s base.Scope, key string) (settled bool) {
+	settled, _ = t.Survey(s, key)
+	return settled
+}
+
+// Survey refreshes and says whether a majority of disks answered; settled and agreed together make a majority read.
+func (t *Trove) Survey(s base.Scope, key string) (settled, agreed bool) {
 	_, mine := t.store.Peek(key)
 	replies := t.promises(s, t.disks, len(t.disks), &wire.PromiseRequest{Key: key, Have: mine.GetEpoch(), HaveSerial: mine.GetSerial()})
 	var highest *wire.Entry
-	count := 0
+	count, heard := 0, 0
 	for _, reply := range replies {
 		if reply.err == nil {
+			heard++
 			t.heard.Put(t.mates[reply.disk].Name, t.scope.Clock.Mono())
 		}
 		if reply.err != nil || reply.body.Entry == nil {
@@ -330,8 +346,9 @@
 			count++
 		}
 	}
+	agreed = heard >= t.majority()
 	if highest == nil || count < t.majority() {
-		return highest == nil
+		return highest == nil, agreed
 	}
 	if compareEntries(highest, mine) == 0 {
 		highest = mine
@@ -343,7 +360,7 @@
 	}
 	t.settle(highest)
 	t.copies.Put(key, count)
-	return true
+	return true, agreed
 }
 
 func (t *Trove) Copies(key string) int {
@@ -381,7 +398,7 @@
 		if entry != nil && ask.Have != nil && compareEntries(entry, &wire.Entry{Epoch: ask.Have, Serial: ask.HaveSerial}) == 0 {
 			entry = &wire.Entry{Key: entry.Key, Epoch: entry.Epoch, Serial: entry.Serial}
 		}
-		if v.trove.store.Phase() != wire.Phase_FOUNDED {
+		if v.trove.store.Phase() != wire.Phase_FOUNDED || v.trove.store.IsSick(ask.Key) {
 			return nil, base.Bounce(base.Amnesiac, ask.Key, "this disk has not recovered")
 		}
 		return connect.NewResponse(&wire.PromiseReply{Promised: promised, Entry: entry}), nil
