--- /dev/null
+++ b/fleet/open/core_test.go
@@ -0,0 +1,256 @@
+package open
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+func (f *Fleet) allKeels(do func(m *Machine)) {
+	for _, m := range f.Keels {
+		do(m)
+	}
+}
+
+// shift moves two routes and puts a new one in the last one's place.
+func shift(c *wire.Chart, turn int) *wire.Chart {
+	for _, route := range c.Routes {
+		switch route.Name {
+		case "return":
+			route.Service = to([]string{"loans", "gates"}[turn%2])
+		case "mix":
+			route.Forks = []*wire.Fork{{Service: []string{"gates", "books"}[turn%2], Weight: 1}}
+		}
+	}
+	if last := len(c.Routes) - 1; c.Routes[last].Name[:3] == "new" {
+		c.Routes = c.Routes[:last]
+	}
+	c.Routes = append(c.Routes, &wire.ChartRoute{Name: fmt.Sprint("new-", turn), Host: "new.example", Prefix: fmt.Sprintf("/new%d/", turn), CutoffMs: 1000, AimMs: 300, Tries: 1, Service: to("books")})
+	return c
+}
+
+func (f *Fleet) prove(turns int, pause time.Duration) {
+	for turn := range turns {
+		f.Prove("POST", "new.example", fmt.Sprintf("/new%d/x", turn))
+	}
+	f.Pass(pause)
+}
+
+var _ = ginkgo.Describe("the core in trouble", func() {
+	story("given load, when the whole core is gone, then nodes serve on", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(120)
+		f.Pass(2 * time.Second)
+		f.allKeels(f.Kill)
+		f.Pass(8 * time.Second)
+		f.Away()
+		f.fares(0.999, 0, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given load and a core that is gone, when nodes are killed and upstreams end, then nodes steer by what they see", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(120)
+		f.Pass(2 * time.Second)
+		f.allKeels(f.Kill)
+		f.Pass(time.Second)
+		f.Kill(f.Of("books")[0])
+		f.Of("loans")[0].Upstream.Kill()
+		at := f.Scope.Clock.Mono()
+		f.Pass(5 * time.Second)
+		f.Away()
+		f.fares(0.98, at+2500*time.Millisecond, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given load, when keels are killed and raised while charts change, then each is in force in time and none goes back", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(100)
+		f.Pass(time.Second)
+		for turn := range 4 {
+			keel := f.Keels[(turn+int(f.Seed))%3]
+			f.Kill(keel)
+			outcome := f.Push(shift(f.Chart(), turn), 10*time.Second)
+			Expect(outcome).NotTo(BeNil(), f.Story)
+			Expect(outcome.Kind).To(BeEmpty(), f.Story)
+			for range 6 {
+				f.prove(turn+2, 300*time.Millisecond)
+			}
+			Expect(f.Raise(keel)).To(Succeed())
+			f.prove(turn+2, 300*time.Millisecond)
+		}
+		f.ReadBack()
+		f.Away()
+		f.fares(0.995, 0, 0, nil)
+		sound(f, Twice, Config, Back, Race, Kept)
+	})
+
+	story("given calm load, when charts change often, then all are served, acks are quick and changes are in force in time", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(100)
+		f.Pass(time.Second)
+		for turn := range 6 {
+			begun := f.Scope.Clock.Mono()
+			outcome := f.Push(shift(f.Chart(), turn), 10*time.Second)
+			Expect(outcome.GetKind()).To(BeEmpty(), f.Story)
+			Expect(f.Scope.Clock.Mono()-begun).To(BeNumerically("<", 500*time.Millisecond), f.Story)
+			for range 8 {
+				f.prove(turn+2, 150*time.Millisecond)
+			}
+		}
+		f.Pass(2500 * time.Millisecond)
+		f.prove(7, 0)
+		f.ReadBack()
+		f.Away()
+		f.fares(0.999, 0, 0, nil)
+		sound(f, Twice, Config, Back, Kept, Denied)
+	})
+
+	story("given two operators at two keels, when both change on top of the same chart, then one of them wins each time", []uint64{1, 2, 3, 4}, func(f *Fleet) {
+		raised(f)
+		f.Visit(40)
+		for turn := range 6 {
+			outcomes := [2]*wire.ChartOutcome{}
+			base.All([]int{0, 1}, func(i int) {
+				next := shift(f.Chart(), 2*turn+i)
+				next.Serial += uint64(i)
+				operator := f.Operator(fmt.Sprint(turn, " ", i))
+				base.Await(f.Scope, time.Duration(f.Seed)*time.Duration(i)*300*time.Microsecond)
+				outcomes[i] = operator.Propose(&wire.ChartProposal{Chart: next}, next, 10*time.Second)
+				if outcomes[i].GetKind() == "" && outcomes[i] != nil {
+					f.settle(next)
+				}
+			})
+			Expect(outcomes[0]).NotTo(BeNil(), f.Story)
+			Expect(outcomes[1]).NotTo(BeNil(), f.Story)
+			Expect((outcomes[0].Kind == "") != (outcomes[1].Kind == "")).To(BeTrue(), "%s: %v %v", f.Story, outcomes[0], outcomes[1])
+			f.prove(2*turn+2, 700*time.Millisecond)
+		}
+		f.ReadBack()
+		sound(f, Config, Back, Race, Kept)
+	})
+
+	story("given a chart just acked, when a keel loses power and its disk and comes back blank, then the chart is kept and can change", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(60)
+		f.Pass(time.Second)
+		for turn := range 3 {
+			Expect(f.Push(shift(f.Chart(), turn), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+			keel := f.Keels[(turn+int(f.Seed))%3]
+			f.PowerLoss(keel)
+			keel.Disk.Wipe()
+			f.Pass(500 * time.Millisecond)
+			f.Power(keel)
+			Expect(f.Raise(keel)).To(Succeed())
+			Expect(f.Until(5*time.Second, keel.Keel.Ready)).To(BeTrue(), f.Story)
+			f.Pass(time.Second)
+		}
+		f.ReadBack()
+		Expect(f.Push(shift(f.Chart(), 3), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+		f.Pass(3 * time.Second)
+		f.ReadBack()
+		f.Away()
+		f.fares(0.998, 0, 0, nil)
+		sound(f, Race, Kept)
+	})
+
+	story("given a core that is gone, when a node starts anew, then it is not ready before a keel is back, and then soon", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(100)
+		f.Pass(time.Second)
+		Expect(f.Push(shift(f.Chart(), 0), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+		f.Pass(2500 * time.Millisecond)
+		f.allKeels(f.Kill)
+		f.Pass(500 * time.Millisecond)
+		m := f.Of("books")[2]
+		f.Kill(m)
+		f.Pass(200 * time.Millisecond)
+		Expect(f.Raise(m)).To(Succeed())
+		f.Pass(3 * time.Second)
+		Expect(m.Node.Ready()).To(BeFalse(), f.Story)
+		Expect(f.Raise(f.Keels[0])).To(Succeed())
+		Expect(f.Until(4*time.Second, m.Node.Ready)).To(BeTrue(), f.Story)
+		f.Pass(time.Second)
+		Expect(f.Raise(f.Keels[1])).To(Succeed())
+		Expect(f.Raise(f.Keels[2])).To(Succeed())
+		f.Pass(2 * time.Second)
+		f.ReadBack()
+		f.prove(3, 0)
+		f.Away()
+		sound(f, Twice, Kept)
+	})
+
+	story("given a node cut off from the core over a change, when it hears of it from a mate or is joined again, then it takes the newer and never goes back", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(100)
+		f.Pass(time.Second)
+		m := f.Of("books")[0]
+		end := f.Trouble(m.Name, "cut off")
+		f.allKeels(func(keel *Machine) { f.Cut(m, keel) })
+		Expect(f.Push(shift(f.Chart(), 0), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+		f.Pass(4 * time.Second)
+		f.World.HealAll()
+		end()
+		f.Pass(5 * time.Second)
+		f.prove(2, 0)
+		f.Away()
+		f.fares(0.95, 0, 0, nil)
+		sound(f, Config, Back)
+	})
+
+	storyOf("given a core of five, when two keels are lost with their disks amid changes, then every acked chart is kept", 5, map[string]int{"books": 2, "loans": 1, "gates": 1}, []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(40)
+		for turn := range 3 {
+			outcome := f.Push(shift(f.Chart(), turn), 10*time.Second)
+			Expect(outcome.GetKind()).To(BeEmpty(), f.Story)
+			f.Pass(200 * time.Millisecond)
+		}
+		for _, keel := range f.Keels[:2] {
+			f.PowerLoss(keel)
+			keel.Disk.Wipe()
+		}
+		Expect(f.Push(shift(f.Chart(), 3), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+		for _, keel := range f.Keels[:2] {
+			f.Power(keel)
+			Expect(f.Raise(keel)).To(Succeed())
+		}
+		Expect(f.Until(5*time.Second, func() bool { return f.Ready(f.Keels) })).To(BeTrue(), f.Story)
+		f.Kill(f.Keels[2])
+		f.Kill(f.Keels[3])
+		f.Pass(time.Second)
+		f.ReadBack()
+		sound(f, Race, Kept)
+	})
+
+	story("given charts that are not proper, when they are pushed, then none is acked or in force", []uint64{1}, func(f *Fleet) {
+		raised(f)
+		f.Visit(60)
+		spoil := []func(c *wire.Chart){
+			func(c *wire.Chart) { c.Routes[0].Service = to("nobody") },
+			func(c *wire.Chart) { c.Routes[1].Prefix, c.Routes[1].Host = c.Routes[0].Prefix, c.Routes[0].Host },
+			func(c *wire.Chart) { c.Routes[2].Tries = 0 },
+			func(c *wire.Chart) { c.Routes[3].Host = "" },
+			func(c *wire.Chart) { c.Serial = c.Base },
+			func(c *wire.Chart) { c.Base = 1 },
+		}
+		for i, each := range spoil {
+			next := shift(f.Chart(), i)
+			each(next)
+			operator := f.Operator(fmt.Sprint("bad ", i))
+			outcome := operator.Propose(&wire.ChartProposal{Chart: next}, next, 5*time.Second)
+			Expect(outcome.GetKind()).NotTo(BeEmpty(), "%s %d", f.Story, i)
+			f.History.Mark(func() { f.History.sent[len(f.History.sent)-1].Bad = true })
+			f.prove(i+1, 400*time.Millisecond)
+		}
+		f.ReadBack()
+		f.Away()
+		f.fares(0.999, 0, 0, nil)
+		sound(f, Config, Back, Race, Kept, Denied)
+	})
+})
--- a/fleet/open/doors.go
+++ b/fleet/open/doors.go
@@ -135,11 +135,19 @@
 func (f *Fleet) Push(next *wire.Chart, longest time.Duration) *wire.ChartOutcome {
 	outcome := f.Operator("one").Propose(&wire.ChartProposal{Chart: next}, next, longest)
 	if outcome != nil && outcome.Kind == "" {
-		f.chart = next
+		f.settle(next)
 	}
 	return outcome
 }
 
+func (f *Fleet) settle(next *wire.Chart) {
+	f.living.Lock()
+	defer f.living.Unlock()
+	if next.Serial > f.chart.GetSerial() {
+		f.chart = next
+	}
+}
+
 // ReadBack asks keels for the chart until one answers.
 func (f *Fleet) ReadBack() {
 	o := f.Operator("reader")
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -227,6 +227,7 @@
 // PowerLoss takes a whole machine, its upstream too, without a word to anybody.
 func (f *Fleet) PowerLoss(m *Machine) {
 	f.down(m, "power lost")
+	f.dark(m, true)
 	f.World.Crash(m.IP, "", true)
 	f.kill(m, true)
 	if m.Upstream != nil {
@@ -235,6 +236,22 @@
 	m.Disk.PowerLoss()
 }
 
+func (f *Fleet) dark(m *Machine, cut bool) {
+	for _, other := range append(append([]*Machine{}, f.Keels...), f.Nodes...) {
+		switch {
+		case other == m:
+		case cut:
+			f.Cut(m, other)
+		default:
+			f.World.Heal(m.IP, other.IP)
+			f.World.Heal(other.IP, m.IP)
+		}
+	}
+}
+
+// Power lets a machine that lost it be raised again.
+func (f *Fleet) Power(m *Machine) { f.dark(m, false) }
+
 func (f *Fleet) Stop(m *Machine) {
 	end := f.History.Spell(m.Name, "stop", true)
 	if m.Node != nil {
@@ -309,7 +326,14 @@
 	return true
 }
 
-func (f *Fleet) Chart() *wire.Chart { return proto.Clone(f.chart).(*wire.Chart) }
+// Chart copies the newest acked chart, to be changed and pushed on top of it.
+func (f *Fleet) Chart() *wire.Chart {
+	f.living.Lock()
+	defer f.living.Unlock()
+	next := proto.Clone(f.chart).(*wire.Chart)
+	next.Base, next.Serial = next.Serial, next.Serial+2
+	return next
+}
 
 func get(s base.Scope, web *http.Client, url string) (int, error) {
 	request, err := http.NewRequestWithContext(s, http.MethodGet, url, nil)
@@ -339,3 +363,17 @@
 	f.Kill(m)
 	m.Upstream.Kill()
 }
+
+func (f *Fleet) Freeze(m *Machine) (thaw func()) {
+	end := f.Trouble(m.Name, "frozen")
+	life := m.owner()
+	m.Clock.Freeze(true)
+	f.World.Freeze(life)
+	release := m.Disk.Stall()
+	return func() {
+		m.Clock.Freeze(false)
+		f.World.Thaw(life)
+		release()
+		end()
+	}
+}
--- /dev/null
+++ b/fleet/open/machines_test.go
@@ -0,0 +1,164 @@
+package open
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func (f *Fleet) fares(least float64, from, till time.Duration, fits func(*Job) bool) {
+	t := f.Tally(from, till, fits)
+	ExpectWithOffset(1, t.Share()).To(BeNumerically(">=", least), "%s: %s", f.Story, t)
+}
+
+var _ = ginkgo.Describe("machines in trouble", func() {
+	story("given load, when nodes are killed and raised, then nothing runs twice, no refused one ran and most are served", []uint64{1, 2, 3, 4}, func(f *Fleet) {
+		raised(f)
+		f.Visit(150)
+		f.Pass(2 * time.Second)
+		for i := range 3 {
+			m := f.Nodes[(int(f.Seed)+3*i)%len(f.Nodes)]
+			f.Kill(m)
+			f.Pass(700 * time.Millisecond)
+			Expect(f.Raise(m)).To(Succeed())
+			f.Pass(1500 * time.Millisecond)
+		}
+		f.Away()
+		f.fares(0.94, 0, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given load, when a machine loses power without a word, then nothing runs twice and the others serve on", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(150)
+		f.Pass(2 * time.Second)
+		m := f.Nodes[int(f.Seed)%len(f.Nodes)]
+		m.in.Store(false)
+		f.PowerLoss(m)
+		at := f.Scope.Clock.Mono()
+		f.Pass(5 * time.Second)
+		f.Power(m)
+		Expect(f.Raise(m)).To(Succeed())
+		f.Seat(m)
+		f.Pass(3 * time.Second)
+		f.Away()
+		f.fares(0.97, 0, 0, nil)
+		f.fares(0.99, at+2500*time.Millisecond, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given load, when every node is stopped in order and raised, one by one, then nobody loses an answer", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(100)
+		f.Pass(2 * time.Second)
+		for _, m := range f.Nodes {
+			f.Stop(m)
+			f.Pass(200 * time.Millisecond)
+			Expect(f.Raise(m)).To(Succeed())
+			Expect(f.Until(5*time.Second, m.Node.Ready)).To(BeTrue())
+			f.Pass(time.Second)
+		}
+		f.Away()
+		f.fares(0.99, 0, 0, nil)
+		sound(f, Twice, Lost)
+	})
+
+	story("given load with slow upstreams, when machines are replaced in order, upstream first, then nobody loses an answer", []uint64{1, 2}, func(f *Fleet) {
+		for i := range f.Habits {
+			f.Habits[i].Base *= 20
+		}
+		raised(f)
+		f.Visit(40)
+		f.Pass(2 * time.Second)
+		for _, m := range []*Machine{f.Of("books")[0], f.Of("loans")[0], f.Of("books")[1], f.Of("gates")[0]} {
+			m.Upstream.Leave()
+			f.Stop(m)
+			f.Pass(200 * time.Millisecond)
+			Expect(f.Raise(m)).To(Succeed())
+			f.Seat(m)
+			f.Pass(2 * time.Second)
+		}
+		f.Away()
+		f.fares(0.99, 0, 0, nil)
+		sound(f, Twice, Lost, Drain)
+	})
+
+	story("given load, when half of the nodes are killed at once, then the rest serve and all recovers once they are back", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(120)
+		f.Pass(2 * time.Second)
+		var down []*Machine
+		for i, m := range f.Nodes {
+			if i%2 == 0 {
+				down = append(down, m)
+				f.Kill(m)
+			}
+		}
+		at := f.Scope.Clock.Mono()
+		f.Pass(4 * time.Second)
+		for _, m := range down {
+			Expect(f.Raise(m)).To(Succeed())
+		}
+		back := f.Scope.Clock.Mono()
+		f.Pass(4 * time.Second)
+		f.Away()
+		f.fares(0.98, at+2500*time.Millisecond, back, nil)
+		f.fares(0.995, back+1500*time.Millisecond, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given load, when every node is killed at once and raised, then all are served again within two seconds", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(120)
+		f.Pass(2 * time.Second)
+		for _, m := range f.Nodes {
+			f.Kill(m)
+		}
+		f.Pass(time.Second)
+		for _, m := range f.Nodes {
+			Expect(f.Raise(m)).To(Succeed())
+		}
+		back := f.Scope.Clock.Mono()
+		f.Pass(5 * time.Second)
+		f.Away()
+		f.fares(0.995, back+2*time.Second, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given load, when a node is frozen for three seconds and thaws, then nothing runs twice and nothing comes late to an upstream that left", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(150)
+		f.Pass(2 * time.Second)
+		m := f.Of("loans")[int(f.Seed)%3]
+		thaw := f.Freeze(m)
+		f.Pass(3 * time.Second)
+		thaw()
+		f.Pass(3 * time.Second)
+		f.Away()
+		f.fares(0.9, 0, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given zones cut from each other, when the cut heals, then nothing ran twice and all are served again", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(120)
+		f.Pass(2 * time.Second)
+		end := f.Trouble("links", "cut")
+		for _, one := range f.Nodes {
+			for _, other := range append(f.Nodes, f.Keels...) {
+				if one.Zone == "a" && other.Zone != "a" {
+					f.Cut(one, other)
+				}
+			}
+		}
+		f.Pass(4 * time.Second)
+		f.World.HealAll()
+		end()
+		healed := f.Scope.Clock.Mono()
+		f.Pass(5 * time.Second)
+		f.Away()
+		f.fares(0.99, healed+2500*time.Millisecond, 0, nil)
+		sound(f, Twice)
+	})
+})
--- a/fleet/open/visitors.go
+++ b/fleet/open/visitors.go
@@ -199,3 +199,15 @@
 	}
 	return promised(told) || told.Broken != "" && !told.Read
 }
+
+// Prove asks every ready node directly, on a path that may have no route, and earns nothing.
+func (f *Fleet) Prove(method, host, path string) {
+	base.All(f.nodes(), func(m *Machine) {
+		if !m.in.Load() {
+			return
+		}
+		ask := f.ask(m, method+" "+host+" "+path, fmt.Sprintf("proof%d", f.count.Add(1)))
+		ask.Proof, ask.Until = true, ask.At+time.Second
+		m.visitors.ask(ask, nil, false, true)
+	})
+}
--- a/flow/ford/far.go
+++ b/flow/ford/far.go
@@ -26,6 +26,7 @@
 	after   time.Duration
 	answer  *answer
 	weight  *Weight
+	waited  time.Duration
 }
 
 func bounced(mishap *base.Mishap) outcome {
@@ -60,6 +61,7 @@
 	if mishap != nil {
 		return bounced(mishap)
 	}
+	waited := n.scope.Clock.Mono() - now
 	if berth, _, mishap = n.berthFor(way); mishap != nil {
 		leave()
 		return bounced(mishap)
@@ -120,7 +122,7 @@
 			a.status = http.StatusBadGateway
 		}
 	}
-	return outcome{state: state, arrived: true, answer: a}
+	return outcome{state: state, arrived: true, answer: a, waited: waited}
 }
 
 func (n *Node) gateWait(gate *Gate) time.Duration {
@@ -160,7 +162,9 @@
 	defer cancel()
 	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
 	o := n.hand(ctx, way, m, attempt, until)
-	w.Header()[weightHeader] = []string{n.weight().text()}
+	weight := n.weight()
+	weight.Waited = int(o.waited.Milliseconds())
+	w.Header()[weightHeader] = []string{weight.text()}
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -247,5 +251,5 @@
 	if a.status >= 500 {
 		state = Failed
 	}
-	return outcome{state: state, arrived: true, answer: a, weight: &weight}
+	return outcome{state: state, arrived: true, answer: a, weight: &weight, waited: time.Duration(weight.Waited) * time.Millisecond}
 }
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -14,13 +14,12 @@
 const (
 	nearHeld     = 512 << 10
 	firstGuess   = 0.35
-	holdMargin   = 1.3
+	holdMargin   = 1.7
 	lateMargin   = 1.5
 	leastAgain   = 50 * time.Millisecond
 	mostAgain    = 1.0 / 3
 	heldRatio    = 0.45
 	againRatio   = 0.5
-	firstPart    = 0.99
 	lastPart     = 0.55
 	fewestAsked  = 2
 	spread       = 0.5
@@ -148,17 +147,12 @@
 	now := v.now()
 	aim = v.began + v.route.Aim() - now - time.Duration(holdMargin*float64(v.usual))
 	stay = v.until - now - time.Duration(lateMargin*float64(v.usual))
-	last := v.part < lastPart
-	if v.route.Raw.Rank > topRank && !last {
+	if v.route.Raw.Rank > topRank && v.part >= lastPart {
 		stay = min(stay, v.began+time.Duration(heldRatio*float64(v.left))-now)
 	}
-	switch {
-	case v.route.Raw.Rank <= topRank || last:
-		patience = stay
-	case v.part < firstPart:
+	patience = aim
+	if v.route.Raw.Rank <= topRank || v.part < lastPart {
 		patience = max(aim, time.Duration(againRatio*float64(stay)))
-	default:
-		patience = aim
 	}
 	return max(patience, 0), max(aim, 0), max(stay, 0)
 }
@@ -211,7 +205,8 @@
 	go func() {
 		o := n.carry(v.ctx, to, way, v.m, v.attempt, v.until)
 		took := n.scope.Clock.Mono() - at.began
-		n.roster.End(to.node, o.weight, took, v.usual, o.state == Answered && way.Patience == 0)
+		took -= min(o.waited, took)
+		n.roster.End(to.node, o.weight, took, v.usual, o.state == Answered)
 		if o.kind == base.NoSeat || o.kind == base.Stopping {
 			n.roster.Bar(to.node, to.berth)
 		}
--- a/flow/ford/roster.go
+++ b/flow/ford/roster.go
@@ -36,6 +36,7 @@
 	avoid    time.Duration
 	penalty  time.Duration
 	barred   string
+	reached  time.Duration
 }
 
 // Roster merges what the keels say of the mates with what requests saw of them.
@@ -78,7 +79,7 @@
 		same := at.post.GetIncarnation() == post.Incarnation
 		if at.post == nil || same && post.Number > at.post.Number || !same && heard > at.heard {
 			if !same || at.post.GetBerth().GetId() != post.GetBerth().GetId() {
-				at.weight, at.weighed, at.avoid, at.penalty, at.barred = Weight{}, 0, 0, 0, ""
+				at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.reached = Weight{}, 0, 0, 0, "", 0
 				at.speed = 1
 			}
 			at.post = post
@@ -99,7 +100,7 @@
 		}
 		said = said || knows
 	}
-	return said
+	return said && (at.reached == 0 || now-at.reached > r.fresh)
 }
 
 // Spoke notes that a keel answered without news.
@@ -242,7 +243,7 @@
 	at.flying = max(at.flying-1, 0)
 	if weight != nil {
 		at.weight, at.weighed, at.atWeight = *weight, r.clock.Mono(), at.flying
-		at.avoid, at.penalty = 0, 0
+		at.avoid, at.penalty, at.reached = 0, 0, r.clock.Mono()
 	}
 	if good && usual > 0 {
 		ratio := min(max(took.Seconds()/usual.Seconds(), 0.2), 5)
@@ -257,7 +258,7 @@
 	defer r.mu.Unlock()
 	if at := r.places[node]; at != nil {
 		at.penalty = min(max(2*at.penalty, shortestAvoid), longestAvoid)
-		at.avoid = r.clock.Mono() + at.penalty
+		at.avoid, at.reached = r.clock.Mono()+at.penalty, 0
 	}
 }
 
--- a/flow/ford/way.go
+++ b/flow/ford/way.go
@@ -99,13 +99,14 @@
 	HoldMs  int
 	TopMs   int
 	RestMs  int
+	Waited  int
 	Serial  uint64
 	Leaving bool
 }
 
 func (w Weight) text() string {
-	words := make([]string, 0, 8)
-	for _, n := range []int{w.Flying, w.Waiting, w.Limit, w.HoldMs, w.TopMs, w.RestMs} {
+	words := make([]string, 0, 9)
+	for _, n := range []int{w.Flying, w.Waiting, w.Limit, w.HoldMs, w.TopMs, w.RestMs, w.Waited} {
 		words = append(words, strconv.Itoa(n))
 	}
 	return strings.Join(append(words, strconv.FormatUint(w.Serial, 10), flag(w.Leaving)), ",")
@@ -113,17 +114,17 @@
 
 func readWeight(text string) (w Weight, ok bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != 8 {
+	if len(parts) != 9 {
 		return w, false
 	}
-	for i, at := range []*int{&w.Flying, &w.Waiting, &w.Limit, &w.HoldMs, &w.TopMs, &w.RestMs} {
+	for i, at := range []*int{&w.Flying, &w.Waiting, &w.Limit, &w.HoldMs, &w.TopMs, &w.RestMs, &w.Waited} {
 		n, err := strconv.Atoi(parts[i])
 		if err != nil {
 			return w, false
 		}
 		*at = n
 	}
-	serial, err := strconv.ParseUint(parts[6], 10, 64)
-	w.Serial, w.Leaving = serial, parts[7] == "1"
+	serial, err := strconv.ParseUint(parts[7], 10, 64)
+	w.Serial, w.Leaving = serial, parts[8] == "1"
 	return w, err == nil
 }
--- /dev/null
+++ b/helm/moor/soak_test.go
@@ -0,0 +1,258 @@
+package moor
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/pact/chart"
+	"curlewreach/proto/wire"
+)
+
+type verdict struct {
+	p     *wire.ChartProposal
+	taken bool
+	clear bool
+}
+
+type ledger struct {
+	mu       sync.Mutex
+	verdicts []verdict
+	acked    uint64
+	served   map[uint64]string
+	faults   []string
+}
+
+func (l *ledger) fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
+func (l *ledger) newest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.acked
+}
+
+func (l *ledger) say(each verdict) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.verdicts = append(l.verdicts, each)
+	if each.taken {
+		l.acked = max(l.acked, serialOf(each.p))
+	}
+}
+
+func (l *ledger) serve(c *wire.Chart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	digest := string(chart.Digest(c))
+	if was, known := l.served[c.Serial]; known && was != digest {
+		l.faults = append(l.faults, fmt.Sprintf("two charts were served as serial %d", c.Serial))
+	}
+	l.served[c.Serial] = digest
+}
+
+func (f *fleet) keel(i int) *Moor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keels[i].moor
+}
+
+func (f *fleet) operate(s base.Scope, l *ledger, name int) {
+	for round := 0; s.Err() == nil; round++ {
+		base.Await(s, time.Duration(f.scope.Rand.Below(400))*time.Millisecond)
+		m := f.keel(f.scope.Rand.Below(len(f.keels)))
+		if m == nil {
+			continue
+		}
+		least := l.newest()
+		current, err := m.Chart(s)
+		if err != nil {
+			continue
+		}
+		on := current.GetSerial()
+		if on < least {
+			l.fault("serial %d was read after %d was acked", on, least)
+		}
+		p := whole(on+1+uint64(f.scope.Rand.Below(3)), on, fmt.Sprintf("/o%d/%d/", name, round))
+		if on > 0 && f.scope.Rand.Below(2) == 0 {
+			p = &wire.ChartProposal{Change: &wire.ChartChange{Serial: p.Chart.Serial, Base: on, Routes: p.Chart.Routes[1:]}}
+		}
+		l.say(f.push(s, p))
+	}
+}
+
+func (f *fleet) push(s base.Scope, p *wire.ChartProposal) verdict {
+	for range 8 {
+		m := f.keel(f.scope.Rand.Below(len(f.keels)))
+		if m == nil {
+			base.Await(s, 50*time.Millisecond)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(s, time.Duration(20+f.scope.Rand.Below(1000))*time.Millisecond)
+		outcome, err := m.Propose(ctx, p)
+		cancel()
+		if err == nil {
+			return verdict{p, outcome.Kind == "", true}
+		}
+		base.Await(s, 100*time.Millisecond)
+	}
+	return verdict{p, false, false}
+}
+
+func (f *fleet) watch(s base.Scope, l *ledger, i int) {
+	keel, last := "", uint64(0)
+	for s.Err() == nil {
+		reply, err := f.hail(i, &wire.HailRequest{Wants: true, Keel: keel, Serial: last, WaitMs: 100})
+		if err != nil {
+			base.Await(s, 50*time.Millisecond)
+			continue
+		}
+		if reply.Keel != keel {
+			keel, last = reply.Keel, 0
+		}
+		if reply.Serial < last {
+			l.fault("keel %d went back from %d to %d", i, last, reply.Serial)
+		}
+		last = max(last, reply.Serial)
+		if reply.Chart != nil {
+			l.serve(reply.Chart)
+		}
+	}
+}
+
+func (f *fleet) harm(s base.Scope) {
+	rand := f.scope.Rand
+	pass := func(ms int) { base.Await(s, time.Duration(rand.Below(ms))*time.Millisecond) }
+	for s.Err() == nil {
+		pass(1500)
+		i := rand.Below(len(f.keels))
+		j := (i + 1) % len(f.keels)
+		switch rand.Below(9) {
+		case 0:
+			f.kill(i)
+			pass(2000)
+			f.raise(i, false)
+		case 1:
+			f.powerLoss(i)
+			pass(2000)
+			f.raise(i, false)
+		case 2:
+			for k := range f.keels {
+				f.powerLoss(k)
+			}
+			pass(500)
+			for k := range f.keels {
+				f.raise(k, false)
+			}
+		case 3:
+			if !f.until(f.ready) {
+				ginkgo.Fail("the fleet didn't recover")
+			}
+			f.wipe(i)
+			pass(1500)
+			f.raise(i, false)
+		case 4:
+			f.cut(i, j)
+			f.cut(i, (i+2)%len(f.keels))
+			pass(3000)
+			f.world.HealAll()
+		case 5:
+			f.cut(i, j)
+			pass(3000)
+			f.world.HealAll()
+		case 6:
+			release := f.keels[i].disk.Stall()
+			pass(3000)
+			release()
+		case 7:
+			f.keels[i].disk.Fill(true)
+			pass(3000)
+			f.keels[i].disk.Fill(false)
+		case 8:
+			for k := range f.keels {
+				f.keels[k].disk.Slow(time.Duration(rand.Below(30)) * time.Millisecond)
+			}
+			pass(3000)
+			for k := range f.keels {
+				f.keels[k].disk.Slow(0)
+			}
+		}
+	}
+}
+
+func (f *fleet) check(l *ledger) {
+	f.world.HealAll()
+	Expect(f.until(func() bool { return f.ready() && f.newest(0) > 0 })).To(BeTrue())
+	f.agree(f.newest(0))
+	value, err := f.keels[0].moor.core.Load().trove.Read(f.scope, ChartKey)
+	Expect(err).NotTo(HaveOccurred())
+	entry := &view{}
+	head := entry.next(f.scope, &wire.Entry{Value: value}).head
+	marked, serials, oldest := map[string]bool{}, map[uint64]bool{}, ^uint64(0)
+	for _, mark := range head.Marks {
+		marked[fmt.Sprintf("%d %x", mark.Serial, mark.Digest)] = true
+		serials[mark.Serial] = true
+		oldest = min(oldest, mark.Serial)
+	}
+	whose, acks := map[uint64]string{}, 0
+	for _, each := range l.verdicts {
+		key := fmt.Sprintf("%d %x", serialOf(each.p), digestOf(each.p))
+		if !each.clear || serialOf(each.p) < oldest {
+			continue
+		}
+		Expect(marked[key]).To(Equal(each.taken), "serial %d on %d, answered taken=%t", serialOf(each.p), baseOf(each.p), each.taken)
+		if each.taken {
+			acks++
+			Expect(whose[baseOf(each.p)]).To(BeEmpty(), "two were taken on %d", baseOf(each.p))
+			whose[baseOf(each.p)] = key
+		}
+	}
+	for serial := range l.served {
+		Expect(serials[serial] || serial < oldest).To(BeTrue(), "serial %d was served and never taken", serial)
+	}
+	Expect(l.faults).To(BeEmpty())
+	Expect(acks).To(BeNumerically(">=", 3))
+}
+
+var _ = ginkgo.Describe("a long day", func() {
+	seeds := 6
+	if most, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		seeds = most
+	}
+	for seed := range uint64(seeds) {
+		count := 3 + 2*int(seed%2)
+		ginkgo.It(fmt.Sprintf("given operators that race and every trouble in turn, when all is well again, then answers fit the chain of charts (%d keels, seed %d)", count, seed), func() {
+			synctest.Test(suite, func(*testing.T) {
+				defer ginkgo.GinkgoRecover()
+				f := newFleet(1000*seed+7, count)
+				defer f.end()
+				Expect(f.until(f.ready)).To(BeTrue())
+				l := &ledger{served: map[uint64]string{}}
+				s, cancel := f.scope.Within(90 * time.Second)
+				defer cancel()
+				var crew base.Crew
+				for name := range 3 {
+					crew.Go(func() { f.operate(s, l, name) })
+				}
+				for i := range f.keels {
+					crew.Go(func() { f.watch(s, l, i) })
+				}
+				f.harm(s)
+				crew.Wait()
+				f.check(l)
+			})
+		})
+	}
+})
--- a/helm/moor/suite_test.go
+++ b/helm/moor/suite_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,7 @@
 }
 
 type fleet struct {
+	mu     sync.Mutex
 	seed   uint64
 	born   time.Time
 	world  *rig.World
@@ -90,7 +92,9 @@
 	}
 	m, err := Start(s, p, func(*Moor) http.Handler { return http.NotFoundHandler() })
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	f.mu.Lock()
 	k.moor = m
+	f.mu.Unlock()
 }
 
 func (f *fleet) kill(i int) { f.fell(i, false) }
@@ -100,11 +104,14 @@
 	if k.moor == nil {
 		return
 	}
+	m := k.moor
+	f.mu.Lock()
+	k.moor = nil
+	f.mu.Unlock()
 	k.cancel()
 	k.mount.Unmount()
 	f.world.Crash(ip(i), k.life, silent)
-	k.moor.Kill()
-	k.moor = nil
+	m.Kill()
 }
 
 func (f *fleet) powerLoss(i int) {
