--- /dev/null
+++ b/fleet/open/judge_test.go
@@ -0,0 +1,175 @@
+package open
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/assay"
+	"curlewreach/proto/wire"
+)
+
+type still struct{}
+
+func (still) Wall() time.Time     { return time.Time{} }
+func (still) Mono() time.Duration { return time.Minute }
+
+const second = time.Second
+
+func planted() *History {
+	h := NewHistory(still{})
+	h.sent = []*Sent{
+		{Chart: &wire.Chart{Serial: 3, Routes: []*wire.ChartRoute{{Name: "a", Host: "h", Prefix: "/a/", Service: to("s")}, {Name: "b", Host: "h", Prefix: "/b/", Service: to("s")}}, Services: []*wire.ChartService{{Name: "s"}, {Name: "t"}}}, At: 0, Acked: second},
+		{Chart: &wire.Chart{Serial: 5, Base: 3, Routes: []*wire.ChartRoute{{Name: "a", Host: "h", Prefix: "/a/", Service: to("t")}}, Services: []*wire.ChartService{{Name: "s"}, {Name: "t"}}}, At: 20 * second, Acked: 21 * second},
+	}
+	return h
+}
+
+func (h *History) plant(id string, at time.Duration, repeat wire.Repeat, told *Told, arrivals ...*Arrival) *Ask {
+	ask := &Ask{At: at, ID: id, First: id, Node: "n", Service: "s", Method: "GET", Host: "h", Target: "/a/x", Digest: "d", Repeat: repeat, Until: at + 2*second, Aim: second}
+	h.asks = append(h.asks, ask)
+	if told != nil {
+		told.ID = id
+		if told.At == 0 {
+			told.At = at + second/2
+		}
+		h.told[id] = told
+	}
+	for _, each := range arrivals {
+		each.ID, each.Method, each.Host, each.Target, each.Digest, each.Caller = id, ask.Method, ask.Host, ask.Target, ask.Digest, ask.Service
+		if each.Service == "" {
+			each.Service, each.Berth = "s", "i"
+		}
+		h.arrivals = append(h.arrivals, each)
+	}
+	return ask
+}
+
+func came(at time.Duration) *Arrival { return &Arrival{At: at, Ran: true, Status: 200} }
+
+func cameTo(service string, at time.Duration) *Arrival {
+	return &Arrival{At: at, Ran: true, Status: 200, Service: service, Berth: "i-" + service}
+}
+
+var _ = ginkgo.Describe("the judge", func() {
+	good := func() *Told { return &Told{Status: 200, Sealed: true, Read: true} }
+	ginkgo.DescribeTable("given a history, when it is judged, then what was planted is found and nothing else",
+		func(rule string, plant func(h *History)) {
+			h := planted()
+			plant(h)
+			found := map[string]bool{}
+			for _, verdict := range Check(h) {
+				if len(verdict.Found) > 0 {
+					found[verdict.Rule] = true
+				}
+			}
+			if rule == "" {
+				Expect(found).To(BeEmpty())
+				return
+			}
+			Expect(found).To(HaveKey(rule))
+		},
+		ginkgo.Entry("a mutation run twice", Twice, func(h *History) { h.plant("x", 3*second, wire.Repeat_ONCE, good(), came(3*second), came(4*second)) }),
+		ginkgo.Entry("a search run twice", "", func(h *History) {
+			h.plant("x", 3*second, wire.Repeat_REPEATABLE, good(), came(3*second), came(4*second))
+		}),
+		ginkgo.Entry("a mutation turned away, then run", "", func(h *History) {
+			h.plant("x", 3*second, wire.Repeat_ONCE, good(), &Arrival{At: 3 * second}, came(4*second))
+		}),
+		ginkgo.Entry("a refusal that ran", Refused, func(h *History) { h.plant("x", 3*second, wire.Repeat_ONCE, &Told{Status: 503}, came(3*second)) }),
+		ginkgo.Entry("a refusal that ran later", Refused, func(h *History) { h.plant("x", 3*second, wire.Repeat_ONCE, &Told{Status: 429}, came(9*second)) }),
+		ginkgo.Entry("a refusal that was turned away", "", func(h *History) {
+			h.plant("x", 3*second, wire.Repeat_ONCE, &Told{Status: 503}, &Arrival{At: 3 * second})
+		}),
+		ginkgo.Entry("an answer of another", Mixed, func(h *History) {
+			h.plant("x", 3*second, wire.Repeat_ONCE, &Told{Status: 200, Mixed: "the answer of y"}, came(3*second))
+		}),
+		ginkgo.Entry("a success no upstream gave", Mixed, func(h *History) {
+			h.plant("x", 3*second, wire.Repeat_ONCE, good(), &Arrival{At: 3 * second, Ran: true, Status: 500})
+		}),
+		ginkgo.Entry("bytes that nobody waits for", Mixed, func(h *History) { h.strays = []string{"c"} }),
+		ginkgo.Entry("a run nobody asked", Unasked, func(h *History) { h.arrivals = []*Arrival{{ID: "z", Service: "s", Ran: true}} }),
+		ginkgo.Entry("a changed body", Unasked, func(h *History) { h.plant("x", 3*second, 0, good(), came(3*second)).Digest = "other" }),
+		ginkgo.Entry("a caller that is another", Unasked, func(h *History) { h.plant("x", 3*second, 0, good(), came(3*second)).Service = "t" }),
+		ginkgo.Entry("a service that no chart names", Routed, func(h *History) { h.plant("x", 3*second, 0, good(), cameTo("u", 3*second)) }),
+		ginkgo.Entry("an arrival long after leaving", Drain, func(h *History) {
+			h.left = []Departure{{"i", 3 * second}}
+			h.plant("x", 6*second, 0, good(), came(6*second))
+		}),
+		ginkgo.Entry("an arrival soon after leaving, and one sent away late", "", func(h *History) {
+			h.left = []Departure{{"i", 3 * second}}
+			h.plant("x", 4*second, 0, good(), came(4*second))
+			h.plant("y", 6*second, 0, nil, &Arrival{At: 6 * second, Missed: true})
+		}),
+		ginkgo.Entry("a break in a stop", Lost, func(h *History) {
+			h.spells = []*assay.Spell{{Node: "n", Planned: true, From: 3 * second, Till: 9 * second}}
+			h.plant("x", 4*second, 0, &Told{Broken: "EOF", Read: true}, came(4*second))
+		}),
+		ginkgo.Entry("an answer of one's own while an upstream works, in a stop", Lost, func(h *History) {
+			h.spells = []*assay.Spell{{Node: "n", Planned: true, From: 3 * second, Till: 9 * second}}
+			h.plant("x", 4*second, 0, &Told{Status: 502, Read: true}, &Arrival{At: 4 * second, Ran: true, Gone: true})
+		}),
+		ginkgo.Entry("breaks in a stop that were not read, the upstream's own, at the deadline or amid trouble", "", func(h *History) {
+			h.spells = []*assay.Spell{{Node: "n", Planned: true, From: 3 * second, Till: 30 * second}, {Node: "m", From: 20 * second, Till: 21 * second}}
+			h.plant("x", 4*second, 0, &Told{Broken: "EOF"})
+			h.plant("y", 4*second, 0, &Told{Broken: "EOF", Read: true}, &Arrival{At: 4 * second, Ran: true, Broke: true})
+			h.plant("z", 4*second, 0, &Told{Broken: "timeout", Read: true, At: 6 * second}, came(4*second))
+			h.plant("w", 19*second, 0, &Told{Broken: "EOF", Read: true, At: 20 * second}, came(19*second))
+		}),
+		ginkgo.Entry("a run by the old service long after the ack", Config, func(h *History) { h.plant("x", 24*second, 0, good(), came(24*second)) }),
+		ginkgo.Entry("a run by the old service soon after the ack", "", func(h *History) { h.plant("x", 22*second, 0, good(), came(22*second)) }),
+		ginkgo.Entry("a 404 though the route stands", Config, func(h *History) { h.plant("x", 24*second, 0, &Told{Status: 404}) }),
+		ginkgo.Entry("a dropped route that still runs", Config, func(h *History) {
+			h.plant("x", 24*second, 0, good(), came(24*second)).Target = "/b/x"
+			h.arrivals[0].Target = "/b/x"
+		}),
+		ginkgo.Entry("a refused chart in force", Config, func(h *History) {
+			h.sent[1].Acked, h.sent[1].Refused = -1, true
+			h.plant("x", 24*second, 0, good(), cameTo("t", 24*second))
+		}),
+		ginkgo.Entry("a life that goes back", Back, func(h *History) {
+			h.plant("x", 21*second, 0, good(), cameTo("t", 21*second))
+			h.plant("y", 21*second+second/2, 0, good(), came(21*second+second/2))
+		}),
+		ginkgo.Entry("two lives apart, and one within the slack", "", func(h *History) {
+			h.plant("x", 21*second, 0, good(), cameTo("t", 21*second))
+			h.plant("y", 21*second+second/2, 0, good(), came(21*second+second/2)).Life = 2
+			h.plant("z", 21*second+second/10, 0, good(), came(21*second+second/10))
+		}),
+		ginkgo.Entry("two acks on one base", Race, func(h *History) {
+			h.sent = append(h.sent, &Sent{Chart: &wire.Chart{Serial: 6, Base: 3}, At: 20 * second, Acked: 21 * second})
+		}),
+		ginkgo.Entry("a bad chart acked", Race, func(h *History) { h.sent[1].Bad = true }),
+		ginkgo.Entry("an older chart read back", Kept, func(h *History) { h.reads = []Readback{{At: 40 * second, Chart: h.sent[0].Chart}} }),
+		ginkgo.Entry("another chart read back", Kept, func(h *History) { h.reads = []Readback{{At: 40 * second, Chart: &wire.Chart{Serial: 5}}} }),
+		ginkgo.Entry("the newest chart read back", "", func(h *History) { h.reads = []Readback{{At: 40 * second, Chart: h.sent[1].Chart}} }),
+		ginkgo.Entry("many repeats", Budget, func(h *History) {
+			for i := range 40 {
+				at := 3*second + time.Duration(i)*second/20
+				h.plant(string(rune('a'+i)), at, wire.Repeat_REPEATABLE, good(), came(at), came(at+second/100))
+			}
+		}),
+		ginkgo.Entry("calls of many repeated runs", Budget, func(h *History) {
+			for i := range 40 {
+				at := 3*second + time.Duration(i)*second/20
+				h.plant(string(rune('a'+i)), at, wire.Repeat_REPEATABLE, good(), came(at)).Repeats = true
+			}
+		}),
+		ginkgo.Entry("a fifth of repeats and the slack", "", func(h *History) {
+			for i := range 40 {
+				at := 3*second + time.Duration(i)*second/20
+				arrivals := []*Arrival{came(at)}
+				if i < 25 {
+					arrivals = append(arrivals, came(at+second/100))
+				}
+				h.plant(string(rune('a'+i)), at, wire.Repeat_REPEATABLE, good(), arrivals...)
+			}
+		}),
+		ginkgo.Entry("proper requests denied", Denied, func(h *History) {
+			for i := range 9 {
+				h.plant(string(rune('a'+i)), 4*second, 0, &Told{Status: 400})
+			}
+		}),
+	)
+})
--- a/fleet/open/suite_test.go
+++ b/fleet/open/suite_test.go
@@ -108,6 +108,7 @@
 
 func sound(f *Fleet, wanted ...string) {
 	f.dump()
+	f.line(40)
 	f.Away()
 	verdicts := Check(f.History)
 	if os.Getenv("TELL") != "" {
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -14,7 +14,7 @@
 const (
 	nearHeld     = 512 << 10
 	firstGuess   = 0.35
-	holdMargin   = 1.7
+	holdMargin   = 1.3
 	lateMargin   = 1.5
 	leastAgain   = 50 * time.Millisecond
 	mostAgain    = 1.0 / 3
--- a/flow/ford/roster.go
+++ b/flow/ford/roster.go
@@ -193,7 +193,7 @@
 }
 
 const (
-	farZone    = 0.25
+	farZone    = 0.6
 	filling    = 0.35
 	jitter     = 0.1
 	warmFactor = 2
