--- a/fleet/open/core_test.go
+++ b/fleet/open/core_test.go
@@ -159,6 +159,26 @@
 		sound(f, Race, Kept)
 	})
 
+	story("given a chart just acked, when every keel loses power at once and comes back, then it is kept and in force", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		f.Visit(60)
+		f.Pass(time.Second)
+		for turn := range 2 {
+			Expect(f.Push(shift(f.Chart(), turn), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+			f.allKeels(f.PowerLoss)
+			f.Pass(300 * time.Millisecond)
+			f.allKeels(f.Power)
+			f.allKeels(func(m *Machine) { Expect(f.Raise(m)).To(Succeed()) })
+			Expect(f.Until(5*time.Second, func() bool { return f.Ready(f.Keels) })).To(BeTrue(), f.Story)
+			f.ReadBack()
+			f.Pass(7 * time.Second)
+			f.prove(turn+2, 0)
+		}
+		f.Away()
+		f.fares(0.999, 0, 0, nil)
+		sound(f, Config, Back, Kept)
+	})
+
 	story("given a core that is gone, when a node starts anew, then it is not ready before a majority is back, and then soon", []uint64{1, 2}, func(f *Fleet) {
 		raised(f)
 		f.Visit(100)
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -83,6 +83,7 @@
 	Habits   []Habit
 	Size     func(service string) (capacity, queue int)
 	Tune     func(*wire.FordParams)
+	First    *wire.Chart
 	Story    string
 	zones    map[string]string
 	seeds    []string
--- a/fleet/open/machines_test.go
+++ b/fleet/open/machines_test.go
@@ -1,6 +1,7 @@
 package open
 
 import (
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -12,6 +13,20 @@
 	ExpectWithOffset(1, t.Share()).To(BeNumerically(">=", least), "%s: %s", f.Story, t)
 }
 
+func (f *Fleet) slowly(base, swing time.Duration) {
+	for i := range f.Habits {
+		f.Habits[i].Base, f.Habits[i].Swing = base, swing
+	}
+	f.Plan = slices.Clone(f.Plan)
+	for i := range f.Plan {
+		f.Plan[i].Within = 6 * time.Second
+	}
+	f.First = first()
+	for _, route := range f.First.Routes {
+		route.CutoffMs, route.AimMs = 6000, 4000
+	}
+}
+
 var _ = ginkgo.Describe("machines in trouble", func() {
 	story("given load, when nodes are killed and raised, then nothing runs twice, no refused one ran and most are served", []uint64{1, 2, 3, 4}, func(f *Fleet) {
 		raised(f)
@@ -48,9 +63,11 @@
 		sound(f, Twice)
 	})
 
-	story("given load, when every node is stopped in order and raised, one by one, then nobody loses an answer", []uint64{1, 2}, func(f *Fleet) {
+	story("given long answers in flight, when every node is stopped in order and raised, one by one, then nobody loses an answer", []uint64{1, 2}, func(f *Fleet) {
+		f.slowly(time.Second, 800*time.Millisecond)
+		f.Size = func(string) (int, int) { return 30, 30 }
 		raised(f)
-		f.Visit(100)
+		f.Visit(30)
 		f.Pass(2 * time.Second)
 		for _, m := range f.Nodes {
 			f.Stop(m)
@@ -60,14 +77,48 @@
 			f.Pass(time.Second)
 		}
 		f.Away()
-		f.fares(0.99, 0, 0, nil)
+		f.fares(0.995, 0, 0, nil)
 		sound(f, Twice, Lost)
 	})
 
-	story("given load with slow upstreams, when machines are replaced in order, upstream first, then nobody loses an answer", []uint64{1, 2}, func(f *Fleet) {
-		for i := range f.Habits {
-			f.Habits[i].Base *= 20
+	story("given long answers in flight, when nodes are killed and raised, then nothing runs twice", []uint64{1, 2}, func(f *Fleet) {
+		f.slowly(300*time.Millisecond, 300*time.Millisecond)
+		f.Size = func(string) (int, int) { return 30, 30 }
+		raised(f)
+		f.Visit(60)
+		f.Pass(2 * time.Second)
+		for i := range 4 {
+			m := f.Nodes[(int(f.Seed)+2*i)%len(f.Nodes)]
+			f.Kill(m)
+			f.Pass(time.Second)
+			Expect(f.Raise(m)).To(Succeed())
+			f.Pass(time.Second)
 		}
+		f.Away()
+		f.fares(0.9, 0, 0, nil)
+		sound(f, Twice)
+	})
+
+	story("given visitors who leave early, when others come too, then nothing stays held for those that left", []uint64{1, 2}, func(f *Fleet) {
+		f.slowly(80*time.Millisecond, 40*time.Millisecond)
+		patient := f.Plan
+		for _, each := range patient {
+			each.Within = 50 * time.Millisecond
+			f.Plan = append(f.Plan, each)
+		}
+		raised(f)
+		f.Visit(100)
+		f.Pass(5 * time.Second)
+		f.Away()
+		f.Pass(time.Second)
+		for _, m := range f.Nodes {
+			Expect(m.Upstream.Running()).To(BeZero(), "%s: %s", f.Story, m.Name)
+		}
+		sound(f, Twice, Mixed)
+	})
+
+	story("given load with slow upstreams, when machines are replaced in order, upstream first, then nobody loses an answer", []uint64{1, 2}, func(f *Fleet) {
+		f.slowly(300*time.Millisecond, 200*time.Millisecond)
 		raised(f)
 		f.Visit(40)
 		f.Pass(2 * time.Second)
--- a/fleet/open/suite_test.go
+++ b/fleet/open/suite_test.go
@@ -53,7 +53,7 @@
 func habits() []Habit {
 	return []Habit{
 		{Prefix: "/search/", Base: 8 * time.Millisecond, Swing: 20 * time.Millisecond, Size: 700},
-		{Prefix: "/scans/", Base: 15 * time.Millisecond, Swing: 30 * time.Millisecond, Size: 150_000},
+		{Prefix: "/scans/", Base: 15 * time.Millisecond, Swing: 30 * time.Millisecond, Size: 150_000, Chunks: true},
 		{Prefix: "/lend/", Base: 10 * time.Millisecond, Swing: 20 * time.Millisecond, Size: 200, Calls: []string{"GET books.example /search/near"}},
 		{Prefix: "/browse/", Base: 5 * time.Millisecond, Swing: 10 * time.Millisecond, Size: 300, Calls: []string{"GET books.example /search/far", "GET books.example /search/off"}},
 		{Prefix: "/return/", Base: 10 * time.Millisecond, Swing: 30 * time.Millisecond, Size: 200},
@@ -95,7 +95,10 @@
 	for _, m := range f.Keels {
 		Expect(f.Raise(m)).To(Succeed())
 	}
-	outcome := f.Push(first(), 10*time.Second)
+	if f.First == nil {
+		f.First = first()
+	}
+	outcome := f.Push(f.First, 10*time.Second)
 	Expect(outcome).NotTo(BeNil(), f.Story)
 	Expect(outcome.Kind).To(BeEmpty(), f.Story)
 	for _, m := range f.Nodes {
--- a/fleet/open/talk.go
+++ b/fleet/open/talk.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -104,3 +106,17 @@
 	}
 	return append([]byte(fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(body))), body...)
 }
+
+const chunkSize = 9000
+
+func chunked(header []string, body []byte) []byte {
+	var out bytes.Buffer
+	_, _ = fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Join(header, "\r\n"))
+	for len(body) > 0 {
+		n := min(len(body), chunkSize)
+		_, _ = fmt.Fprintf(&out, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	_, _ = out.WriteString("0\r\n\r\n")
+	return out.Bytes()
+}
--- a/fleet/open/upstream.go
+++ b/fleet/open/upstream.go
@@ -31,6 +31,7 @@
 	Swing  time.Duration
 	Size   int
 	Calls  []string
+	Chunks bool
 }
 
 type Upstream struct {
@@ -297,7 +298,7 @@
 		row.Ended, row.Status = h.Now(), status
 		row.Broke = trouble.Fault == Silent || trouble.Fault == Reset || trouble.Fault == Torn || trouble.Fault == Garbled || trouble.Fault == Endless || trouble.Fault == Hangup
 	})
-	return u.tell(t, trouble, tagged, id, status, answer)
+	return u.tell(t, trouble, tagged, id, status, answer, u.habit(r.URL.Path).Chunks)
 }
 
 func (u *Upstream) work(gone context.Context, r *http.Request, id string, repeat bool, until time.Duration) (status int, answer []byte) {
@@ -338,7 +339,7 @@
 	return u.inner.ask(ask, nil, false, false)
 }
 
-func (u *Upstream) tell(t *talk, trouble Trouble, tagged []string, id string, status int, answer []byte) (keep bool) {
+func (u *Upstream) tell(t *talk, trouble Trouble, tagged []string, id string, status int, answer []byte, chunks bool) (keep bool) {
 	speech := ford.Plain
 	header := tagged
 	if status == http.StatusOK {
@@ -352,6 +353,9 @@
 		return false
 	}
 	whole := text(status, header, answer)
+	if chunks && status == http.StatusOK {
+		whole = chunked(header, answer)
+	}
 	later := func(bytes []byte) bool {
 		if t.say(whole) != nil {
 			return false
@@ -371,7 +375,7 @@
 		t.reset()
 		return false
 	case Torn:
-		_ = t.say(whole[:len(whole)-1-len(answer)/2])
+		_ = t.say(whole[:len(whole)-6-len(answer)/2])
 		return false
 	case Garbled:
 		_ = t.say([]byte(junkBytes))
@@ -379,7 +383,7 @@
 	case Unsealed:
 		return t.say(text(status, tagged, answer)) == nil
 	case Endless:
-		head, _, _ := bytes.Cut(whole, []byte("Content-Length"))
+		head, _, _ := bytes.Cut(text(status, header, answer), []byte("Content-Length"))
 		_ = t.say(append(append(head, "Connection: close\r\n\r\n"...), answer[:len(answer)/2]...))
 		return false
 	case Twin:
--- a/fleet/scale/report.go
+++ b/fleet/scale/report.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/pkg/errors"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -137,6 +139,35 @@
 	return r.Fits[at], true
 }
 
+func earlier(paths string) (*Report, error) {
+	r := &Report{}
+	for path := range strings.SplitSeq(paths, ",") {
+		body, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		one := &Report{}
+		if err := json.Unmarshal(body, one); err != nil {
+			return nil, errors.Wrap(err, path)
+		}
+		if r.Command != "" {
+			one.Command = r.Command + "\n" + one.Command
+			one.Took += r.Took
+			one.Began, one.Load = r.Began, r.Load
+		}
+		one.Results = append(r.Results, one.Results...)
+		r = one
+	}
+	slices.SortStableFunc(r.Results, func(a, b Result) int {
+		if a.Driver != b.Driver {
+			return 0
+		}
+		return cmp.Compare(a.X, b.X)
+	})
+	r.fits()
+	return r, nil
+}
+
 // Json writes the report whole.
 func (r *Report) Json(path string) error {
 	body, err := json.MarshalIndent(r, "", " ")
--- a/fleet/scale/scale.go
+++ b/fleet/scale/scale.go
@@ -80,6 +80,13 @@
 }
 
 func perform(settings *Settings, spawn Spawn, out, progress io.Writer) error {
+	if settings.From != "" {
+		r, err := earlier(settings.From)
+		if err != nil {
+			return err
+		}
+		return r.tell(settings, out)
+	}
 	if settings.Folder == "" {
 		folder, err := os.MkdirTemp("", "scale")
 		if err != nil {
@@ -92,6 +99,10 @@
 	if err != nil {
 		return err
 	}
+	return r.tell(settings, out)
+}
+
+func (r *Report) tell(settings *Settings, out io.Writer) error {
 	if settings.Report != "" {
 		if err := r.Json(settings.Report); err != nil {
 			return err
--- a/fleet/scale/scale_test.go
+++ b/fleet/scale/scale_test.go
@@ -118,5 +118,8 @@
 		drawn, err := os.ReadFile(filepath.Join(folder, "scale-routes.svg"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(drawn)).To(ContainSubstring("keel.memory"))
+		told.Reset()
+		Expect(Main([]string{"--from", filepath.Join(folder, "r.json")}, Inside, &told, io.Discard)).To(Equal(0))
+		Expect(told.String()).To(ContainSubstring("too slow"))
 	})
 })
--- a/fleet/scale/settings.go
+++ b/fleet/scale/settings.go
@@ -43,6 +43,7 @@
 	Seed      uint64 `arg:"--seed" default:"1"`
 	Folder    string `arg:"--folder" help:"disks and logs; a temporary one when left out"`
 	Report    string `arg:"--report" help:"the JSON report's file; stdout has the text"`
+	From      string `arg:"--from" help:"tell and draw earlier JSON reports, a list with commas, and measure nothing"`
 	Plots     string `arg:"--plots" help:"folder for an SVG of each driver's slopes"`
 	tempo     tempo
 }
--- a/flow/ford/far.go
+++ b/flow/ford/far.go
@@ -16,6 +16,8 @@
 	farHeld  = 64 << 10
 	bodyMost = 8 << 20
 	leftPad  = 5 * time.Millisecond
+
+	furtherRank = -1
 )
 
 type outcome struct {
@@ -27,6 +29,7 @@
 	answer  *answer
 	weight  *Weight
 	waited  time.Duration
+	further bool
 }
 
 func bounced(mishap *base.Mishap) outcome {
@@ -57,9 +60,17 @@
 		return bounced(mishap)
 	}
 	now := n.scope.Clock.Mono()
+	further := false
+	if caller := m.header.Get(n.speech.Caller); caller != "" {
+		if further = n.callers.Further(way.Route, caller, n.roster.Services()); further {
+			way.Rank, way.Patience = furtherRank, max(way.Patience, way.Stay)
+		}
+	}
 	leave, mishap := gate.Enter(ctx, Ask{Rank: way.Rank, AimBy: now + way.Aim, DieBy: now + way.Stay, Patience: way.Patience})
 	if mishap != nil {
-		return bounced(mishap)
+		o := bounced(mishap)
+		o.further = further
+		return o
 	}
 	waited := n.scope.Clock.Mono() - now
 	if berth, _, mishap = n.berthFor(way); mishap != nil {
@@ -122,7 +133,7 @@
 			a.status = http.StatusBadGateway
 		}
 	}
-	return outcome{state: state, arrived: true, answer: a, waited: waited}
+	return outcome{state: state, arrived: true, answer: a, waited: waited, further: further}
 }
 
 func (n *Node) gateWait(gate *Gate) time.Duration {
@@ -163,7 +174,7 @@
 	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
 	o := n.hand(ctx, way, m, attempt, until)
 	weight := n.weight()
-	weight.Waited = int(o.waited.Milliseconds())
+	weight.Waited, weight.Further = int(o.waited.Milliseconds()), o.further
 	w.Header()[weightHeader] = []string{weight.text()}
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -203,6 +214,7 @@
 	if to.node == n.params.Name {
 		o := n.hand(ctx, way, &mine, attempt, until)
 		weight := n.weight()
+		weight.Further = o.further
 		o.weight = &weight
 		return o
 	}
--- a/flow/ford/ford.go
+++ b/flow/ford/ford.go
@@ -47,6 +47,8 @@
 	dock        *Dock
 	purse       *Purse
 	usual       *Usual
+	callers     *Callers
+	further     base.Table[bool]
 	ties        *Ties
 	keeper      *lens.Keeper
 	sink        *lens.Sink
@@ -57,7 +59,7 @@
 	turns       atomic.Uint64
 	behind      base.Bell
 	mu          sync.Mutex
-	callers     map[string]*caller
+	keels       map[string]*caller
 	counts      base.Table[*atomic.Uint64]
 	doors       []*base.Door
 	cancel      context.CancelFunc
@@ -109,9 +111,9 @@
 		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
 		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: map[string]*caller{}, cancel: cancel,
+		usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
-	n.purse = NewPurse(p.RepeatRatio, p.RepeatSlack, n.roster.Size)
+	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
 	n.sink = lens.NewSink(s, n.web, p.Seeds, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
 	for _, each := range []struct {
--- a/flow/ford/hail.go
+++ b/flow/ford/hail.go
@@ -104,12 +104,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, address := range keels {
-		if n.callers[address] != nil || len(n.callers) >= keelsAsked {
+		if n.keels[address] != nil || len(n.keels) >= keelsAsked {
 			continue
 		}
 		s, stop := n.scope.Child()
 		c := &caller{address: address, client: wireconnect.NewMoorClient(n.web, "http://"+address), stop: stop}
-		n.callers[address] = c
+		n.keels[address] = c
 		n.crew.Go(func() { n.call(s, c) })
 	}
 }
@@ -117,7 +117,7 @@
 func (n *Node) rehail() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, c := range n.callers {
+	for _, c := range n.keels {
 		if c.cancel != nil {
 			c.cancel()
 		}
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -152,7 +152,9 @@
 		stay = min(stay, v.began+time.Duration(heldRatio*float64(v.left))-now)
 	}
 	patience = aim
-	if v.route.Raw.Rank <= topRank || v.part < lastPart {
+	if further, _ := v.node.further.Get(v.route.Name()); further {
+		patience = stay
+	} else if v.part < lastPart {
 		patience = max(aim, time.Duration(againRatio*float64(stay)))
 	}
 	return max(patience, 0), max(aim, 0), max(stay, 0)
@@ -206,6 +208,10 @@
 	go func() {
 		o := n.carry(v.ctx, to, way, v.m, v.attempt, v.until)
 		took := n.scope.Clock.Mono() - at.began
+		if known, _ := n.further.Get(v.route.Name()); o.weight != nil && o.weight.Further && !known {
+			n.further.Put(v.route.Name(), true)
+			n.scope.Note("further", v.route.Name(), "called by some services only")
+		}
 		took -= min(o.waited, took)
 		n.roster.End(to.node, o.weight, took, v.usual, o.state == Answered)
 		if o.kind == base.NoSeat || o.kind == base.Stopping {
--- a/flow/ford/purse.go
+++ b/flow/ford/purse.go
@@ -2,62 +2,83 @@
 
 import (
 	"sync"
+	"time"
+
+	"curlewreach/base"
 )
 
 const (
-	earned   = 0.4
+	earned   = 0.3
+	saved    = 0.2
 	slackCut = 0.4
 )
 
-// Purse pays for repeats, per service: each request earns a part of the fleet's ratio, the slack is divided among the nodes.
-type Purse struct {
-	ratio float64
-	slack float64
-	nodes func() int
-	mu    sync.Mutex
-	coins map[string]float64
+type coins struct {
+	held   float64
+	counts [2]float64
+	turn   int64
 }
 
-// NewPurse starts each service with half of this node's part.
-func NewPurse(ratio, slack float64, nodes func() int) *Purse {
-	return &Purse{ratio: ratio, slack: slack, nodes: nodes, coins: map[string]float64{}}
+// Purse pays for repeats, per service: each request earns a part of the fleet's ratio; the slack is divided among the nodes, and a part of what the last window earned may be saved.
+type Purse struct {
+	clock  base.Clock
+	ratio  float64
+	slack  float64
+	window time.Duration
+	nodes  func() int
+	mu     sync.Mutex
+	purses map[string]*coins
 }
 
-func (p *Purse) most() float64 { return max(p.slack*slackCut/float64(p.nodes()), 1) }
+// NewPurse starts each service with half of this node's part of the slack.
+func NewPurse(clock base.Clock, ratio, slack float64, window time.Duration, nodes func() int) *Purse {
+	return &Purse{clock: clock, ratio: ratio, slack: slack, window: max(window, time.Second), nodes: nodes, purses: map[string]*coins{}}
+}
 
-func (p *Purse) held(service string, most float64) float64 {
-	coins, known := p.coins[service]
-	if !known {
-		coins = most / 2
+func (p *Purse) at(service string) (c *coins, most float64) {
+	part := p.slack * slackCut / float64(p.nodes())
+	c = p.purses[service]
+	if c == nil {
+		c = &coins{held: max(part, 1) / 2}
+		p.purses[service] = c
+	}
+	turn := int64(p.clock.Mono() / p.window)
+	switch turn - c.turn {
+	case 0:
+	case 1:
+		c.counts = [2]float64{0, c.counts[0]}
+	default:
+		c.counts = [2]float64{}
 	}
-	return coins
+	c.turn = turn
+	return c, max(part, 1) + p.ratio*saved*c.counts[1]
 }
 
 // Earn counts a first request.
 func (p *Purse) Earn(service string) {
-	most := p.most()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.coins[service] = min(p.held(service, most)+p.ratio*earned, most)
+	c, most := p.at(service)
+	c.counts[0]++
+	c.held = min(c.held+p.ratio*earned, most)
 }
 
 // Spend takes one repeat, if there is one.
 func (p *Purse) Spend(service string) bool {
-	most := p.most()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	coins := p.held(service, most)
-	if coins < 1 {
+	c, _ := p.at(service)
+	if c.held < 1 {
 		return false
 	}
-	p.coins[service] = coins - 1
+	c.held--
 	return true
 }
 
 // Refund gives a repeat back that never arrived.
 func (p *Purse) Refund(service string) {
-	most := p.most()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.coins[service] = min(p.held(service, most)+1, most)
+	c, most := p.at(service)
+	c.held = min(c.held+1, most)
 }
--- a/flow/ford/roster.go
+++ b/flow/ford/roster.go
@@ -142,6 +142,19 @@
 	return max(count, 1)
 }
 
+// Services counts the services that have an upstream.
+func (r *Roster) Services() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[string]bool{}
+	for _, at := range r.places {
+		if at.post.GetService() != "" {
+			seen[at.post.Service] = true
+		}
+	}
+	return len(seen)
+}
+
 // Sweep forgets mates that every fresh keel has forgotten.
 func (r *Roster) Sweep(after time.Duration) {
 	r.mu.Lock()
@@ -193,7 +206,7 @@
 }
 
 const (
-	farZone    = 0.6
+	farZone    = 0.8
 	filling    = 0.35
 	jitter     = 0.1
 	warmFactor = 2
--- a/flow/ford/way.go
+++ b/flow/ford/way.go
@@ -102,6 +102,7 @@
 	Waited  int
 	Serial  uint64
 	Leaving bool
+	Further bool
 }
 
 func (w Weight) text() string {
@@ -109,12 +110,12 @@
 	for _, n := range []int{w.Flying, w.Waiting, w.Limit, w.HoldMs, w.TopMs, w.RestMs, w.Waited} {
 		words = append(words, strconv.Itoa(n))
 	}
-	return strings.Join(append(words, strconv.FormatUint(w.Serial, 10), flag(w.Leaving)), ",")
+	return strings.Join(append(words, strconv.FormatUint(w.Serial, 10), flag(w.Leaving)+flag(w.Further)), ",")
 }
 
 func readWeight(text string) (w Weight, ok bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != 9 {
+	if len(parts) != 9 || len(parts[8]) != 2 {
 		return w, false
 	}
 	for i, at := range []*int{&w.Flying, &w.Waiting, &w.Limit, &w.HoldMs, &w.TopMs, &w.RestMs, &w.Waited} {
@@ -125,6 +126,6 @@
 		*at = n
 	}
 	serial, err := strconv.ParseUint(parts[7], 10, 64)
-	w.Serial, w.Leaving = serial, parts[8] == "1"
+	w.Serial, w.Leaving, w.Further = serial, parts[8][0] == '1', parts[8][1] == '1'
 	return w, err == nil
 }
