--- a/flow/ford/far.go
+++ b/flow/ford/far.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	farHeld  = 64 << 10
+	farHeld  = 1 << 20
 	bodyMost = 8 << 20
 	leftPad  = 5 * time.Millisecond
+
+	headGuess    = 300
+	leastBacklog = 100 * time.Millisecond
 )
 
 type outcome struct {
@@ -170,7 +173,14 @@
 	ctx, cancel := context.WithTimeout(r.Context(), until-began)
 	defer cancel()
 	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
-	o := n.hand(ctx, way, m, attempt, until)
+	var o outcome
+	settle := func(int64) {}
+	if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
+		o = bounced(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
+	} else {
+		settle = n.spout.Owe(way.Route)
+		o = n.hand(ctx, way, m, attempt, until)
+	}
 	weight := n.weight()
 	weight.Waited, weight.Further = int(o.waited.Milliseconds()), o.further
 	w.Header()[weightHeader] = []string{weight.text()}
@@ -178,9 +188,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	if o.answer != nil {
+		n.spout.Pass(ctx, int64(len(o.answer.body))+headGuess)
 		relay(w, o.answer)
+		settle(int64(len(o.answer.body)))
 		return
 	}
+	settle(0)
 	w.Header()[n.speech.Attempt] = []string{attempt}
 	w.Header()[outcomeHeader] = []string{o.text()}
 	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
--- a/flow/ford/ford.go
+++ b/flow/ford/ford.go
@@ -46,6 +46,7 @@
 	roster      *Roster
 	dock        *Dock
 	purse       *Purse
+	spout       *Spout
 	usual       *Usual
 	callers     *Callers
 	further     base.Table[bool]
@@ -111,7 +112,7 @@
 		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
 		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
+		spout: NewSpout(s.Clock, p.LinkMbps), usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -170,6 +170,7 @@
 			continue
 		}
 		if o.free {
+			_, way.Aim, way.Stay = v.allow()
 			return o, way, nil
 		}
 		break
--- a/flow/ford/roster.go
+++ b/flow/ford/roster.go
@@ -17,6 +17,7 @@
 	longestAvoid  = 2 * time.Second
 	speedMemory   = 0.15
 	weightFades   = 400 * time.Millisecond
+	sizeEvery     = 250 * time.Millisecond
 )
 
 type sight struct {
@@ -48,6 +49,9 @@
 	mu     sync.Mutex
 	places map[string]*Place
 	keels  map[string]time.Duration
+	index  map[string][]string
+	size   int
+	sized  time.Duration
 }
 
 // NewRoster believes a keel's word on who is absent for as long as fresh after it last spoke.
@@ -84,6 +88,9 @@
 				at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.reached = Weight{}, 0, 0, 0, "", 0
 				at.speed = 1
 			}
+			if at.post.GetBerth().GetService() != post.GetBerth().GetService() {
+				r.index = nil
+			}
 			at.post = post
 		}
 		at.heard = max(at.heard, heard)
@@ -120,6 +127,9 @@
 	if at.post.GetBerth().GetId() != post.GetBerth().GetId() {
 		at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.speed = Weight{}, 0, 0, 0, "", 1
 	}
+	if at.post.GetBerth().GetService() != post.GetBerth().GetService() {
+		r.index = nil
+	}
 	at.post, at.heard = post, r.clock.Mono()
 }
 
@@ -134,26 +144,22 @@
 func (r *Roster) Size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count := 0
-	for _, at := range r.places {
-		if !r.absent(at) {
-			count++
+	if now := r.clock.Mono(); r.sized == 0 || now-r.sized > sizeEvery {
+		r.size, r.sized = 0, now
+		for _, at := range r.places {
+			if !r.absent(at) {
+				r.size++
+			}
 		}
 	}
-	return max(count, 1)
+	return max(r.size, 1)
 }
 
 // Services counts the services that have an upstream.
 func (r *Roster) Services() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	seen := map[string]bool{}
-	for _, at := range r.places {
-		if at.post.GetService() != "" {
-			seen[at.post.Service] = true
-		}
-	}
-	return len(seen)
+	return len(r.indexed())
 }
 
 // Sweep forgets mates that every fresh keel has forgotten.
@@ -163,6 +169,7 @@
 	for name, at := range r.places {
 		if at.flying == 0 && r.clock.Mono()-at.heard > after && r.absent(at) {
 			delete(r.places, name)
+			r.index = nil
 		}
 	}
 }
@@ -179,9 +186,21 @@
 	avoided bool
 }
 
+func (r *Roster) indexed() map[string][]string {
+	if r.index == nil {
+		r.index = map[string][]string{}
+		for _, name := range slices.Sorted(maps.Keys(r.places)) {
+			if berth := r.places[name].post.GetBerth(); berth != nil {
+				r.index[berth.Service] = append(r.index[berth.Service], name)
+			}
+		}
+	}
+	return r.index
+}
+
 func (r *Roster) serving(service string) iter.Seq2[string, *Place] {
 	return func(yield func(string, *Place) bool) {
-		for _, name := range slices.Sorted(maps.Keys(r.places)) {
+		for _, name := range r.indexed()[service] {
 			at := r.places[name]
 			berth := at.post.GetBerth()
 			if berth == nil || berth.Service != service || berth.Leaving || at.post.Stopping || at.barred == berth.Id || r.absent(at) {
--- /dev/null
+++ b/flow/ford/spout.go
@@ -0,0 +1,98 @@
+package ford
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"curlewreach/base"
+)
+
+const (
+	spoutRatio = 0.8
+	spoutBurst = 20 * time.Millisecond
+	smallBytes = 16 << 10
+	sizeMemory = 0.05
+)
+
+// Spout paces what leaves by this machine's link: small answers at once, large ones one after the other, so that neither they nor news wait behind a full link.
+type Spout struct {
+	clock base.Clock
+	rate  float64
+	mu    sync.Mutex
+	free  time.Duration
+	owed  float64
+	sizes map[string]float64
+}
+
+// NewSpout paces to a part of the link's megabits a second; zero paces nothing.
+func NewSpout(clock base.Clock, mbps float64) *Spout {
+	return &Spout{clock: clock, rate: mbps * spoutRatio * 1e6 / 8, sizes: map[string]float64{}}
+}
+
+func (p *Spout) spell(bytes float64) time.Duration {
+	return time.Duration(bytes / p.rate * float64(time.Second))
+}
+
+// Backlog is how long an answer begun now would wait.
+func (p *Spout) Backlog() time.Duration {
+	if p.rate <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.free-p.clock.Mono(), 0) + p.spell(p.owed)
+}
+
+// Owe expects an answer of a route's usual size, until settled.
+func (p *Spout) Owe(route string) (settle func(size int64)) {
+	if p.rate <= 0 {
+		return func(int64) {}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	expected := p.sizes[route]
+	p.owed += expected
+	var once sync.Once
+	return func(size int64) {
+		once.Do(func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.owed = max(p.owed-expected, 0)
+			if size > 0 {
+				p.sizes[route] += sizeMemory * (float64(size) - p.sizes[route])
+				if expected == 0 {
+					p.sizes[route] = float64(size)
+				}
+			}
+		})
+	}
+}
+
+// Large tells whether a route's answers are usually paced.
+func (p *Spout) Large(route string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rate > 0 && p.sizes[route] > smallBytes
+}
+
+// Pass takes a place for so many bytes and waits for its turn.
+func (p *Spout) Pass(ctx context.Context, bytes int64) {
+	if p.rate <= 0 {
+		return
+	}
+	p.mu.Lock()
+	now := p.clock.Mono()
+	p.free = max(p.free, now-spoutBurst) + p.spell(float64(bytes))
+	wait := p.free - p.spell(float64(bytes)) - now
+	p.mu.Unlock()
+	if bytes <= smallBytes || wait <= 0 {
+		return
+	}
+	wakeup := time.NewTimer(wait)
+	defer wakeup.Stop()
+	select {
+	case <-wakeup.C:
+	case <-ctx.Done():
+	}
+}
--- a/helm/moor/join.go
+++ b/helm/moor/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io/fs"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,10 +19,11 @@
 )
 
 const (
-	matesFile   = "mates"
-	valuesKept  = 4
-	spansEachMb = 20
-	spansMost   = 50000
+	matesFile    = "mates"
+	foundingFile = "founding"
+	valuesKept   = 4
+	spansEachMb  = 20
+	spansMost    = 50000
 )
 
 func (m *Moor) join(s base.Scope) *core {
@@ -82,15 +84,54 @@
 	if err == nil && slices.Contains(list.Keels, m.self) {
 		return list.Keels, true, nil
 	}
-	if p.Founding {
-		mates = append(others(p), m.self)
-		slices.Sort(mates)
-		return mates, true, save(s, mates)
+	founding := p.Founding
+	if _, err := s.Disk.Read(foundingFile); err == nil {
+		founding = true
+	} else if founding {
+		if err := base.Keep(s.Disk, foundingFile, []byte(m.self)); err != nil {
+			return nil, false, errors.Wrap(err, "founding")
+		}
+	}
+	m.founding.Store(founding)
+	if founding {
+		mates, err = m.found(s, p)
+		return mates, true, err
 	}
 	mates, err = m.ask(s, p)
 	return mates, false, err
 }
 
+// found settles who votes, once, at the first start of all: the first of the seeds lists every keel that asks it within a part of the ack bound, and waits for all seeds.
+func (m *Moor) found(s base.Scope, p *wire.MoorParams) ([]string, error) {
+	seeds := others(p)
+	if isSeed(p) {
+		seeds = append(seeds, m.self)
+		slices.Sort(seeds)
+	}
+	if len(seeds) == 0 || seeds[0] == m.self {
+		m.joiners.Put(m.self, true)
+		base.Await(s, part(p.Ack, foundRatio))
+		listed := m.joiners.Snapshot()
+		for _, seed := range seeds {
+			if !listed[seed] {
+				return nil, errors.Errorf("seed %s has not joined yet", seed)
+			}
+		}
+		mates := slices.Sorted(maps.Keys(listed))
+		return mates, save(s, mates)
+	}
+	bounded, cancel := s.Within(part(p.Ack, 2*roundRatio))
+	defer cancel()
+	reply, err := wireconnect.NewMoorClient(m.web, "http://"+seeds[0]).Keels(bounded, connect.NewRequest(&wire.KeelsRequest{Joining: m.self}))
+	if err != nil {
+		return nil, errors.Wrap(err, "the founding seed")
+	}
+	if !slices.Contains(reply.Msg.Keels, m.self) {
+		return nil, errors.New("the founding seed has listed others only")
+	}
+	return reply.Msg.Keels, save(s, reply.Msg.Keels)
+}
+
 func save(s base.Scope, mates []string) error {
 	raw, err := base.Frame(&wire.KeelsReply{Keels: mates})
 	if err != nil {
@@ -146,9 +187,13 @@
 	}
 }
 
-func (v server) Keels(context.Context, *connect.Request[wire.KeelsRequest]) (*connect.Response[wire.KeelsReply], error) {
+func (v server) Keels(_ context.Context, request *connect.Request[wire.KeelsRequest]) (*connect.Response[wire.KeelsReply], error) {
 	c := v.moor.core.Load()
-	if c == nil || !c.trove.Ready() {
+	joining := request.Msg.Joining
+	if c == nil && joining != "" && v.moor.founding.Load() {
+		v.moor.joiners.Put(joining, true)
+	}
+	if c == nil || joining == "" && !c.trove.Ready() {
 		return nil, base.Bounce(base.Amnesiac, "", "this keel is not founded")
 	}
 	return connect.NewResponse(&wire.KeelsReply{Keels: c.mates}), nil
--- a/helm/moor/moor.go
+++ b/helm/moor/moor.go
@@ -32,6 +32,7 @@
 	stepRatio    = 0.05  // of the in-force bound
 	handRatio    = 0.3   // of the grace
 	stopRatio    = 0.9   // of the grace
+	foundRatio   = 0.25  // of the ack bound
 	absentTicks  = 8
 	largestSpeak = 32 << 20
 )
@@ -54,6 +55,8 @@
 	agreed      atomic.Int64
 	reached     atomic.Int64
 	stopping    atomic.Bool
+	joiners     base.Table[bool]
+	founding    atomic.Bool
 }
 
 // Start opens the doors of a keel; it joins its mates in the background.
--- a/helm/moor/params.go
+++ b/helm/moor/params.go
@@ -72,3 +72,11 @@
 func part(d *durationpb.Duration, ratio float64) time.Duration {
 	return time.Duration(float64(d.AsDuration()) * ratio)
 }
+
+func isSeed(p *wire.MoorParams) bool {
+	own, _, _ := net.SplitHostPort(p.Mates)
+	return slices.ContainsFunc(p.Seeds, func(seed string) bool {
+		host, _, _ := net.SplitHostPort(seed)
+		return host == own
+	})
+}
