--- a/flow/ford/hail.go
+++ b/flow/ford/hail.go
@@ -16,6 +16,7 @@
 	hailWait   = 600 * time.Millisecond
 	hailSlack  = 500 * time.Millisecond
 	hailPause  = 150 * time.Millisecond
+	fetchPause = 80 * time.Millisecond
 	keelsAsked = 3
 	youth      = 1500 * time.Millisecond
 	freshSlack = 4 * hailWait
@@ -26,6 +27,7 @@
 	client  wireconnect.MoorClient
 	keel    string
 	roster  uint64
+	wants   bool
 	cancel  context.CancelFunc
 	stop    context.CancelFunc
 }
@@ -65,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(s, wait+hailSlack)
 	defer cancel()
 	n.mu.Lock()
-	c.cancel = cancel
+	c.cancel, c.wants = cancel, wants
 	n.mu.Unlock()
 	_, _, sent := n.dock.Now()
 	told := sent + n.turns.Load()
@@ -95,10 +97,28 @@
 func (n *Node) call(s base.Scope, c *caller) {
 	wants := n.table.Load() == nil
 	for s.Err() == nil {
-		wants = n.hail(s, c, wants) || n.table.Load() == nil && n.scope.Clock.Mono()-n.born < youth
+		wants = n.hail(s, c, wants) && n.fetches(s, c) || n.table.Load() == nil && n.scope.Clock.Mono()-n.born < youth
 	}
 }
 
+// fetches tells whether this caller is to fetch the newer chart; while another does, it gives that one a moment.
+func (n *Node) fetches(s base.Scope, c *caller) bool {
+	n.mu.Lock()
+	serial, busy := n.serial(), false
+	for _, other := range n.keels {
+		busy = busy || other != c && other.wants
+	}
+	if !busy {
+		c.wants = true
+	}
+	n.mu.Unlock()
+	if !busy {
+		return true
+	}
+	base.Await(s, fetchPause)
+	return n.serial() == serial
+}
+
 // enlist keeps a hail open to up to three keels, the ones told of first.
 func (n *Node) enlist(keels []string) {
 	n.mu.Lock()
@@ -118,7 +138,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.keels {
-		if c.cancel != nil {
+		if c.cancel != nil && !c.wants {
 			c.cancel()
 		}
 	}
--- a/helm/moor/suite_test.go
+++ b/helm/moor/suite_test.go
@@ -155,7 +155,7 @@
 }
 
 func (f *fleet) propose(i int, p *wire.ChartProposal) (*wire.ChartOutcome, error) {
-	m := f.keels[i].moor
+	m := f.keel(i)
 	if m == nil {
 		return nil, base.Bounce(base.Unreachable, "", "down")
 	}
