--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -86,7 +86,7 @@
 	Tune     func(*wire.FordParams)
 	First    *wire.Chart
 	Story    string
-	zones    map[string]string
+	zones    base.Table[string]
 	seeds    []string
 	born     time.Time
 	chart    *wire.Chart
@@ -98,12 +98,12 @@
 }
 
 func New(seed uint64, keels int, services map[string]int) *Fleet {
-	f := &Fleet{Seed: seed, born: time.Now(), zones: map[string]string{}}
+	f := &Fleet{Seed: seed, born: time.Now()}
 	f.World = rig.NewWorld(f.rand("world"), func(from, to string) time.Duration {
 		switch {
 		case from == to:
 			return nearby
-		case f.zones[from] == f.zones[to]:
+		case f.zone(from) == f.zone(to):
 			return sameZone
 		}
 		return crossZone
@@ -142,11 +142,18 @@
 }
 
 func (f *Fleet) machine(name, ip string, i int) *Machine {
-	zone := string(rune('a' + i%3))
-	f.zones[ip] = zone
+	if f.zone(ip) == "" {
+		f.zones.Put(ip, string(rune('a'+i%3)))
+	}
+	zone := f.zone(ip)
 	return &Machine{Name: name, Zone: zone, IP: ip, Disk: rig.NewDisk(f.rand("disk " + name)), Clock: rig.NewClock(f.born), Journal: base.NewJournal(journalBound)}
 }
 
+func (f *Fleet) zone(ip string) string {
+	zone, _ := f.zones.Get(ip)
+	return zone
+}
+
 func (f *Fleet) rand(name string) *base.Rand {
 	hash := fnv.New64a()
 	_, _ = fmt.Fprintf(hash, "%d %s", f.Seed, name)
--- a/helm/moor/join.go
+++ b/helm/moor/join.go
@@ -84,30 +84,42 @@
 	if err == nil && slices.Contains(list.Keels, m.self) {
 		return list.Keels, true, nil
 	}
-	founding := p.Founding
-	if _, err := s.Disk.Read(foundingFile); err == nil {
-		founding = true
-	} else if founding {
-		if err := base.Keep(s.Disk, foundingFile, []byte(m.self)); err != nil {
-			return nil, false, errors.Wrap(err, "founding")
-		}
+	seeds, founding, err := m.foundingSeeds(s, p)
+	if err != nil {
+		return nil, false, err
 	}
 	m.founding.Store(founding)
 	if founding {
-		mates, err = m.found(s, p)
+		mates, err = m.found(s, p, seeds)
 		return mates, true, err
 	}
 	mates, err = m.ask(s, p)
 	return mates, false, err
 }
 
-// found settles who votes, once, at the first start of all: the first of the seeds lists every keel that asks it within a part of the ack bound, and waits for all seeds.
-func (m *Moor) found(s base.Scope, p *wire.MoorParams) ([]string, error) {
-	seeds := others(p)
+// foundingSeeds are those of the first start, whatever the settings say later; a wiped disk has none.
+func (m *Moor) foundingSeeds(s base.Scope, p *wire.MoorParams) (seeds []string, founding bool, err error) {
+	list := &wire.KeelsReply{}
+	if raw, err := s.Disk.Read(foundingFile); err == nil && base.Unframe(raw, list) == nil {
+		return list.Keels, true, nil
+	}
+	if !p.Founding {
+		return nil, false, nil
+	}
+	seeds = others(p)
 	if isSeed(p) {
 		seeds = append(seeds, m.self)
 		slices.Sort(seeds)
 	}
+	raw, err := base.Frame(&wire.KeelsReply{Keels: seeds})
+	if err == nil {
+		err = base.Keep(s.Disk, foundingFile, raw)
+	}
+	return seeds, true, errors.Wrap(err, "founding")
+}
+
+// found settles who votes, once, at the first start of all: the first of the seeds lists every keel that asks it within a part of the ack bound, and waits for all seeds.
+func (m *Moor) found(s base.Scope, p *wire.MoorParams, seeds []string) ([]string, error) {
 	if len(seeds) == 0 || seeds[0] == m.self {
 		m.joiners.Put(m.self, true)
 		base.Await(s, part(p.Ack, foundRatio))
@@ -126,10 +138,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "the founding seed")
 	}
-	if !slices.Contains(reply.Msg.Keels, m.self) {
-		return nil, errors.New("the founding seed has listed others only")
+	mates := withSelf(reply.Msg.Keels, m.self)
+	return mates, save(s, mates)
+}
+
+// A keel that isn't listed counts itself too: its majorities of one more meet all of theirs.
+func withSelf(mates []string, self string) []string {
+	if !slices.Contains(mates, self) {
+		mates = append(slices.Clone(mates), self)
+		slices.Sort(mates)
 	}
-	return reply.Msg.Keels, save(s, reply.Msg.Keels)
+	return mates
 }
 
 func save(s base.Scope, mates []string) error {
@@ -162,12 +181,7 @@
 	if found == nil {
 		return nil, errors.New("no founded keel answered")
 	}
-	if !slices.Contains(found, m.self) {
-		// Its majorities of one more meet all of theirs.
-		found = append(found, m.self)
-		slices.Sort(found)
-	}
-	return found, nil
+	return withSelf(found, m.self), nil
 }
 
 func (m *Moor) recover(s base.Scope, c *core) {
