--- a/base/journal.go
+++ b/base/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,3 +87,17 @@
 		}
 	}
 }
+
+// Last gives the newest events about a subject, or all if that is empty, the oldest first.
+func (j *Journal) Last(subject string, most int) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var kept []Event
+	for i := j.events.Len() - 1; i >= 0 && len(kept) < most; i-- {
+		if event := j.events.At(i); subject == "" || event.Subject == subject {
+			kept = append(kept, event)
+		}
+	}
+	slices.Reverse(kept)
+	return kept
+}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -36,7 +36,7 @@
 func (args) Version() string { return "drill " + base.Version }
 
 func (args) Description() string {
-	return "runs a whole fleet on this machine; a test tool, so it starts processes; 'drill scale' measures how control grows"
+	return "runs a whole fleet on this machine; a test tool, so it starts processes; 'drill scale' measures how control grows, 'drill open' runs an open fleet"
 }
 
 func main() {
@@ -46,6 +46,12 @@
 			os.Exit(scale.Main(os.Args[2:], scale.Processes(childWord), os.Stdout, os.Stderr))
 		case childWord:
 			os.Exit(scale.ChildMain())
+		case openWord:
+			end(openMain(os.Args[2:]))
+		case openKeel:
+			end(openKeelMain(os.Args[2]))
+		case openNode:
+			end(openNodeMain(os.Args[2]))
 		}
 	}
 	var a args
@@ -58,10 +64,15 @@
 		fmt.Fprintln(os.Stderr, "drill: --trouble is one of", troubleNames())
 		os.Exit(2)
 	}
-	if err := run(a); err != nil {
+	end(run(a))
+}
+
+func end(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "drill:", err)
 		os.Exit(1)
 	}
+	os.Exit(0)
 }
 
 func run(a args) error {
--- /dev/null
+++ b/cmd/drill/open.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/flow/ford"
+	"curlewreach/helm/moor"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+const (
+	openWord   = "open"
+	openKeel   = "open-keel"
+	openNode   = "open-node"
+	openKeels  = 3
+	openSlots  = 8
+	openBeat   = 500 * time.Millisecond
+	openLeft   = 2 * time.Second
+	openSlow   = 20 * time.Millisecond
+	openMates  = 7380
+	openEnding = 8 * time.Second
+)
+
+type openArgs struct {
+	Nodes  int     `arg:"--nodes" default:"5" help:"application machines; each second one serves loans, the others books"`
+	Rate   float64 `arg:"--rate" default:"50" help:"requests a second over the whole fleet"`
+	Folder string  `arg:"--folder" help:"where params, data and logs go; a temporary one when left out"`
+	Log    string  `arg:"--log" default:"info" help:"log level of the fleet's processes"`
+}
+
+func (openArgs) Description() string {
+	return "runs an open fleet on this machine, a process a keel and a node, each node with a stand-in upstream, until a signal"
+}
+
+type openFleet struct {
+	openArgs
+	keels    []string
+	outward  []string
+	children []*exec.Cmd
+}
+
+func openMain(words []string) error {
+	f := &openFleet{}
+	parser, err := arg.NewParser(arg.Config{Program: "drill open"}, &f.openArgs)
+	if err != nil {
+		return err
+	}
+	parser.MustParse(words)
+	if f.Folder == "" {
+		if f.Folder, err = os.MkdirTemp("", "drill"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(f.Folder)
+	}
+	defer f.fell()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := f.raise(); err != nil {
+		return err
+	}
+	if err := f.propose(ctx); err != nil {
+		return err
+	}
+	go f.visit(ctx)
+	fmt.Printf("export CURLEW_KEELS=%s\n", strings.Join(f.keels, ","))
+	for _, child := range f.children {
+		fmt.Printf("%-8s pid %d\n", strings.TrimSuffix(filepath.Base(child.Args[2]), ".json"), child.Process.Pid)
+	}
+	fmt.Printf("visitors %s, logs in %s\n", f.outward[0], f.Folder)
+	base.Signals(func() {}, func() {})
+	return nil
+}
+
+func (f *openFleet) raise() error {
+	for i := range openKeels {
+		f.keels = append(f.keels, fmt.Sprintf("127.0.2.%d:%d", i+1, openMates))
+	}
+	for i, address := range f.keels {
+		name := fmt.Sprintf("core-%d", i+1)
+		if err := f.start(openKeel, name, &wire.MoorParams{
+			Name: name, Zone: fmt.Sprintf("z%d", i+1), Mates: address, Operators: fmt.Sprintf("127.0.2.%d:7005", i+1), Seeds: f.keels,
+			Founding: true, Folder: filepath.Join(f.Folder, name), Log: f.Log,
+		}); err != nil {
+			return err
+		}
+	}
+	for i := range f.Nodes {
+		name, service := fmt.Sprintf("app-%d", i+1), []string{"books", "loans"}[i%2]
+		at := func(port int) string { return fmt.Sprintf("127.0.3.%d:%d", i+1, port) }
+		f.outward = append(f.outward, at(7001))
+		if err := f.start(openNode, name, &wire.FordParams{
+			Name: name, Zone: fmt.Sprintf("z%d", i%openKeels+1), Service: service, Upstream: at(8080), Outward: at(7001), Inward: at(7002), Ready: at(7003), Control: at(7004), Mates: at(openMates),
+			Seeds: f.keels, Beat: durationpb.New(openBeat), Leaving: durationpb.New(2 * time.Second), InForce: durationpb.New(2 * time.Second), Grace: durationpb.New(6 * time.Second),
+			RepeatWindow: durationpb.New(10 * time.Second), RepeatSlack: 20, Log: f.Log,
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *openFleet) start(word, name string, params proto.Message) error {
+	body, err := protojson.MarshalOptions{Multiline: true}.Marshal(params)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.Folder, name+".json")
+	if err := os.WriteFile(file, body, 0o644); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(f.Folder, name+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	child := exec.Command(own, word, file)
+	child.Stdout, child.Stderr = log, log
+	child.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGTERM}
+	if err := child.Start(); err != nil {
+		return err
+	}
+	f.children = append(f.children, child)
+	return nil
+}
+
+func (f *openFleet) fell() {
+	for _, child := range f.children {
+		_ = child.Process.Signal(syscall.SIGTERM)
+	}
+	for _, child := range f.children {
+		late := time.AfterFunc(openEnding, func() { _ = child.Process.Kill() })
+		_ = child.Wait()
+		late.Stop()
+	}
+}
+
+func (f *openFleet) propose(ctx context.Context) error {
+	route := func(name, service string, repeat wire.Repeat, rank uint32) *wire.ChartRoute {
+		return &wire.ChartRoute{Name: name, Host: "open.example", Prefix: "/" + name + "/", Repeat: repeat, CutoffMs: 2000, AimMs: 500, Rank: rank, Tries: 2, Service: &service}
+	}
+	chart := &wire.Chart{
+		Serial: 1, Limits: &wire.ChartLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderMs: 3000, IdleMs: 15000},
+		Routes: []*wire.ChartRoute{route("search", "books", wire.Repeat_REPEATABLE, 2), route("lend", "loans", wire.Repeat_ONCE, 0)},
+	}
+	for _, name := range []string{"books", "loans"} {
+		chart.Services = append(chart.Services, &wire.ChartService{Name: name, Probe: "/health", ConnLimit: 100, Protocol: "h1"})
+	}
+	keel := wireconnect.NewMoorClient(http.DefaultClient, "http://"+f.keels[0])
+	for begun := time.Now(); ; time.Sleep(100 * time.Millisecond) {
+		bounded, cancel := context.WithTimeout(ctx, 4*time.Second)
+		outcome, err := keel.Propose(bounded, connect.NewRequest(&wire.ChartProposal{Chart: chart}))
+		cancel()
+		switch {
+		case err == nil && outcome.Msg.Kind != "":
+			return errors.Errorf("the chart was bounced: %s", strings.Join(outcome.Msg.Reasons, "; "))
+		case err == nil:
+			return nil
+		case time.Since(begun) > raising:
+			return errors.Wrap(err, "gave up waiting for the first chart")
+		}
+	}
+}
+
+func (f *openFleet) visit(ctx context.Context) {
+	if f.Rate <= 0 {
+		return
+	}
+	web := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(float64(time.Second) / f.Rate))
+		go func() {
+			path := []string{"search", "search", "lend"}[i%3]
+			ask, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.outward[i%len(f.outward)]+"/"+path+"/x", nil)
+			if err != nil {
+				return
+			}
+			ask.Host = "open.example"
+			ask.Header.Set(ford.Plain.Attempt, fmt.Sprintf("visit-%d", i))
+			ask.Header.Set(ford.Plain.Left, fmt.Sprint(openLeft.Milliseconds()))
+			if answer, err := web.Do(ask); err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			}
+		}()
+	}
+}
+
+func nobody[T any](T) http.Handler { return http.NotFoundHandler() }
+
+func openKeelMain(file string) error {
+	p := &wire.MoorParams{}
+	if err := base.LoadParams(file, p); err != nil {
+		return err
+	}
+	s, err := base.NewScope("drill", p.Name, p.Folder, p.Log)
+	if err != nil {
+		return err
+	}
+	m, err := moor.Start(s, p, nobody[*moor.Moor])
+	if err != nil {
+		return err
+	}
+	base.Signals(m.Stop, func() {})
+	return nil
+}
+
+func openNodeMain(file string) error {
+	p := &wire.FordParams{}
+	if err := base.LoadParams(file, p); err != nil {
+		return err
+	}
+	s, err := base.NewScope("drill", p.Name, "", p.Log)
+	if err != nil {
+		return err
+	}
+	n, err := ford.Start(s, p, ford.Plain, nobody[*ford.Node])
+	if err != nil {
+		return err
+	}
+	berth := &wire.Berth{Id: p.Name + "-" + s.Rand.Name(3), Service: p.Service, Address: p.Upstream, Zone: p.Zone, Capacity: openSlots}
+	door, err := base.Open(s, p.Upstream, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(rand.N(openSlow))
+		w.Header().Set(ford.Plain.Attempt, r.Header.Get(ford.Plain.Attempt))
+		w.Header().Set(ford.Plain.Seal, "drill")
+		_, _ = fmt.Fprintln(w, berth.Id)
+	}))
+	if err != nil {
+		return err
+	}
+	defer door.Slam()
+	go base.Tick(s, openBeat, func(base.Scope) { _ = n.Beat(berth) })
+	base.Signals(n.Stop, func() {})
+	return nil
+}
--- a/cmd/quiz/main.go
+++ b/cmd/quiz/main.go
@@ -106,6 +106,7 @@
 	Watch    *watch  `arg:"subcommand:watch" help:"follow a roll-out until every node holds it"`
 	Place    *place  `arg:"subcommand:place" help:"solve placements from a file of constraints; moves nothing"`
 	Adopt    *none   `arg:"subcommand:adopt" help:"after two disks are lost: let the one keel named by --keels recover from the whole one alone"`
+	Open     *open   `arg:"subcommand:open" help:"look at an open fleet; --keels names the keels' doors for mates"`
 	Shell    *none   `arg:"subcommand:shell" help:"read commands from the terminal"`
 }
 
@@ -120,6 +121,10 @@
 		parser.WriteHelp(os.Stderr)
 		os.Exit(2)
 	}
+	if a.Open != nil && a.Open.empty() {
+		parser.WriteHelpForSubcommand(os.Stderr, "open")
+		os.Exit(2)
+	}
 	ask := a.once
 	if a.Shell != nil {
 		ask = a.shell
@@ -244,18 +249,7 @@
 		})
 	case a.Odds != nil:
 		reply, err := clerk.Odds(ctx)
-		return a.table(reply, err, func() {
-			sort.Slice(reply.Beliefs, func(i, j int) bool { return reply.Beliefs[i].Utility > reply.Beliefs[j].Utility })
-			fmt.Printf("cycle %d, learner %s\n", reply.Cycle, reply.Holder)
-			t := tableOf("IDENTIFIER", "UTILITY", "MEAN", "CONFIDENCE", "ODDS", "SPANS")
-			for _, each := range reply.Beliefs {
-				t.add(each.Identifier, fmt.Sprintf("%.0f", each.Utility), fmt.Sprintf("%.3f", each.Alpha/(each.Alpha+each.Beta)), fmt.Sprintf("%.1f", each.Alpha+each.Beta), fmt.Sprintf("%.3f", each.Odds), each.Samples)
-			}
-			t.print(a.Sort, a.Filter)
-			for _, each := range reply.Correlations {
-				fmt.Printf("%-32s %s goes with latency, r = %.2f over %d spans\n", each.Identifier, each.Tag, each.R, each.Spans)
-			}
-		})
+		return a.table(reply, err, func() { a.tellOdds(reply) })
 	case a.State != nil:
 		return a.state(ctx, clerk)
 	case a.Adopt != nil:
@@ -280,6 +274,8 @@
 		})
 	case a.Wrong != nil:
 		return a.wrong(ctx, clerk)
+	case a.Open != nil:
+		return a.open(ctx, clerk)
 	case a.Watch != nil:
 		return a.watch(ctx, clerk)
 	case a.Place != nil:
@@ -298,6 +294,19 @@
 	return nil
 }
 
+func (a *args) tellOdds(reply *wire.Learning) {
+	sort.Slice(reply.Beliefs, func(i, j int) bool { return reply.Beliefs[i].Utility > reply.Beliefs[j].Utility })
+	fmt.Printf("cycle %d, learner %s\n", reply.Cycle, reply.Holder)
+	t := tableOf("IDENTIFIER", "UTILITY", "MEAN", "CONFIDENCE", "ODDS", "SPANS")
+	for _, each := range reply.Beliefs {
+		t.add(each.Identifier, fmt.Sprintf("%.0f", each.Utility), fmt.Sprintf("%.3f", each.Alpha/(each.Alpha+each.Beta)), fmt.Sprintf("%.1f", each.Alpha+each.Beta), fmt.Sprintf("%.3f", each.Odds), each.Samples)
+	}
+	t.print(a.Sort, a.Filter)
+	for _, each := range reply.Correlations {
+		fmt.Printf("%-32s %s goes with latency, r = %.2f over %d spans\n", each.Identifier, each.Tag, each.R, each.Spans)
+	}
+}
+
 func (a *args) table(reply proto.Message, err error, text func()) error {
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/quiz/open_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/flow/ford"
+	"curlewreach/helm"
+	"curlewreach/helm/moor"
+	"curlewreach/proto/wire"
+)
+
+func free() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func scoped(name string) base.Scope {
+	disk, err := base.RealDisk(ginkgo.GinkgoT().TempDir())
+	Expect(err).NotTo(HaveOccurred())
+	return base.Scope{
+		Context: context.Background(), Node: name, Clock: base.RealClock(), Net: base.RealNet(), Disk: disk,
+		Rand: base.RealRand(), Log: hclog.NewNullLogger(), Journal: base.NewJournal(100),
+	}
+}
+
+func nothing[T any](T) http.Handler { return http.NotFoundHandler() }
+
+func keel(seed string) *moor.Moor {
+	m, err := moor.Start(scoped("core-1"), &wire.MoorParams{Name: "core-1", Zone: "a", Mates: seed, Operators: free(), Seeds: []string{seed}, Founding: true, Folder: "x", Ack: durationpb.New(time.Second)}, nothing[*moor.Moor])
+	Expect(err).NotTo(HaveOccurred())
+	return m
+}
+
+func node(i int, seed string) *ford.Node {
+	second := durationpb.New(time.Second)
+	n, err := ford.Start(scoped("app"), &wire.FordParams{
+		Name: fmt.Sprint("app-", i), Zone: "a", Service: "books", Outward: free(), Inward: free(), Ready: free(), Control: free(), Seeds: []string{seed}, Mates: free(),
+		Beat: second, Leaving: second, InForce: second, Grace: second, RepeatSlack: 10,
+	}, ford.Plain, nothing[*ford.Node])
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+var _ = ginkgo.Describe("looking at an open fleet", func() {
+	var clerk *helm.Clerk
+	ask := func(o *open) error {
+		a := &args{Keels: clerk.Keels[0], Open: o}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		return a.run(ctx)
+	}
+	wrong := func() []string {
+		l, err := around(context.Background(), clerk)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		chart, _ := anyKeel(context.Background(), clerk, (*helm.Clerk).Chart)
+		return l.wrong(chart)
+	}
+
+	ginkgo.It("given a keel and two nodes, when quiz walks around, then each view answers and wrong follows the fleet", func() {
+		seed := free()
+		clerk = &helm.Clerk{Web: http.DefaultClient, Keels: []string{seed}}
+		Expect(exitCode(ask(&open{Nodes: &none{}}))).To(Equal(exitUnreachable))
+		m := keel(seed)
+		defer m.Kill()
+		first, second := node(1, seed), node(2, seed)
+		defer first.Kill()
+		defer second.Kill()
+		Eventually(wrong, 8*time.Second, 50*time.Millisecond).Should(ContainElements("there is no chart yet: nodes serve nobody", "node app-1 is not ready: it has no chart"))
+		_, err := m.Propose(context.Background(), &wire.ChartProposal{Chart: &wire.Chart{
+			Serial: 1, Services: []*wire.ChartService{{Name: "books", Probe: "/h", ConnLimit: 9, Protocol: "h1"}}, Limits: &wire.ChartLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderMs: 3000, IdleMs: 9000},
+			Routes: []*wire.ChartRoute{{Name: "r", Host: "a.example", Prefix: "/", CutoffMs: 2000, AimMs: 500, Tries: 2, Service: proto.String("books")}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(wrong, 8*time.Second, 50*time.Millisecond).Should(ContainElements("service books has no upstream anywhere", "the upstream beside node app-2 is silent"))
+		beat := func() {
+			for i, n := range []*ford.Node{first, second} {
+				Expect(n.Beat(&wire.Berth{Id: fmt.Sprint("i", i), Service: "books", Address: "127.0.0.1:9", Zone: "a", Capacity: 4})).To(BeNil())
+			}
+		}
+		Eventually(func() []string { beat(); return wrong() }, 12*time.Second, 50*time.Millisecond).Should(BeEmpty())
+		for _, o := range []*open{
+			{Nodes: &none{}}, {Keels: &none{}}, {Chart: &none{}}, {Routes: &none{}}, {Odds: &none{}}, {Wrong: &none{}}, {Node: &named{"app-1"}},
+			{Journal: &journal{Node: "app-1", Last: 5}}, {Journal: &journal{Node: "core-1", Last: 5}},
+		} {
+			Expect(ask(o)).To(Succeed())
+		}
+		Expect(exitCode(ask(&open{Node: &named{"app-9"}}))).To(Equal(exitMishap))
+		first.Kill()
+		Eventually(wrong, 8*time.Second, 50*time.Millisecond).Should(ContainElement(MatchRegexp("^node app-1 is absent, silent for ")))
+		Expect(exitCode(ask(&open{Wrong: &none{}}))).To(Equal(exitMishap))
+		m.Kill()
+		Expect(exitCode(ask(&open{Wrong: &none{}}))).To(Equal(exitUnreachable))
+	})
+
+	ginkgo.DescribeTable("given what keels and nodes say, when quiz looks for what is wrong, then it says so in plain words",
+		func(change func(l *look), said ...string) {
+			gate := &wire.GateView{Limit: 4}
+			l := &look{
+				keels:  map[string]*wire.KeelView{},
+				sights: map[string]*sighted{"app-1": {post: &wire.Post{Node: "app-1", Mates: "10.0.1.1:7"}, there: []string{"core-1", "core-2"}}},
+				views:  map[string]*wire.NodeView{"app-1": {Serial: 5, Ready: true, Berth: &wire.Berth{Service: "books"}, Gate: gate}},
+			}
+			for i := range 2 {
+				address := fmt.Sprintf("10.0.0.%d:7", i+1)
+				l.keels[address] = &wire.KeelView{
+					Keel: fmt.Sprint("core-", i+1), Address: address, Phase: wholePhase, Settled: true, Serial: 5, Learner: "x", Keys: []*wire.KeyState{{Key: "chart", Copies: 2}},
+					Mates: []*wire.KeelMate{{Address: "10.0.0.1:7", Heard: true}, {Address: "10.0.0.2:7", Heard: true}},
+				}
+			}
+			change(l)
+			Expect(l.wrong(&wire.Chart{Serial: 5, Services: []*wire.ChartService{{Name: "books"}}})).To(ConsistOf(said))
+		},
+		ginkgo.Entry("nothing", func(*look) {}),
+		ginkgo.Entry("a keel out of reach", func(l *look) { l.silent = []string{"10.0.0.3:7"} }, "keel 10.0.0.3:7 can't be reached"),
+		ginkgo.Entry("a keel cut off", func(l *look) {
+			k := l.keels["10.0.0.1:7"]
+			k.Settled, k.AgreedMs, k.Mates[1].Heard, k.Serial = false, proto.Uint64(2500), false, 4
+		}, "keel core-1 does not agree with a majority of disks; it last did 2.5s ago", "keel core-1 does not hear keel 10.0.0.2:7", "keel core-1 is on serial 4, the newest is 5"),
+		ginkgo.Entry("too few copies", func(l *look) { l.keels["10.0.0.1:7"].Keys[0].Copies = 1 }, "the newest chart is on 1 of 2 disks"),
+		ginkgo.Entry("a blank disk", func(l *look) { l.keels["10.0.0.2:7"].Phase = "blank" }, "keel core-2 has not recovered its disk: blank"),
+		ginkgo.Entry("a node behind", func(l *look) { l.views["app-1"].Serial = 4 }, "node app-1 is on serial 4, the newest is 5"),
+		ginkgo.Entry("a node seen by one keel", func(l *look) {
+			l.sights["app-1"].there, l.sights["app-1"].absent = []string{"core-1"}, []string{"core-2"}
+		}, "node app-1 is not heard by core-2, though by core-1"),
+		ginkgo.Entry("a node that is mute", func(l *look) { delete(l.views, "app-1"); l.sights["app-1"].post.Berth = &wire.Berth{Service: "books"} }, "node app-1 did not reply at its door for views (10.0.1.1:7)"),
+		ginkgo.Entry("a crowd", func(l *look) {
+			v := l.views["app-1"]
+			v.Gate.Flying, v.Gate.Waiting, v.Gate.RestMs, v.BacklogMs, v.Purses = 4, 2, 70, 300, []*wire.PurseView{{Service: "books", Spent: true}}
+		}, "the gate at node app-1 is full: 4 of 4 taken, 2 wait, a new request would wait 70ms", "the link of node app-1 is behind by 300ms", "node app-1 has spent its repeats for service books"),
+	)
+})
--- /dev/null
+++ b/cmd/quiz/openwrong.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"curlewreach/proto/wire"
+)
+
+const (
+	wholePhase = "founded"
+	muchBehind = 100
+)
+
+// wrong says in plain words what is wrong now; chart is nil if no keel could tell it.
+func (l *look) wrong(chart *wire.Chart) (found []string) {
+	add := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	for _, address := range l.silent {
+		add("keel %s can't be reached", address)
+	}
+	newest := chart.GetSerial()
+	for _, keel := range l.keels {
+		newest = max(newest, keel.Serial)
+	}
+	for _, address := range slices.Sorted(maps.Keys(l.keels)) {
+		l.keelWrong(l.keels[address], newest, add)
+	}
+	l.copiesWrong(add)
+	switch {
+	case chart == nil:
+		add("no keel can tell the chart: no majority of disks answers")
+	case newest == 0:
+		add("there is no chart yet: nodes serve nobody")
+	}
+	offered := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(l.sights)) {
+		node, view := l.sights[name], l.views[name]
+		switch {
+		case node.gone():
+			add("node %s is absent, silent for %s", name, span(node.silenceMs))
+			continue
+		case len(node.absent) > 0:
+			add("node %s is not heard by %s, though by %s", name, strings.Join(node.absent, ", "), strings.Join(node.there, ", "))
+		}
+		if view == nil {
+			add("node %s did not reply at its door for views (%s)", name, node.post.Mates)
+			if berth := node.post.Berth; berth != nil && !berth.Leaving {
+				offered[berth.Service] = true
+			}
+			continue
+		}
+		if view.Berth != nil && !view.Berth.Leaving {
+			offered[view.Berth.Service] = true
+		}
+		nodeWrong(name, view, newest, add)
+	}
+	for _, service := range chart.GetServices() {
+		if !offered[service.Name] {
+			add("service %s has no upstream anywhere", service.Name)
+		}
+	}
+	return found
+}
+
+func (l *look) keelWrong(keel *wire.KeelView, newest uint64, add func(string, ...any)) {
+	name := keel.Keel
+	if keel.Phase != wholePhase {
+		add("keel %s has not recovered its disk: %s", name, keel.Phase)
+	}
+	if !keel.Settled {
+		agreed := "never did"
+		if keel.AgreedMs != nil {
+			agreed = "last did " + span(keel.GetAgreedMs()) + " ago"
+		}
+		add("keel %s does not agree with a majority of disks; it %s", name, agreed)
+	}
+	if keel.Serial < newest {
+		add("keel %s is on serial %d, the newest is %d", name, keel.Serial, newest)
+	}
+	if keel.Stopping {
+		add("keel %s is stopping", name)
+	}
+	for _, mate := range keel.Mates {
+		if !mate.Heard && l.keels[mate.Address] != nil {
+			add("keel %s does not hear keel %s", name, mate.Address)
+		}
+	}
+	for _, key := range keel.Keys {
+		if key.Sick {
+			add("keel %s repairs the key %s on its disk", name, key.Key)
+		}
+	}
+	if keel.Owed > 0 {
+		add("keel %s owes %d batches of spans to a mate", name, keel.Owed)
+	}
+	if newest > 0 && keel.Phase == wholePhase && keel.Learner == "" {
+		add("keel %s knows of nobody who learns the odds", name)
+	}
+}
+
+// copiesWrong tells once of each key that is not on every disk, by the keel that sees the fewest copies.
+func (l *look) copiesWrong(add func(string, ...any)) {
+	fewest, of := map[string]int{}, map[string]int{}
+	for _, keel := range l.keels {
+		for _, key := range keel.Keys {
+			copies, known := fewest[key.Key]
+			if key.Copies > 0 && (!known || int(key.Copies) < copies) {
+				fewest[key.Key], of[key.Key] = int(key.Copies), len(keel.Mates)
+			}
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(fewest)) {
+		if fewest[key] < of[key] {
+			add("the newest %s is on %d of %d disks", key, fewest[key], of[key])
+		}
+	}
+}
+
+func nodeWrong(name string, view *wire.NodeView, newest uint64, add func(string, ...any)) {
+	switch {
+	case view.Stopping:
+		add("node %s is stopping", name)
+	case !view.Ready:
+		add("node %s is not ready: it has no chart", name)
+	case view.Serial < newest:
+		add("node %s is on serial %d, the newest is %d", name, view.Serial, newest)
+	}
+	if view.Berth == nil {
+		add("the upstream beside node %s is silent", name)
+	}
+	if gate := view.Gate; gate.GetWaiting() > 0 && gate.GetFlying() >= gate.GetLimit() {
+		add("the gate at node %s is full: %d of %d taken, %d wait, a new request would wait %s", name, gate.Flying, gate.Limit, gate.Waiting, span(gate.RestMs))
+	}
+	if view.BacklogMs > muchBehind {
+		add("the link of node %s is behind by %s", name, span(view.BacklogMs))
+	}
+	for _, purse := range view.Purses {
+		if purse.Spent {
+			add("node %s has spent its repeats for service %s", name, purse.Service)
+		}
+	}
+	for _, mate := range view.Mates {
+		if mate.AvoidedMs > 0 && !mate.Absent {
+			add("node %s could lately not reach node %s", name, mate.Node)
+		}
+	}
+}
+
+func (a *args) openWrong(found []string) error {
+	if a.JSON {
+		body, err := json.MarshalIndent(map[string][]string{"wrong": append([]string{}, found...)}, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(body))
+	} else {
+		for _, line := range found {
+			fmt.Println("!", line)
+		}
+		if len(found) == 0 {
+			fmt.Println("nothing is wrong")
+		}
+	}
+	if len(found) > 0 {
+		return errWrong
+	}
+	return nil
+}
--- a/cmd/quiz/shell.go
+++ b/cmd/quiz/shell.go
@@ -13,13 +13,19 @@
 )
 
 var commands = []string{
-	"draft", "sign", "submit", "apply", "status", "show", "diff", "holdings", "nodes", "odds", "trace", "state", "shares", "why", "counts", "wrong", "watch", "place", "adopt", "exit",
+	"draft", "sign", "submit", "apply", "status", "show", "diff", "holdings", "nodes", "odds", "trace", "state", "shares", "why", "counts", "wrong", "watch", "place", "adopt", "open", "exit",
 }
 
 func (a *args) shell() error {
 	var items []readline.PrefixCompleterInterface
 	for _, name := range commands {
-		items = append(items, readline.PcItem(name))
+		var inner []readline.PrefixCompleterInterface
+		if name == "open" {
+			for _, each := range views {
+				inner = append(inner, readline.PcItem(each))
+			}
+		}
+		items = append(items, readline.PcItem(name, inner...))
 	}
 	config := &readline.Config{Prompt: "quiz> ", AutoComplete: readline.NewPrefixCompleter(items...)}
 	if home, err := os.UserHomeDir(); err == nil {
@@ -59,7 +65,7 @@
 		err = parser.Parse(words)
 	}
 	switch {
-	case errors.Is(err, arg.ErrHelp) || (err == nil && parser.Subcommand() == nil):
+	case errors.Is(err, arg.ErrHelp) || err == nil && (parser.Subcommand() == nil || next.Open != nil && next.Open.empty()):
 		parser.WriteHelp(os.Stdout)
 	case err != nil:
 		fmt.Println("mishap:", err)
--- a/fleet/open/upstreams_test.go
+++ b/fleet/open/upstreams_test.go
@@ -37,10 +37,26 @@
 			f.afflict([]string{"books", "loans", "gates"}, Trouble{each.fault, 0.1, each.late})
 			f.Pass(3 * time.Second)
 			f.Away()
+			sound(f, Twice, Mixed, Unasked, Routed)
 			t, o := f.Tally(0, 0, once), f.Tally(0, 0, repeatable)
 			Expect(t.Share()).To(BeNumerically(">", each.once), "%s: %s", f.Story, t)
 			Expect(o.Share()).To(BeNumerically(">", each.others), "%s: %s", f.Story, o)
-			sound(f, Twice, Mixed, Unasked, Routed)
+		})
+	}
+})
+
+var _ = ginkgo.Describe("large answers", func() {
+	for _, chunks := range []bool{false, true} {
+		storyOf(fmt.Sprintf("given upstreams that break off large answers, chunked: %v, when visitors come, then none looks whole that is not", chunks), 3, small, []uint64{1, 2}, func(f *Fleet) {
+			f.Habits = []Habit{{Prefix: "/scans/", Base: 10 * time.Millisecond, Size: 2_600_000, Chunks: chunks}}
+			f.Plan = []Plan{{Method: "GET", Host: "books.example", Path: "/scans/", Part: 1}}
+			raised(f)
+			f.afflict([]string{"books"}, Trouble{Torn, 0.3, 0})
+			f.Visit(10)
+			f.Pass(3 * time.Second)
+			f.Away()
+			f.fares(0.7, 0, 0, nil)
+			sound(f, Mixed)
 		})
 	}
 })
--- a/flow/ford/ford.go
+++ b/flow/ford/ford.go
@@ -62,6 +62,7 @@
 	mu          sync.Mutex
 	keels       map[string]*caller
 	counts      base.Table[*atomic.Uint64]
+	lengths     [len(classes)]base.Histogram
 	doors       []*base.Door
 	cancel      context.CancelFunc
 	crew        base.Crew
@@ -87,6 +88,7 @@
 		validation.Field(&p.Inward, validation.Required, base.IsAddress),
 		validation.Field(&p.Ready, validation.Required, base.IsAddress),
 		validation.Field(&p.Control, validation.Required, base.IsAddress),
+		validation.Field(&p.Mates, base.IsAddress),
 		validation.Field(&p.Seeds, validation.Required, validation.Each(base.IsAddress)),
 		validation.Field(&p.Beat, validation.Required),
 		validation.Field(&p.Leaving, validation.Required),
@@ -112,12 +114,13 @@
 		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
 		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		spout: NewSpout(s.Clock, p.LinkMbps), usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
+		spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
 	n.sink = lens.NewSink(s, n.web, p.Seeds, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
+	n.openViews(s)
 	for _, each := range []struct {
 		address string
 		handler http.Handler
--- /dev/null
+++ b/flow/ford/gate_test.go
@@ -0,0 +1,136 @@
+package ford
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+)
+
+type entry struct {
+	rank   int
+	mishap *base.Mishap
+	at     time.Duration
+}
+
+func patientOf(rank int, now time.Duration) Ask {
+	return Ask{Rank: rank, AimBy: now + 5*time.Second, DieBy: now + 8*time.Second, Patience: 8 * time.Second}
+}
+
+// full gives a gate with every slot taken and its queue filled with the lowest rank.
+func (s *stand) full(limit int) (g *Gate, leave []func(), ended chan entry) {
+	g, ended = NewGate(s.clock, limit, 100*time.Millisecond), make(chan entry, 100)
+	for range limit {
+		done, mishap := g.Enter(context.Background(), patientOf(3, s.clock.Mono()))
+		Expect(mishap).To(BeNil())
+		leave = append(leave, done)
+	}
+	for range queueRatio * limit {
+		s.enter(g, 3, ended)
+	}
+	return g, leave, ended
+}
+
+func (s *stand) enter(g *Gate, rank int, ended chan entry) {
+	s.aside(func() {
+		done, mishap := g.Enter(context.Background(), patientOf(rank, s.clock.Mono()))
+		ended <- entry{rank, mishap, s.clock.Mono()}
+		if mishap == nil {
+			time.Sleep(100 * time.Millisecond)
+			done()
+		}
+	})
+	time.Sleep(time.Millisecond)
+}
+
+var _ = ginkgo.Describe("a full queue", func() {
+	story("given a queue full of the lowest rank, when one of a top rank comes, then it takes the place of the last, who is told at once when to come back, and goes first", func(s *stand) {
+		g, leave, ended := s.full(2)
+		Expect(ended).To(BeEmpty())
+		came := s.clock.Mono()
+		s.enter(g, 0, ended)
+		Expect(ended).To(HaveLen(1))
+		out := <-ended
+		Expect(out.rank).To(Equal(3))
+		Expect(out.mishap).NotTo(BeNil())
+		Expect(out.mishap.Kind).To(Equal(base.Crowded))
+		Expect(out.mishap.After).To(BeNumerically(">", 0))
+		Expect(out.at - came).To(BeNumerically("<", 2*time.Millisecond))
+		leave[0]()
+		first := <-ended
+		Expect(first.rank).To(Equal(0))
+		Expect(first.mishap).To(BeNil())
+		leave[1]()
+		s.crew.Wait()
+		Expect(ended).To(HaveLen(queueRatio*2 - 1))
+	})
+
+	story("given a queue full of top ranks, when one of the lowest comes, then it is bounced and nobody loses a place", func(s *stand) {
+		g, leave, ended := s.full(2)
+		for range queueRatio * 2 {
+			s.enter(g, 0, ended)
+		}
+		for range queueRatio * 2 {
+			Expect((<-ended).rank).To(Equal(3))
+		}
+		s.enter(g, 3, ended)
+		out := <-ended
+		Expect(out.rank).To(Equal(3))
+		Expect(out.mishap).NotTo(BeNil())
+		Expect(ended).To(BeEmpty())
+		for _, done := range leave {
+			done()
+		}
+		s.crew.Wait()
+		for range queueRatio * 2 {
+			served := <-ended
+			Expect(served.rank).To(Equal(0))
+			Expect(served.mishap).To(BeNil())
+		}
+	})
+
+	fullMate := func(s *stand) (near *Node, asked *tally) {
+		near, asked = s.node(1, noKeels), &tally{}
+		near.adopt(aChart(1), true)
+		s.serve("10.9.1.2:7002", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked.add("asked", 1)
+			o := bounced(base.Bounce(base.Crowded, "", "every slot is taken").Later(10 * time.Millisecond))
+			w.Header()[Plain.canonical().Attempt] = r.Header[Plain.canonical().Attempt]
+			w.Header()[weightHeader] = []string{Weight{Flying: 4, Waiting: 4, Limit: 4, HoldMs: 100}.text()}
+			w.Header()[outcomeHeader] = []string{o.text()}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		for _, keel := range threeKeels {
+			near.roster.Heard(keel, true, mate(false))
+		}
+		time.Sleep(time.Second)
+		return near, asked
+	}
+
+	story("given a mate known to be full, when a visitor comes with time to spare, then that mate is asked once and the visitor told", func(s *stand) {
+		near, asked := fullMate(s)
+		for i := range 3 {
+			near.roster.Start("app-2")
+			near.roster.End("app-2", &Weight{Flying: 4, Waiting: 4, Limit: 4, HoldMs: 100}, 0, 0, false)
+			before := asked.add("asked", 0)
+			t := s.ask(near.params.Outward, "/search/1", asking(fmt.Sprint("visitor-", i), 4*time.Second))
+			Expect(t.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(t.again).To(BeNumerically(">", 0))
+			Expect(t.took).To(BeNumerically("<", 100*time.Millisecond))
+			Expect(asked.add("asked", 0) - before).To(Equal(1))
+		}
+	})
+
+	// Not so yet: a first try without patience stays in the ledger as a place that may be asked with patience, however often it was.
+	unmended("given a full mate that looks free, when a visitor comes with time to spare, then that mate is asked twice at most", func(s *stand) {
+		near, asked := fullMate(s)
+		t := s.ask(near.params.Outward, "/search/1", asking("visitor", 4*time.Second))
+		Expect(t.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(asked.add("asked", 0)).To(BeNumerically("<=", 2))
+	})
+})
--- a/flow/ford/hail.go
+++ b/flow/ford/hail.go
@@ -38,7 +38,7 @@
 	p := n.params
 	return &wire.Post{
 		Node: p.Name, Incarnation: n.incarnation, Number: number + n.turns.Load(), Inward: p.Inward, Zone: p.Zone, Service: p.Service,
-		Stopping: n.stopping.Load(), Berth: berth, Serial: n.serial(),
+		Stopping: n.stopping.Load(), Berth: berth, Serial: n.serial(), Mates: p.Mates,
 	}
 }
 
--- /dev/null
+++ b/flow/ford/hail_test.go
@@ -0,0 +1,98 @@
+package ford
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+// standKeel tells of a newer chart at once and takes its time to hand it out.
+type standKeel struct {
+	wireconnect.UnimplementedMoorHandler
+	name   string
+	scope  base.Scope
+	newest *atomic.Uint64
+	slow   time.Duration
+	asked  *tally
+}
+
+func (k standKeel) Hail(ctx context.Context, request *connect.Request[wire.HailRequest]) (*connect.Response[wire.HailReply], error) {
+	ask, s := request.Msg, k.scope.Under(ctx)
+	reply := &wire.HailReply{Keel: k.name, Settled: true, Serial: k.newest.Load(), Whole: ask.Keel != k.name}
+	switch {
+	case reply.Serial > ask.Serial && ask.Wants:
+		k.asked.add("wants", 1)
+		base.Await(s, k.slow)
+		reply.Chart = aChart(reply.Serial)
+	case reply.Serial <= ask.Serial && !reply.Whole:
+		base.Await(s, time.Duration(ask.WaitMs)*time.Millisecond)
+	}
+	return connect.NewResponse(reply), s.Err()
+}
+
+func (s *stand) standKeels(count int, slow time.Duration) (seeds []string, newest *atomic.Uint64, asked *tally) {
+	newest, asked = &atomic.Uint64{}, &tally{}
+	for i := range count {
+		ip := fmt.Sprintf("10.9.0.%d", i+1)
+		mux := http.NewServeMux()
+		mux.Handle(wireconnect.NewMoorHandler(standKeel{name: fmt.Sprint("core-", i+1), scope: s.scope(ip), newest: newest, slow: slow, asked: asked}))
+		s.serve(ip+":7005", mux)
+		seeds = append(seeds, ip+":7005")
+	}
+	return seeds, newest, asked
+}
+
+func (s *stand) until(longest time.Duration, reached func() bool) time.Duration {
+	began := s.clock.Mono()
+	for s.clock.Mono()-began < longest && !reached() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return s.clock.Mono() - began
+}
+
+var _ = ginkgo.Describe("a node that hears of a newer chart", func() {
+	story("given keels that take 400 ms to hand a chart out, when mates that are ahead keep calling, then the fetch is let finish", func(s *stand) {
+		seeds, newest, _ := s.standKeels(3, 400*time.Millisecond)
+		n := s.node(1, seeds)
+		n.adopt(aChart(1), true)
+		newest.Store(1)
+		time.Sleep(2 * time.Second)
+		newest.Store(2)
+		ahead := Way{Service: books, Route: "index", Serial: 2}
+		for i := range 60 {
+			s.aside(func() {
+				time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+				header := asking(fmt.Sprint("ahead-", i), time.Second)
+				header[wayHeader] = []string{ahead.text()}
+				s.ask(n.params.Inward, "/index/1", header)
+			})
+		}
+		took := s.until(5*time.Second, func() bool { return n.serial() == 2 })
+		s.crew.Wait()
+		Expect(took).To(BeNumerically("<", time.Second), "the older chart was served for so long")
+	})
+
+	story("given three keels, when all tell of a newer chart, then it is fetched from one", func(s *stand) {
+		seeds, newest, asked := s.standKeels(3, 30*time.Millisecond)
+		n := s.node(1, seeds)
+		n.adopt(aChart(1), true)
+		newest.Store(1)
+		time.Sleep(2 * time.Second)
+		before := asked.add("wants", 0)
+		newest.Store(2)
+		s.until(3*time.Second, func() bool { return n.serial() == 2 })
+		time.Sleep(time.Second)
+		Expect(n.serial()).To(Equal(uint64(2)))
+		Expect(asked.add("wants", 0) - before).To(Equal(1))
+	})
+})
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -125,6 +125,7 @@
 	v.ctx = ctx
 	v.run(w, r.Context())
 	n.ties.inner(v.way.Trace, began, v.now())
+	n.took(v)
 	if v.ledger.running() == 0 {
 		cancel()
 	} else {
--- /dev/null
+++ b/flow/ford/roster_test.go
@@ -0,0 +1,108 @@
+package ford
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+var threeKeels = []string{"core-1", "core-2", "core-3"}
+
+func mate(absent bool) []*wire.Sight {
+	return []*wire.Sight{{Absent: absent, Post: &wire.Post{
+		Node: "app-2", Incarnation: "one", Number: 1, Inward: "10.9.1.2:7002", Zone: "a", Service: books,
+		Berth: &wire.Berth{Id: "i-2", Service: books, Address: "10.9.1.2:8080", Zone: "a", Capacity: 4},
+	}}}
+}
+
+func (r *Roster) offers(service string) (names []string) {
+	for _, each := range r.Options(service, "a", 2, 100*time.Millisecond, func(string) bool { return false }, base.SeededRand(1)) {
+		names = append(names, each.node)
+	}
+	return names
+}
+
+var _ = ginkgo.Describe("a mate that the keels lost sight of", func() {
+	heard := func(s *stand) *Roster {
+		r := NewRoster(s.clock, "app-1", freshSlack)
+		for _, keel := range threeKeels {
+			r.Heard(keel, true, mate(false))
+		}
+		time.Sleep(time.Second)
+		return r
+	}
+	lost := func(r *Roster) {
+		for _, keel := range threeKeels {
+			r.Heard(keel, false, mate(true))
+		}
+	}
+
+	story("given a mate that answers, when every keel calls it absent, then it stays", func(s *stand) {
+		r := heard(s)
+		r.Start("app-2")
+		r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+		lost(r)
+		Expect(r.offers(books)).To(Equal([]string{"app-2"}))
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			lost(r)
+			r.Start("app-2")
+			r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+			Expect(r.offers(books)).To(Equal([]string{"app-2"}))
+			_, there := r.Option("app-2", books)
+			Expect(there).To(BeTrue())
+		}
+	})
+
+	story("given a mate that last answered a while ago, when every keel calls it absent, then it goes", func(s *stand) {
+		r := heard(s)
+		r.Start("app-2")
+		r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+		time.Sleep(freshSlack + time.Millisecond)
+		lost(r)
+		Expect(r.offers(books)).To(BeEmpty())
+	})
+
+	story("given a mate that answered and then could not be reached, when every keel calls it absent, then it goes at once", func(s *stand) {
+		r := heard(s)
+		r.Start("app-2")
+		r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+		r.Avoid("app-2")
+		lost(r)
+		Expect(r.offers(books)).To(BeEmpty())
+	})
+
+	story("given a mate that was never asked, when every keel calls it absent, then it goes; while one still sees it, it stays", func(s *stand) {
+		r := heard(s)
+		r.Heard("core-1", false, mate(true))
+		r.Heard("core-2", false, mate(true))
+		Expect(r.offers(books)).To(Equal([]string{"app-2"}))
+		r.Heard("core-3", false, mate(true))
+		Expect(r.offers(books)).To(BeEmpty())
+	})
+
+	story("given a mate that answers and is called absent by all, when visitors come, then all are served by it", func(s *stand) {
+		near, far := s.node(1, noKeels), s.node(2, noKeels)
+		for _, n := range []*Node{near, far} {
+			n.adopt(aChart(1), true)
+		}
+		s.seat(far, 4, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("found")) })
+		sight := &wire.Sight{Post: far.post()}
+		for _, keel := range threeKeels {
+			near.roster.Heard(keel, true, []*wire.Sight{sight})
+		}
+		for i := range 30 {
+			t := s.ask(near.params.Outward, "/search/1", asking(millis(time.Duration(i)*time.Millisecond), 4*time.Second))
+			Expect(t.status).To(Equal(http.StatusOK))
+			for _, keel := range threeKeels {
+				near.roster.Heard(keel, false, []*wire.Sight{{Post: far.post(), Absent: true}})
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+})
--- /dev/null
+++ b/flow/ford/spout_test.go
@@ -0,0 +1,133 @@
+package ford
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+)
+
+const (
+	thinMbps  = 11
+	largeSize = 300_000
+)
+
+// largeSpell is what one large answer takes of the thin link's part that is used.
+var largeSpell = NewSpout(base.RealClock(), thinMbps).spell(largeSize)
+
+func (s *stand) thin() *Node {
+	n := s.node(1, noKeels)
+	n.spout = NewSpout(s.clock, thinMbps)
+	n.adopt(aChart(1), true)
+	s.seat(n, 32, func(w http.ResponseWriter, r *http.Request) {
+		size := 200
+		if strings.HasPrefix(r.URL.Path, "/archive/") {
+			size = largeSize
+		}
+		_, _ = w.Write(make([]byte, size))
+	})
+	return n
+}
+
+func fromMate(id string, route string, patience time.Duration) http.Header {
+	header := asking(id, 5*time.Second)
+	header[wayHeader] = []string{Way{Service: books, Route: route, Serial: 1, Patience: patience, Aim: patience, Stay: 4 * time.Second}.text()}
+	return header
+}
+
+var _ = ginkgo.Describe("a thin link", func() {
+	story("given six large answers at once, when an index lookup comes, then they leave one after the other and the lookup at once", func(s *stand) {
+		n := s.thin()
+		took := make([]time.Duration, 6)
+		for i := range took {
+			s.aside(func() {
+				t := s.ask(n.params.Inward, fmt.Sprint("/archive/", i), fromMate(fmt.Sprint("large-", i), "archive", 4*time.Second))
+				Expect(t.bytes).To(Equal(largeSize))
+				took[i] = t.took
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		lookup := s.ask(n.params.Inward, "/index/1", fromMate("small", "index", time.Second))
+		Expect(lookup.status).To(Equal(http.StatusOK))
+		Expect(lookup.took).To(BeNumerically("<", 30*time.Millisecond))
+		s.crew.Wait()
+		longest := time.Duration(0)
+		for _, each := range took {
+			longest = max(longest, each)
+		}
+		Expect(longest).To(BeNumerically(">", 5*largeSpell-2*spoutBurst), "the link would have been full")
+		Expect(longest).To(BeNumerically("<", 6*largeSpell))
+	})
+
+	story("given a link with more to send than a large request's aim has room for, when another comes, then it is told at once when to come back, and a lookup still passes", func(s *stand) {
+		n := s.thin()
+		s.ask(n.params.Inward, "/archive/first", fromMate("first", "archive", 4*time.Second))
+		for i := range 4 {
+			s.aside(func() {
+				s.ask(n.params.Inward, fmt.Sprint("/archive/", i), fromMate(fmt.Sprint("large-", i), "archive", 4*time.Second))
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		t := s.ask(n.params.Inward, "/archive/late", fromMate("late", "archive", 300*time.Millisecond))
+		o, known := readOutcome(t.way)
+		Expect(known).To(BeTrue(), "it was carried")
+		Expect(o.kind).To(Equal(base.Crowded))
+		Expect(o.state).To(Equal(NotRun))
+		Expect(o.arrived).To(BeFalse())
+		Expect(o.after).To(BeNumerically(">", 3*largeSpell))
+		Expect(t.took).To(BeNumerically("<", 20*time.Millisecond))
+		Expect(s.ask(n.params.Inward, "/index/1", fromMate("small", "index", 300*time.Millisecond)).status).To(Equal(http.StatusOK))
+		s.crew.Wait()
+	})
+
+	// Not so yet: an answer that waits for its turn is counted among what is owed as well.
+	unmended("given large answers that wait for their turn, when the backlog is asked for, then each counts once", func(s *stand) {
+		n := s.thin()
+		s.ask(n.params.Inward, "/archive/first", fromMate("first", "archive", 4*time.Second))
+		for i := range 4 {
+			s.aside(func() {
+				s.ask(n.params.Inward, fmt.Sprint("/archive/", i), fromMate(fmt.Sprint("large-", i), "archive", 4*time.Second))
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		backlog := n.spout.Backlog()
+		s.crew.Wait()
+		Expect(backlog).To(BeNumerically("<=", 5*largeSpell))
+	})
+
+	story("given a machine whose link is not told, when large answers come, then nothing is paced", func(s *stand) {
+		p := NewSpout(s.clock, 0)
+		for range 10 {
+			p.Pass(context.Background(), 1<<20)
+		}
+		Expect(s.clock.Mono()).To(BeZero())
+		Expect(p.Backlog()).To(BeZero())
+		Expect(p.Large("archive")).To(BeFalse())
+	})
+
+	story("given an answer that is waiting for its turn, when its visitor goes, then it waits no longer", func(s *stand) {
+		p := NewSpout(s.clock, thinMbps)
+		p.Pass(context.Background(), 10*largeSize)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		p.Pass(ctx, largeSize)
+		Expect(s.clock.Mono()).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+	})
+
+	story("given answers that are owed, when they are settled or end without one, then nothing is owed any more", func(s *stand) {
+		p := NewSpout(s.clock, thinMbps)
+		p.Owe("archive")(largeSize)
+		Expect(p.Large("archive")).To(BeTrue())
+		settle := p.Owe("archive")
+		Expect(p.Backlog()).To(Equal(largeSpell))
+		settle(0)
+		settle(0)
+		Expect(p.Backlog()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/flow/ford/views.go
@@ -0,0 +1,156 @@
+package ford
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+var classes = [...]string{"once", "repeatable", "bulk"}
+
+// openViews lets operators look; a node whose port is taken serves without.
+func (n *Node) openViews(s base.Scope) {
+	if n.params.Mates == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	base.Views(mux, s, func() proto.Message { return n.View() }, n.metrics)
+	door, err := base.OpenWith(s, n.params.Mates, mux, func(server *http.Server) {
+		server.MaxHeaderBytes, server.ReadHeaderTimeout, server.WriteTimeout, server.IdleTimeout = headBytes, headTime, idleTime, idleTime
+	})
+	if err != nil {
+		s.Log.Warn("no views", "error", err)
+		return
+	}
+	n.doors = append(n.doors, door)
+}
+
+func (n *Node) took(v *visit) {
+	if at := int(v.route.Raw.Repeat); v.ledger.best() != nil && at >= 0 && at < len(classes) {
+		n.lengths[at].Add(v.now() - v.began)
+	}
+}
+
+// View tells how this node stands and what it knows.
+func (n *Node) View() *wire.NodeView {
+	berth, gate, _ := n.dock.Now()
+	p, w := n.params, gate.Weight()
+	view := &wire.NodeView{
+		Node: p.Name, Zone: p.Zone, Service: p.Service, Incarnation: n.incarnation, Serial: n.serial(), Ready: n.Ready(), Stopping: n.stopping.Load(),
+		Berth: berth, BerthSilenceMs: ms(n.dock.silence()), BacklogMs: ms(n.spout.Backlog()), Odds: n.keeper.Serial(), Inside: n.inside.Load(),
+		UpMs:  ms(n.scope.Clock.Mono() - n.born),
+		Gate:  &wire.GateView{Flying: uint32(w.Flying), Waiting: uint32(w.Waiting), Limit: uint32(w.Limit), HoldMs: uint64(w.HoldMs), TopMs: uint64(w.TopMs), RestMs: uint64(w.RestMs)},
+		Paces: n.usual.view(), Purses: n.purse.view(), Counts: map[string]uint64{},
+	}
+	view.Mates, view.Keels = n.roster.view()
+	for what, count := range n.counts.All() {
+		view.Counts[what] = count.Load()
+	}
+	for route, is := range n.further.All() {
+		if is {
+			view.Further = append(view.Further, route)
+		}
+	}
+	return view
+}
+
+func ms(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
+
+func (d *Dock) silence() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.berth == nil {
+		return 0
+	}
+	return d.clock.Mono() - d.heard
+}
+
+func (r *Roster) view() (mates []*wire.MateView, keels map[string]uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Mono()
+	for _, name := range slices.Sorted(maps.Keys(r.places)) {
+		at := r.places[name]
+		berth := at.post.GetBerth()
+		mates = append(mates, &wire.MateView{
+			Node: name, Zone: at.post.GetZone(), Service: at.post.GetService(), Berth: berth.GetId(), Absent: r.absent(at), AvoidedMs: ms(at.avoid - now),
+			Barred: at.barred, Leaving: berth.GetLeaving(), Stopping: at.post.GetStopping(), Speed: at.speed, Flying: uint32(max(at.flying, 0)), SilenceMs: ms(now - at.heard),
+		})
+	}
+	keels = map[string]uint64{}
+	for keel, spoke := range r.keels {
+		keels[keel] = ms(now - spoke)
+	}
+	return mates, keels
+}
+
+func (p *Purse) view() (purses []*wire.PurseView) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(p.purses)) {
+		c, most := p.at(service)
+		lately := c.counts[0] + c.counts[1]
+		purses = append(purses, &wire.PurseView{Service: service, Held: c.held, Most: most, Lately: uint64(lately), Spent: c.held < 1 && lately*p.ratio*earned >= 1})
+	}
+	return purses
+}
+
+func (u *Usual) view() (paces []*wire.PaceView) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, route := range slices.Sorted(maps.Keys(u.paces)) {
+		p := u.paces[route]
+		view := &wire.PaceView{Route: route, MeanMs: 1000 * p.mean, Seen: uint64(p.seen)}
+		if p.seen >= fewestSeen {
+			view.LongMs = 1000 * max(p.mean+usualSpread*p.off, 2*p.mean)
+		}
+		paces = append(paces, view)
+	}
+	return paces
+}
+
+func (n *Node) metrics(m *base.Metrics) {
+	const outcomes, lengths, mates, purse = "curlew_outcomes_total", "curlew_request_seconds", "curlew_mates", "curlew_repeats_held"
+	view := n.View()
+	m.Kind(outcomes, "counter", "what visitors were told, by kind; and repeats")
+	for _, what := range slices.Sorted(maps.Keys(view.Counts)) {
+		m.Add(outcomes, float64(view.Counts[what]), "what", what)
+	}
+	m.Kind(lengths, "histogram", "answered requests of visitors here, by kind of route")
+	for i, class := range classes {
+		m.Spread(lengths, &n.lengths[i], "kind", class)
+	}
+	there, absent, avoided := 0, 0, 0
+	for _, each := range view.Mates {
+		switch {
+		case each.Absent:
+			absent++
+		case each.AvoidedMs > 0:
+			avoided++
+		default:
+			there++
+		}
+	}
+	m.Kind(mates, "gauge", "nodes as seen from here")
+	m.Add(mates, float64(there), "state", "there")
+	m.Add(mates, float64(absent), "state", "absent")
+	m.Add(mates, float64(avoided), "state", "avoided")
+	m.Kind(purse, "gauge", "repeats that could be paid now, by service")
+	for _, each := range view.Purses {
+		m.Add(purse, each.Held, "service", each.Service)
+	}
+	m.One("curlew_ready", "gauge", "whether visitors may come", base.Truth(view.Ready))
+	m.One("curlew_chart_serial", "gauge", "the chart in force here", float64(view.Serial))
+	m.One("curlew_upstream", "gauge", "whether an upstream is here", base.Truth(view.Berth != nil))
+	m.One("curlew_inside", "gauge", "requests of visitors and mates in flight here", float64(view.Inside))
+	m.One("curlew_gate_flying", "gauge", "requests at the upstream", float64(view.Gate.Flying))
+	m.One("curlew_gate_waiting", "gauge", "requests that wait for their turn", float64(view.Gate.Waiting))
+	m.One("curlew_gate_limit", "gauge", "requests that the upstream takes at once", float64(view.Gate.Limit))
+	m.One("curlew_link_backlog_seconds", "gauge", "how long a large answer begun now would wait", float64(view.BacklogMs)/1000)
+}
--- a/helm/moor/moor.go
+++ b/helm/moor/moor.go
@@ -74,6 +74,7 @@
 	m.reached.Store(int64(s.Clock.Mono()))
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewMoorHandler(server{m}, connect.WithCompressMinBytes(largestSpeak), connect.WithReadMaxBytes(largestSpeak)))
+	m.show(mux)
 	mux.HandleFunc("/"+wireconnect.TroveName+"/", m.joined(func(c *core) http.Handler { return c.votes }))
 	mux.HandleFunc("/"+wireconnect.LensName+"/", m.joined(func(c *core) http.Handler { return c.spans }))
 	for _, each := range []struct {
