--- a/flow/ford/hail.go
+++ b/flow/ford/hail.go
@@ -61,9 +61,6 @@
 
 func (n *Node) hail(s base.Scope, c *caller, wants bool) (again bool) {
 	wait := hailWait
-	if wants {
-		wait = 0
-	}
 	ctx, cancel := context.WithTimeout(s, wait+hailSlack)
 	defer cancel()
 	n.mu.Lock()
@@ -97,7 +94,11 @@
 func (n *Node) call(s base.Scope, c *caller) {
 	wants := n.table.Load() == nil
 	for s.Err() == nil {
-		wants = n.hail(s, c, wants) && n.fetches(s, c) || n.table.Load() == nil && n.scope.Clock.Mono()-n.born < youth
+		wants = n.hail(s, c, wants) && n.fetches(s, c)
+		if n.table.Load() == nil {
+			wants = true
+			base.Await(s, fetchPause/4)
+		}
 	}
 }
 
