--- /dev/null
+++ b/base/views.go
@@ -0,0 +1,68 @@
+package base
+
+import (
+	"maps"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/proto/wire"
+)
+
+const (
+	usualEvents = 100
+	mostEvents  = 2000
+)
+
+// Views lets operators look: GET /view, /journal?subject=&last= and /metrics, one page at a time.
+func Views(mux *http.ServeMux, s Scope, view func() proto.Message, metrics func(*Metrics)) {
+	var turn sync.Mutex
+	mux.HandleFunc("GET /view", func(w http.ResponseWriter, _ *http.Request) {
+		turn.Lock()
+		seen := view()
+		turn.Unlock()
+		ReplyProto(w, seen)
+	})
+	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, r *http.Request) {
+		last, err := strconv.Atoi(r.URL.Query().Get("last"))
+		if err != nil || last <= 0 {
+			last = usualEvents
+		}
+		told := &wire.TellReply{Node: s.Node, Counts: s.Journal.Counts()}
+		for _, event := range s.Journal.Last(r.URL.Query().Get("subject"), min(last, mostEvents)) {
+			told.Happenings = append(told.Happenings, &wire.Happening{Serial: event.Serial, AtUs: event.At.UnixMicro(), Topic: event.Topic, Subject: event.Subject, Detail: event.Detail})
+		}
+		ReplyProto(w, told)
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		m := &Metrics{}
+		turn.Lock()
+		metrics(m)
+		turn.Unlock()
+		const events = "curlew_events_total"
+		m.Kind(events, "counter", "journal events by topic")
+		counts := s.Journal.Counts()
+		for _, topic := range slices.Sorted(maps.Keys(counts)) {
+			m.Add(events, float64(counts[topic]), "topic", topic)
+		}
+		m.One("curlew_goroutines", "gauge", "goroutines of the process", float64(runtime.NumGoroutine()))
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		_, _ = w.Write(m.page.Bytes())
+	})
+}
+
+// ReplyProto answers with a message as JSON.
+func ReplyProto(w http.ResponseWriter, message proto.Message) {
+	body, err := protojson.Marshal(message)
+	if err != nil {
+		Reply(w, http.StatusInternalServerError, map[string]any{"mishap": MishapOf(err)})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
