--- a/flow/ford/far.go
+++ b/flow/ford/far.go
@@ -104,6 +104,7 @@
 		case ctx.Err() != nil:
 			return doubt(base.Expired, "no answer in time")
 		}
+		n.ills.Saw(berth.Id, false)
 		n.scope.Note("answer-lost", berth.Id, err.Error())
 		return doubt(base.Lost, err.Error())
 	}
@@ -124,9 +125,11 @@
 	if err != nil || status >= 200 && status < 300 && r.Header.Get(n.speech.Seal) == "" {
 		r.broken()
 		land(0)
+		n.ills.Saw(berth.Id, false)
 		n.scope.Note("answer-garbled", berth.Id, "")
 		return doubt(base.Garbled, "the upstream's answer was not whole")
 	}
+	n.ills.Saw(berth.Id, status < 500)
 	state := Answered
 	if status >= 500 || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout {
 		state = Failed
@@ -146,6 +149,7 @@
 	berth, gate, _ := n.dock.Now()
 	w := gate.Weight()
 	w.Serial = n.serial()
+	w.IllPct = int(100 * n.ills.Share(berth.GetId()))
 	w.Leaving = berth.GetLeaving() || berth == nil || n.stopping.Load()
 	return w
 }
--- a/flow/ford/ford.go
+++ b/flow/ford/ford.go
@@ -29,7 +29,7 @@
 	spanEvery    = time.Second
 	spansBound   = 512
 	lameRatio    = 0.4
-	lastRatio    = 0.94
+	lastRatio    = 0.88
 	farLameRatio = 0.1
 )
 
@@ -47,6 +47,7 @@
 	dock        *Dock
 	purse       *Purse
 	spout       *Spout
+	ills        Ills
 	usual       *Usual
 	callers     *Callers
 	further     base.Table[bool]
--- /dev/null
+++ b/flow/ford/ills.go
@@ -0,0 +1,39 @@
+package ford
+
+import "sync"
+
+const (
+	illMemory = 0.06
+	illWeight = 4
+)
+
+// Ills keeps the share of late requests that an upstream failed, lost or garbled, seen from beside it.
+type Ills struct {
+	mu    sync.Mutex
+	berth string
+	share float64
+}
+
+// Saw folds in how one request ended at an upstream.
+func (i *Ills) Saw(berth string, good bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.berth != berth {
+		i.berth, i.share = berth, 0
+	}
+	seen := 1.0
+	if good {
+		seen = 0
+	}
+	i.share += illMemory * (seen - i.share)
+}
+
+// Share is the part that went wrong lately, for the upstream that is there now.
+func (i *Ills) Share(berth string) float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.berth != berth {
+		return 0
+	}
+	return i.share
+}
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -294,7 +294,8 @@
 				}
 			}
 		case <-visitor.Done():
-			return
+			n.tally("visitor-gone")
+			v.abandon()
 		case <-late.C:
 			v.giveUp(w, nil)
 			return
@@ -302,6 +303,9 @@
 	}
 }
 
+// abandon ends a visit without an answer: one that merely returned would look like an empty success.
+func (v *visit) abandon() { panic(http.ErrAbortHandler) }
+
 func (v *visit) giveUp(w http.ResponseWriter, mishap *base.Mishap) {
 	n := v.node
 	if v.ledger.doubtful() {
--- a/flow/ford/roster.go
+++ b/flow/ford/roster.go
@@ -17,6 +17,7 @@
 	longestAvoid  = 2 * time.Second
 	speedMemory   = 0.15
 	weightFades   = 400 * time.Millisecond
+	illFades      = 3 * time.Second
 	sizeEvery     = 250 * time.Millisecond
 )
 
@@ -184,6 +185,7 @@
 	wait    time.Duration
 	score   float64
 	avoided bool
+	ill     float64
 }
 
 func (r *Roster) indexed() map[string][]string {
@@ -270,11 +272,21 @@
 		if at.post.Zone != zone {
 			o.score += farZone
 		}
+		if o.ill = float64(at.weight.IllPct) / 100; now-at.weighed > illFades {
+			o.ill *= float64(illFades) / float64(now-at.weighed)
+		}
 		if o.avoided {
 			o.score += 100 + float64(at.avoid-now)/float64(time.Second)
 		}
 		options = append(options, o)
 	}
+	least := 1.0
+	for _, o := range options {
+		least = min(least, o.ill)
+	}
+	for i := range options {
+		options[i].score += illWeight * (options[i].ill - least)
+	}
 	slices.SortFunc(options, func(a, b Option) int { return cmp.Compare(a.score, b.score) })
 	return options
 }
--- a/flow/ford/way.go
+++ b/flow/ford/way.go
@@ -15,7 +15,7 @@
 	outcomeHeader = "Mesh-Outcome"
 )
 
-var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", wayHeader, weightHeader, outcomeHeader}
+var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", wayHeader, weightHeader, outcomeHeader}
 
 func passing(from http.Header, extra ...string) http.Header {
 	to := make(http.Header, len(from)+4)
@@ -100,14 +100,15 @@
 	TopMs   int
 	RestMs  int
 	Waited  int
+	IllPct  int
 	Serial  uint64
 	Leaving bool
 	Further bool
 }
 
 func (w Weight) text() string {
-	words := make([]string, 0, 9)
-	for _, n := range []int{w.Flying, w.Waiting, w.Limit, w.HoldMs, w.TopMs, w.RestMs, w.Waited} {
+	words := make([]string, 0, 10)
+	for _, n := range []int{w.Flying, w.Waiting, w.Limit, w.HoldMs, w.TopMs, w.RestMs, w.Waited, w.IllPct} {
 		words = append(words, strconv.Itoa(n))
 	}
 	return strings.Join(append(words, strconv.FormatUint(w.Serial, 10), flag(w.Leaving)+flag(w.Further)), ",")
@@ -115,17 +116,17 @@
 
 func readWeight(text string) (w Weight, ok bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != 9 || len(parts[8]) != 2 {
+	if len(parts) != 10 || len(parts[9]) != 2 {
 		return w, false
 	}
-	for i, at := range []*int{&w.Flying, &w.Waiting, &w.Limit, &w.HoldMs, &w.TopMs, &w.RestMs, &w.Waited} {
+	for i, at := range []*int{&w.Flying, &w.Waiting, &w.Limit, &w.HoldMs, &w.TopMs, &w.RestMs, &w.Waited, &w.IllPct} {
 		n, err := strconv.Atoi(parts[i])
 		if err != nil {
 			return w, false
 		}
 		*at = n
 	}
-	serial, err := strconv.ParseUint(parts[7], 10, 64)
-	w.Serial, w.Leaving, w.Further = serial, parts[8][0] == '1', parts[8][1] == '1'
+	serial, err := strconv.ParseUint(parts[8], 10, 64)
+	w.Serial, w.Leaving, w.Further = serial, parts[9][0] == '1', parts[9][1] == '1'
 	return w, err == nil
 }
--- a/helm/moor/moor.go
+++ b/helm/moor/moor.go
@@ -31,7 +31,7 @@
 	latelyRatio  = 0.75  // of the in-force bound
 	stepRatio    = 0.05  // of the in-force bound
 	handRatio    = 0.3   // of the grace
-	stopRatio    = 0.9   // of the grace
+	stopRatio    = 0.8   // of the grace
 	foundRatio   = 0.25  // of the ack bound
 	absentTicks  = 8
 	largestSpeak = 32 << 20
