--- a/fleet/open/client.go
+++ b/fleet/open/client.go
@@ -141,6 +141,9 @@
 		at.peeked = nil
 	}
 	response, err := http.ReadResponse(at.in, &http.Request{Method: a.Method})
+	for err == nil && response.StatusCode == http.StatusContinue {
+		response, err = http.ReadResponse(at.in, &http.Request{Method: a.Method})
+	}
 	if err != nil {
 		return c.broken(at, err)
 	}
--- /dev/null
+++ b/fleet/open/day_test.go
@@ -0,0 +1,169 @@
+package open
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+type misfortune func(f *Fleet, m *Machine, random *base.Rand) (end func())
+
+func (f *Fleet) revive(m *Machine) { Expect(f.Raise(m)).To(Succeed()) }
+
+var ofNodes = []misfortune{
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		f.Kill(m)
+		return func() { f.revive(m) }
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		f.PowerLoss(m)
+		return func() {
+			f.Power(m)
+			f.revive(m)
+			f.Seat(m)
+		}
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		f.Stop(m)
+		return func() { f.revive(m) }
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() { return f.Freeze(m) },
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		m.Upstream.Kill()
+		return func() { f.Seat(m) }
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		m.Upstream.Leave()
+		return func() { f.Seat(m) }
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		m.Upstream.Kill()
+		other := f.Upstream(m, "strangers", upstreamPort)
+		other.Dumb = true
+		Expect(other.Start()).To(Succeed())
+		return func() {
+			other.Kill()
+			f.Seat(m)
+		}
+	},
+	func(f *Fleet, m *Machine, random *base.Rand) func() {
+		faults := []Fault{Silent, Reset, Torn, Garbled, Unsealed, Endless, Twin, LateTwin, Stale, Trail, LateTrail, Closing, Hangup, Failing, Crossed}
+		at := random.Below(len(faults))
+		m.Upstream.Set(Trouble{faults[at], 0.3, 10 * time.Millisecond}, Trouble{faults[(at+1)%len(faults)], 0.2, 2 * time.Millisecond})
+		return func() { m.Upstream.Set() }
+	},
+	func(f *Fleet, m *Machine, random *base.Rand) func() {
+		m.Upstream.SetSpeed(3 + 10*random.Float64())
+		return func() { m.Upstream.SetSpeed(1) }
+	},
+	func(f *Fleet, m *Machine, random *base.Rand) func() {
+		end := f.Trouble(m.Name, "cut off")
+		all := append(f.nodes(), f.Keels...)
+		var cut []*Machine
+		for _, other := range all {
+			if other != m && random.Float64() < 0.6 {
+				cut = append(cut, other)
+				f.Cut(m, other)
+			}
+		}
+		return func() {
+			for _, other := range cut {
+				f.World.Heal(m.IP, other.IP)
+				f.World.Heal(other.IP, m.IP)
+			}
+			end()
+		}
+	},
+}
+
+var ofKeels = []misfortune{
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		f.Kill(m)
+		return func() { f.revive(m) }
+	},
+	func(f *Fleet, m *Machine, random *base.Rand) func() {
+		f.PowerLoss(m)
+		if random.Float64() < 0.5 {
+			m.Disk.Wipe()
+		}
+		return func() {
+			f.Power(m)
+			f.revive(m)
+			f.Until(8*time.Second, m.Keel.Ready)
+		}
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		f.Stop(m)
+		return func() { f.revive(m) }
+	},
+	func(f *Fleet, m *Machine, _ *base.Rand) func() { return f.Freeze(m) },
+	func(f *Fleet, m *Machine, _ *base.Rand) func() {
+		end := f.Trouble(m.Name, "cut off")
+		for _, other := range f.Keels {
+			if other != m {
+				f.Cut(m, other)
+			}
+		}
+		return func() {
+			for _, other := range f.Keels {
+				f.World.Heal(m.IP, other.IP)
+				f.World.Heal(other.IP, m.IP)
+			}
+			end()
+		}
+	},
+}
+
+func (f *Fleet) lane(name string, machines []*Machine, of []misfortune, till time.Duration) {
+	random := f.rand("lane " + name)
+	for f.History.Now() < till {
+		m := machines[random.Below(len(machines))]
+		end := of[random.Below(len(of))](f, m, random)
+		f.Pass(time.Duration((0.1 + 1.5*random.Float64()) * float64(time.Second)))
+		end()
+		f.Pass(time.Duration(random.Float64() * float64(time.Second)))
+	}
+}
+
+var _ = ginkgo.Describe("a bad day", func() {
+	story("given random troubles of nodes, upstreams, keels and links at once, when charts change amid load, then every rule is kept and all is well once they end", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		f.Visit(60)
+		f.Pass(500 * time.Millisecond)
+		till := f.History.Now() + 15*time.Second
+		var even, odd []*Machine
+		for i, m := range f.Nodes {
+			if i%2 == 0 {
+				even = append(even, m)
+			} else {
+				odd = append(odd, m)
+			}
+		}
+		base.All([]func(){
+			func() { f.lane("even", even, ofNodes, till) },
+			func() { f.lane("odd", odd, ofNodes, till) },
+			func() { f.lane("core", f.Keels, ofKeels, till) },
+			func() {
+				operator := f.Operator("one")
+				for turn := 0; f.History.Now() < till; turn++ {
+					next := shift(f.Chart(), turn)
+					if outcome := operator.Propose(&wire.ChartProposal{Chart: next}, next, 30*time.Second); outcome != nil && outcome.Kind == "" {
+						f.settle(next)
+					}
+					f.prove(turn+1, time.Second)
+				}
+			},
+		}, func(do func()) { do() })
+		f.World.HealAll()
+		end := f.History.Now()
+		f.Pass(8 * time.Second)
+		f.ReadBack()
+		f.Away()
+		sound(f, Twice, Mixed, Unasked, Routed, Kept)
+		f.fares(0.99, end+4*time.Second, 0, nil)
+	})
+})
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -59,7 +59,7 @@
 	Upstream *Upstream
 	mount    *rig.Mount
 	visitors *client
-	lives    int
+	lives    atomic.Int64
 	in       atomic.Bool
 	retired  atomic.Bool
 	misses   int
@@ -69,7 +69,7 @@
 
 func (m *Machine) At(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
-func (m *Machine) owner() string { return fmt.Sprintf("%s life %d", m.Name, m.lives) }
+func (m *Machine) owner() string { return fmt.Sprintf("%s life %d", m.Name, m.lives.Load()) }
 
 type Fleet struct {
 	Scope    base.Scope
@@ -93,7 +93,7 @@
 	visiting context.CancelFunc
 	crew     base.Crew
 	living   sync.Mutex
-	uppers   int
+	uppers   atomic.Int64
 	count    atomic.Int64
 }
 
@@ -168,7 +168,7 @@
 }
 
 func (f *Fleet) Raise(m *Machine) error {
-	m.lives++
+	m.lives.Add(1)
 	m.mount = rig.NewMount(m.Disk)
 	s := f.scope(m.owner(), m.IP, m.mount, m.Clock, m.Journal)
 	s, m.cancel = s.Child()
@@ -178,7 +178,7 @@
 	}
 	if m.Core {
 		keel, err := moor.Start(s, &wire.MoorParams{
-			Name: m.Name, Zone: m.Zone, Mates: m.At(inwardPort), Operators: m.At(operatorsPort), Seeds: f.seeds, Founding: m.lives == 1, Folder: "data",
+			Name: m.Name, Zone: m.Zone, Mates: m.At(inwardPort), Operators: m.At(operatorsPort), Seeds: f.seeds, Founding: m.lives.Load() == 1, Folder: "data",
 			Ack: durationpb.New(4 * time.Second), InForce: durationpb.New(inForceBound), Grace: durationpb.New(graceBound),
 		}, desk)
 		f.living.Lock()
@@ -213,9 +213,8 @@
 }
 
 func (f *Fleet) Upstream(m *Machine, service string, port int) *Upstream {
-	f.uppers++
 	capacity, queue := f.Size(service)
-	id := fmt.Sprintf("i-%s-%d", service, f.uppers)
+	id := fmt.Sprintf("i-%s-%d", service, f.uppers.Add(1))
 	return &Upstream{
 		ID: id, Service: service, Address: m.At(port), Zone: m.Zone, Capacity: capacity, Queue: queue, Habits: f.Habits,
 		speed: 1, machine: m, fleet: f, scope: f.scope(id, m.IP, m.Disk, m.Clock, m.Journal),
--- a/fleet/open/visitors.go
+++ b/fleet/open/visitors.go
@@ -124,7 +124,7 @@
 func (f *Fleet) ask(m *Machine, call, id string) *Ask {
 	var method, host, path string
 	_, _ = fmt.Sscanf(call, "%s %s %s", &method, &host, &path)
-	a := &Ask{At: f.History.Now(), ID: id, First: id, Node: m.Name, Life: m.lives, Service: m.Service, Method: method, Host: host, Target: path, Digest: digest(nil)}
+	a := &Ask{At: f.History.Now(), ID: id, First: id, Node: m.Name, Life: int(m.lives.Load()), Service: m.Service, Method: method, Host: host, Target: path, Digest: digest(nil)}
 	f.living.Lock()
 	current := f.chart
 	f.living.Unlock()
