--- a/flow/ford/far.go
+++ b/flow/ford/far.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	farHeld  = 1 << 20
-	bodyMost = 8 << 20
-	leftPad  = 5 * time.Millisecond
+	farHeld = 1 << 20
+	leftPad = 5 * time.Millisecond
 
 	headGuess    = 300
 	leastBacklog = 100 * time.Millisecond
@@ -167,10 +166,11 @@
 	if way.Serial > n.serial() {
 		n.behind.Ring()
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, bodyMost+1))
-	if err != nil || len(body) > bodyMost {
+	body, done, mishap := n.hold.Read(r, n.hold.most)
+	if mishap != nil && mishap.Kind == base.Malformed {
 		panic(http.ErrAbortHandler)
 	}
+	defer done()
 	n.inside.Add(1)
 	defer n.inside.Add(-1)
 	until := began + time.Duration(ms)*time.Millisecond
@@ -179,7 +179,9 @@
 	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
 	var o outcome
 	settle := func(int64) {}
-	if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
+	if mishap != nil {
+		o = bounced(base.Bounce(base.Crowded, "", "the body has no room now").Later(holdAgain))
+	} else if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
 		o = bounced(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
 	} else {
 		settle = n.spout.Owe(way.Route)
--- a/flow/ford/ford.go
+++ b/flow/ford/ford.go
@@ -48,6 +48,7 @@
 	purse       *Purse
 	spout       *Spout
 	ills        Ills
+	hold        *Hold
 	usual       *Usual
 	callers     *Callers
 	further     base.Table[bool]
@@ -115,7 +116,7 @@
 		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
 		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
+		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -96,14 +95,19 @@
 		n.refuse(w, base.Expired, "no time was left", 0, 0)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, bodyMost+1))
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	most := int64(table.Chart().GetLimits().GetBodyBytes())
+	if most <= 0 {
+		most = bodyUsual
 	}
-	if len(body) > bodyMost {
-		n.refuse(w, base.TooLarge, "the body has no room here", 0, 0)
+	body, done, mishap := n.hold.Read(r, most)
+	if mishap != nil {
+		if mishap.Kind == base.Malformed {
+			panic(http.ErrAbortHandler)
+		}
+		n.refuse(w, mishap.Kind, mishap.Reason, mishap.After, left)
 		return
 	}
+	defer done()
 	header := passing(r.Header, n.speech.Target, n.speech.Caller)
 	header[n.speech.Caller] = []string{n.params.Service}
 	if _, given := header["User-Agent"]; !given {
