--- a/flow/ford/near.go
+++ b/flow/ford/near.go
@@ -117,7 +117,7 @@
 	v := &visit{
 		node: n, route: route, attempt: attemptId, began: began, until: began + limit, left: left, part: part,
 		m:      &message{method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: body},
-		way:    Way{Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Serial: table.Serial(), Sampled: true, Trace: n.ties.trace(began, began+left)},
+		way:    Way{Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Serial: table.Serial(), Sampled: true, Trace: n.parent(route, began, left)},
 		usual:  n.usual.Mean(route.Name(), time.Duration(float64(route.Aim())*firstGuess)),
 		ledger: &Ledger{repeatable: route.Repeatable(), tries: route.Tries(), until: began + limit},
 		ended:  make(chan landed, mostBounces+1),
@@ -330,3 +330,13 @@
 	}
 	n.refuse(w, mishap.Kind, mishap.Reason, mishap.After, v.until-v.now())
 }
+
+const bindingSlack = 5 * time.Millisecond
+
+// parent names the request of the upstream beside this node that makes this call, where that is certain.
+func (n *Node) parent(route *chart.Route, began, left time.Duration) string {
+	if further, _ := n.further.Get(route.Name()); !further {
+		return ""
+	}
+	return n.ties.further(route.Name(), began+left, left < route.Cutoff()-bindingSlack)
+}
--- a/flow/ford/path_bench_test.go
+++ b/flow/ford/path_bench_test.go
@@ -161,7 +161,7 @@
 		b.Run(fmt.Sprint("flying=", flying), func(b *testing.B) {
 			defer benchCpu(b)()
 			for b.Loop() {
-				ties.trace(0, time.Hour)
+				ties.further("route-1", time.Hour, false)
 				ties.land(ties.board(way, time.Hour, time.Second), &wire.Berth{Id: "i"}, 200)
 			}
 		})
--- a/flow/ford/ties.go
+++ b/flow/ford/ties.go
@@ -9,7 +9,10 @@
 	"curlewreach/proto/wire"
 )
 
-const tieSlack = 4 * time.Millisecond
+const (
+	tieSlack   = 4 * time.Millisecond
+	fewestSolo = 10
+)
 
 type flight struct {
 	way    Way
@@ -21,6 +24,13 @@
 	inner  []stretch
 	unsure bool
 	kept   bool
+	shared bool
+	made   map[string]bool
+}
+
+type habit struct {
+	alone int
+	calls map[string]int
 }
 
 type stretch struct{ from, to time.Duration }
@@ -33,12 +43,12 @@
 	push   func(*wire.Span)
 	mu     sync.Mutex
 	flying map[*flight]bool
-	calls  map[string]*flight
+	habits map[string]*habit
 }
 
 // NewTies draws against the keeper's odds at the start of each span.
 func NewTies(s base.Scope, node string, keeper *lens.Keeper, push func(*wire.Span)) *Ties {
-	return &Ties{scope: s, node: node, keeper: keeper, push: push, flying: map[*flight]bool{}}
+	return &Ties{scope: s, node: node, keeper: keeper, push: push, flying: map[*flight]bool{}, habits: map[string]*habit{}}
 }
 
 func (t *Ties) board(way Way, until, left time.Duration) *flight {
@@ -51,6 +61,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.flying[f] = true
+	if len(t.flying) > 1 {
+		for each := range t.flying {
+			each.shared = true
+		}
+	}
 	return f
 }
 
@@ -63,24 +78,34 @@
 	return text, ""
 }
 
-// trace finds the request whose deadline a further call shares; with none or several it says so.
-func (t *Ties) trace(now, until time.Duration) string {
+// calls tells whether requests of a route may make calls of another: yes until ten that ran alone made none.
+func (t *Ties) calls(parent, child string) bool {
+	h := t.habits[parent]
+	return h == nil || h.alone < fewestSolo || h.calls[child] > 0
+}
+
+// further finds the request that a further call belongs to: the only one running here whose route makes such calls, or whose deadline the call shares where that is what binds. With several nothing is guessed: all of them are marked unsure.
+func (t *Ties) further(route string, until time.Duration, binding bool) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var parent *flight
+	var fits []*flight
 	for f := range t.flying {
-		if off := f.until - until; off > -tieSlack && off < tieSlack+leftPad {
-			if parent != nil {
-				parent.unsure, f.unsure = true, true
-				return ""
-			}
-			parent = f
+		if off := f.until - until; t.calls(f.way.Route, route) && (!binding || off > -tieSlack && off < tieSlack+leftPad) {
+			fits = append(fits, f)
+		}
+	}
+	if len(fits) == 1 {
+		parent := fits[0]
+		if parent.made == nil {
+			parent.made = map[string]bool{}
 		}
+		parent.made[route] = true
+		return parent.trace + "." + parent.span
 	}
-	if parent == nil {
-		return ""
+	for _, f := range fits {
+		f.unsure = true
 	}
-	return parent.trace + "." + parent.span
+	return ""
 }
 
 // inner notes how long a further call of a request took.
@@ -106,6 +131,17 @@
 		return
 	}
 	delete(t.flying, f)
+	if !f.shared {
+		h := t.habits[f.way.Route]
+		if h == nil {
+			h = &habit{calls: map[string]int{}}
+			t.habits[f.way.Route] = h
+		}
+		h.alone++
+		for child := range f.made {
+			h.calls[child]++
+		}
+	}
 	t.mu.Unlock()
 	if !f.kept || status == 0 {
 		return
