--- a/flow/ford/ford.go
+++ b/flow/ford/ford.go
@@ -31,6 +31,7 @@
 	lameRatio    = 0.4
 	lastRatio    = 0.88
 	farLameRatio = 0.1
+	quietLooks   = 3
 )
 
 // Node is a node of an open fleet.
@@ -210,6 +211,7 @@
 }
 
 // Stop ends a node in order: no longer ready, mates told, visitors served a while, what is in flight finished.
+// Idle connections stay open to the end: closing one races with a request that is just being read from it.
 func (n *Node) Stop() {
 	began := n.scope.Clock.Mono()
 	grace := n.params.Grace.AsDuration()
@@ -219,13 +221,15 @@
 	n.turns.Add(1)
 	n.rehail()
 	outward := n.doors[len(n.doors)-1]
-	outward.Wind()
 	base.Await(n.scope, portion(lameRatio))
 	outward.Fold()
 	base.Await(n.scope, portion(farLameRatio))
 	n.closed.Store(true)
-	for n.inside.Load() > 0 && n.scope.Clock.Mono()-began < portion(lastRatio) {
+	for quiet := 0; quiet < quietLooks && n.scope.Clock.Mono()-began < portion(lastRatio); quiet++ {
 		base.Await(n.scope, 20*time.Millisecond)
+		if n.inside.Load() > 0 {
+			quiet = -1
+		}
 	}
 	n.scope.Log.Info("stopped", "inside", n.inside.Load())
 	n.Kill()
