--- a/flow/claims.go
+++ b/flow/claims.go
@@ -10,7 +10,7 @@
 	"curlewreach/base"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
-	"curlewreach/trove"
+	"curlewreach/internal/quorum"
 )
 
 const (
@@ -104,13 +104,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keels[keel] = word{at: asked + time.Duration(news.HeldUs)*time.Microsecond, serial: news.Accepted, definite: news.Vouches}
-	if trove.CompareBallots(news.Ballot, c.ballot) > 0 {
+	if quorum.CompareBallots(news.Ballot, c.ballot) > 0 {
 		c.ballot, c.wanted = news.Ballot, max(c.wanted, news.Serial)
 		if c.staged != nil && c.staged.Serial != news.StagedSerial && c.staged.Serial != news.Serial {
 			c.staged = nil
 		}
 	}
-	if staged != nil && trove.CompareBallots(news.Ballot, c.ballot) == 0 && staged.Serial == news.StagedSerial {
+	if staged != nil && quorum.CompareBallots(news.Ballot, c.ballot) == 0 && staged.Serial == news.StagedSerial {
 		c.staged = staged
 	}
 	risen = c.rise(slice)
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -14,7 +14,7 @@
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/trove"
+	"curlewreach/internal/quorum"
 )
 
 const (
@@ -29,7 +29,7 @@
 type Helm struct {
 	scope     base.Scope
 	self      string
-	trove     *trove.Trove
+	trove     *quorum.Trove
 	member    *kin.Member
 	traces    *lens.Store
 	trust     atomic.Pointer[pact.Trust]
@@ -51,8 +51,8 @@
 type Parts struct {
 	Self    string
 	Address string
-	Mates   []trove.Mate
-	Trove   *trove.Trove
+	Mates   []quorum.Mate
+	Trove   *quorum.Trove
 	Member  *kin.Member
 	Traces  *lens.Store
 	Trust   pact.Trust
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -14,7 +14,7 @@
 	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
-	"curlewreach/trove"
+	"curlewreach/internal/quorum"
 )
 
 const (
@@ -62,7 +62,7 @@
 
 type Keel struct {
 	Helm   *Helm
-	Trove  *trove.Trove
+	Trove  *quorum.Trove
 	Traces *lens.Store
 	params *wire.KeelParams
 	cancel context.CancelFunc
@@ -81,18 +81,18 @@
 	}
 	s, cancel := s.Child()
 	k := &Keel{params: params, cancel: cancel}
-	store, err := trove.OpenStore(s, int(params.Serials)*changesEach)
+	store, err := quorum.OpenStore(s, int(params.Serials)*changesEach)
 	if err != nil {
 		cancel()
 		return nil, errors.Wrap(err, "data folder")
 	}
 	web := base.Wire(s)
 	force := params.Bounds.InForce.AsDuration()
-	var mates []trove.Mate
+	var mates []quorum.Mate
 	var relays []string
 	self := ""
 	for _, seed := range params.Seeds {
-		mates = append(mates, trove.Mate{Name: seed, Address: seed})
+		mates = append(mates, quorum.Mate{Name: seed, Address: seed})
 		if seed != params.Mates {
 			relays = append(relays, seed)
 		} else {
@@ -103,7 +103,7 @@
 		cancel()
 		return nil, errors.Errorf("seeds: a keel's own address %s is one of the seeds", params.Mates)
 	}
-	k.Trove = trove.New(s, store, web, self, mates, time.Duration(float64(force)*roundRatio))
+	k.Trove = quorum.New(s, store, web, self, mates, time.Duration(float64(force)*roundRatio))
 	traces := lens.OpenStore(s, int(params.Traces))
 	k.Traces = traces
 	traces.Mates(web, relays)
@@ -114,7 +114,7 @@
 	k.Helm = New(s, web, Parts{Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force, Slide: params.Bounds.SlideBack.AsDuration(),
 		Silence: max(params.Bounds.Recovery.AsDuration(), params.Bounds.Alone.AsDuration())})
 	mux := http.NewServeMux()
-	mux.Handle(trove.Handler(k.Trove))
+	mux.Handle(quorum.Handler(k.Trove))
 	mux.Handle(kin.Handler(member))
 	mux.Handle(lens.Handler(traces))
 	mux.Handle(Handler(k.Helm))
--- a/helm/moor/join.go
+++ b/helm/moor/join.go
@@ -15,7 +15,7 @@
 	"curlewreach/lens"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/trove"
+	"curlewreach/internal/quorum"
 )
 
 const (
@@ -45,29 +45,29 @@
 	if err != nil {
 		return nil, err
 	}
-	store, err := trove.OpenStore(s, valuesKept)
+	store, err := quorum.OpenStore(s, valuesKept)
 	if err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
 	c := &core{mates: mates, saved: saved, moors: map[string]wireconnect.MoorClient{}, lenses: map[string]wireconnect.LensClient{}}
-	var all []trove.Mate
+	var all []quorum.Mate
 	var relays []string
 	for _, address := range mates {
-		all = append(all, trove.Mate{Name: address, Address: address})
+		all = append(all, quorum.Mate{Name: address, Address: address})
 		c.lenses[address] = wireconnect.NewLensClient(m.web, "http://"+address)
 		if address != m.self {
 			c.moors[address] = wireconnect.NewMoorClient(m.web, "http://"+address)
 			relays = append(relays, address)
 		}
 	}
-	var options []trove.Option
+	var options []quorum.Option
 	if !saved {
-		options = append(options, trove.Joining)
+		options = append(options, quorum.Joining)
 	}
-	c.trove = trove.New(s, store, m.web, m.self, all, part(p.Ack, roundRatio), options...)
+	c.trove = quorum.New(s, store, m.web, m.self, all, part(p.Ack, roundRatio), options...)
 	c.traces = lens.OpenStore(s, min(int(p.MemoryMb)*spansEachMb, spansMost))
 	c.traces.Mates(m.web, relays)
-	_, c.votes = trove.Handler(c.trove)
+	_, c.votes = quorum.Handler(c.trove)
 	_, c.spans = lens.Handler(c.traces)
 	return c, nil
 }
--- a/helm/moor/moor.go
+++ b/helm/moor/moor.go
@@ -16,7 +16,7 @@
 	"curlewreach/lens"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/trove"
+	"curlewreach/internal/quorum"
 )
 
 const (
@@ -249,7 +249,7 @@
 
 type core struct {
 	mates  []string
-	trove  *trove.Trove
+	trove  *quorum.Trove
 	traces *lens.Store
 	moors  map[string]wireconnect.MoorClient
 	lenses map[string]wireconnect.LensClient
@@ -259,5 +259,5 @@
 }
 
 func (c *core) hears(address string, lately time.Duration) bool {
-	return c.trove.Hears(trove.Mate{Name: address, Address: address}, lately)
+	return c.trove.Hears(quorum.Mate{Name: address, Address: address}, lately)
 }
--- a/helm/news.go
+++ b/helm/news.go
@@ -13,7 +13,7 @@
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/trove"
+	"curlewreach/internal/quorum"
 )
 
 type server struct{ helm *Helm }
@@ -72,7 +72,7 @@
 	if settled.entry != nil {
 		reply.Ballot = &wire.Ballot{Epoch: settled.entry.Epoch.GetNumber(), Keel: settled.entry.Epoch.GetKeel(), Serial: settled.entry.Serial}
 		reply.Serial, reply.StagedSerial = settled.committed, settled.staged
-		fresh = trove.CompareBallots(reply.Ballot, ask.Ballot) > 0
+		fresh = quorum.CompareBallots(reply.Ballot, ask.Ballot) > 0
 	}
 	if current := h.Current(); current != nil {
 		concerns = current.Concerns(ask.Node, ask.Seats)
--- a/trove/trove_test.go
+++ b/internal/quorum/quorum_test.go
@@ -1,4 +1,4 @@
-package trove
+package quorum
 
 import (
 	"fmt"
--- a/trove/suite_test.go
+++ b/internal/quorum/suite_test.go
@@ -1,4 +1,4 @@
-package trove
+package quorum
 
 import (
 	"context"
@@ -18,10 +18,10 @@
 
 var suite *testing.T
 
-func TestTrove(t *testing.T) {
+func TestQuorum(t *testing.T) {
 	suite = t
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "trove")
+	ginkgo.RunSpecs(t, "quorum")
 }
 
 type member struct {
