--- a/cmd/drill/open.go
+++ b/cmd/drill/open.go
@@ -22,7 +22,7 @@
 
 	"curlewreach/base"
 	"curlewreach/flow/ford"
-	"curlewreach/helm/moor"
+	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -219,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	m, err := moor.Start(s, p, nobody[*moor.Moor])
+	m, err := controlplane.Start(s, p, nobody[*controlplane.Moor])
 	if err != nil {
 		return err
 	}
--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -16,7 +16,7 @@
 	"curlewreach/base"
 	"curlewreach/flow/ford"
 	"curlewreach/helm"
-	"curlewreach/helm/moor"
+	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 )
 
@@ -38,8 +38,8 @@
 
 func nothing[T any](T) http.Handler { return http.NotFoundHandler() }
 
-func keel(seed string) *moor.Moor {
-	m, err := moor.Start(scoped("core-1"), &wire.MoorParams{Name: "core-1", Zone: "a", Mates: seed, Operators: free(), Seeds: []string{seed}, Founding: true, Folder: "x", Ack: durationpb.New(time.Second)}, nothing[*moor.Moor])
+func keel(seed string) *controlplane.Moor {
+	m, err := controlplane.Start(scoped("core-1"), &wire.MoorParams{Name: "core-1", Zone: "a", Mates: seed, Operators: free(), Seeds: []string{seed}, Founding: true, Folder: "x", Ack: durationpb.New(time.Second)}, nothing[*controlplane.Moor])
 	Expect(err).NotTo(HaveOccurred())
 	return m
 }
--- a/fleet/open/doors.go
+++ b/fleet/open/doors.go
@@ -14,7 +14,7 @@
 
 	"curlewreach/base"
 	"curlewreach/flow/ford"
-	"curlewreach/helm/moor"
+	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 )
 
@@ -40,7 +40,7 @@
 	return mux
 }
 
-func desk(m *moor.Moor) http.Handler {
+func desk(m *controlplane.Moor) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /chart", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -18,7 +18,7 @@
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
 	"curlewreach/flow/ford"
-	"curlewreach/helm/moor"
+	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 )
 
@@ -55,7 +55,7 @@
 	Clock    *rig.Clock
 	Journal  *base.Journal
 	Node     *ford.Node
-	Keel     *moor.Moor
+	Keel     *controlplane.Moor
 	Upstream *Upstream
 	mount    *rig.Mount
 	visitors *client
@@ -177,7 +177,7 @@
 		m.back = nil
 	}
 	if m.Core {
-		keel, err := moor.Start(s, &wire.MoorParams{
+		keel, err := controlplane.Start(s, &wire.MoorParams{
 			Name: m.Name, Zone: m.Zone, Mates: m.At(inwardPort), Operators: m.At(operatorsPort), Seeds: f.seeds, Founding: m.lives.Load() == 1, Folder: "data",
 			Ack: durationpb.New(4 * time.Second), InForce: durationpb.New(inForceBound), Grace: durationpb.New(graceBound),
 		}, desk)
--- a/helm/moor/moor.go
+++ b/internal/controlplane/controlplane.go
@@ -1,6 +1,6 @@
 // Package moor is the control plane of an open fleet: members aren't listed, operators sign nothing,
 // and a chart is in force once a majority of core disks has it.
-package moor
+package controlplane
 
 import (
 	"context"
--- a/helm/moor/learn.go
+++ b/internal/controlplane/learn.go
@@ -1,4 +1,4 @@
-package moor
+package controlplane
 
 import (
 	"slices"
