--- a/cmd/drill/open.go
+++ b/cmd/drill/open.go
@@ -21,7 +21,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/flow/ford"
+	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -198,8 +198,8 @@
 				return
 			}
 			ask.Host = "open.example"
-			ask.Header.Set(ford.Plain.Attempt, fmt.Sprintf("visit-%d", i))
-			ask.Header.Set(ford.Plain.Left, fmt.Sprint(openLeft.Milliseconds()))
+			ask.Header.Set(dataplane.Plain.Attempt, fmt.Sprintf("visit-%d", i))
+			ask.Header.Set(dataplane.Plain.Left, fmt.Sprint(openLeft.Milliseconds()))
 			if answer, err := web.Do(ask); err == nil {
 				_, _ = io.Copy(io.Discard, answer.Body)
 				_ = answer.Body.Close()
@@ -236,15 +236,15 @@
 	if err != nil {
 		return err
 	}
-	n, err := ford.Start(s, p, ford.Plain, nobody[*ford.Node])
+	n, err := dataplane.Start(s, p, dataplane.Plain, nobody[*dataplane.Node])
 	if err != nil {
 		return err
 	}
 	berth := &wire.Berth{Id: p.Name + "-" + s.Rand.Name(3), Service: p.Service, Address: p.Upstream, Zone: p.Zone, Capacity: openSlots}
 	door, err := base.Open(s, p.Upstream, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(rand.N(openSlow))
-		w.Header().Set(ford.Plain.Attempt, r.Header.Get(ford.Plain.Attempt))
-		w.Header().Set(ford.Plain.Seal, "drill")
+		w.Header().Set(dataplane.Plain.Attempt, r.Header.Get(dataplane.Plain.Attempt))
+		w.Header().Set(dataplane.Plain.Seal, "drill")
 		_, _ = fmt.Fprintln(w, berth.Id)
 	}))
 	if err != nil {
--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/flow/ford"
+	"curlewreach/internal/dataplane"
 	"curlewreach/helm"
 	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
@@ -44,12 +44,12 @@
 	return m
 }
 
-func node(i int, seed string) *ford.Node {
+func node(i int, seed string) *dataplane.Node {
 	second := durationpb.New(time.Second)
-	n, err := ford.Start(scoped("app"), &wire.FordParams{
+	n, err := dataplane.Start(scoped("app"), &wire.FordParams{
 		Name: fmt.Sprint("app-", i), Zone: "a", Service: "books", Outward: free(), Inward: free(), Ready: free(), Control: free(), Seeds: []string{seed}, Mates: free(),
 		Beat: second, Leaving: second, InForce: second, Grace: second, RepeatSlack: 10,
-	}, ford.Plain, nothing[*ford.Node])
+	}, dataplane.Plain, nothing[*dataplane.Node])
 	Expect(err).NotTo(HaveOccurred())
 	return n
 }
@@ -88,7 +88,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(wrong, 8*time.Second, 50*time.Millisecond).Should(ContainElements("service books has no upstream anywhere", "the upstream beside node app-2 is silent"))
 		beat := func() {
-			for i, n := range []*ford.Node{first, second} {
+			for i, n := range []*dataplane.Node{first, second} {
 				Expect(n.Beat(&wire.Berth{Id: fmt.Sprint("i", i), Service: "books", Address: "127.0.0.1:9", Zone: "a", Capacity: 4})).To(BeNil())
 			}
 		}
--- a/fleet/open/doors.go
+++ b/fleet/open/doors.go
@@ -13,14 +13,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/flow/ford"
+	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 )
 
 func sorted[V any](rows map[string]V) []string { return slices.Sorted(maps.Keys(rows)) }
 
-func control(n *ford.Node) http.Handler {
+func control(n *dataplane.Node) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /berths/{id}", func(w http.ResponseWriter, r *http.Request) {
 		berth := &wire.Berth{}
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -17,7 +17,7 @@
 
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
-	"curlewreach/flow/ford"
+	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 )
@@ -54,7 +54,7 @@
 	Disk     *rig.Disk
 	Clock    *rig.Clock
 	Journal  *base.Journal
-	Node     *ford.Node
+	Node     *dataplane.Node
 	Keel     *controlplane.Moor
 	Upstream *Upstream
 	mount    *rig.Mount
@@ -195,7 +195,7 @@
 	if f.Tune != nil {
 		f.Tune(params)
 	}
-	node, err := ford.Start(s, params, ford.Plain, control)
+	node, err := dataplane.Start(s, params, dataplane.Plain, control)
 	f.living.Lock()
 	defer f.living.Unlock()
 	m.Node = node
--- a/fleet/open/upstream.go
+++ b/fleet/open/upstream.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/flow/ford"
+	"curlewreach/internal/dataplane"
 	"curlewreach/proto/wire"
 )
 
@@ -255,7 +255,7 @@
 }
 
 func (u *Upstream) serve(t *talk, r *http.Request, body []byte) (keep bool) {
-	h, speech := u.fleet.History, ford.Plain
+	h, speech := u.fleet.History, dataplane.Plain
 	began := h.Now()
 	id, wanted := r.Header.Get(speech.Attempt), r.Header.Get(speech.Target)
 	row := &Arrival{ID: id, At: began, Service: u.Service, Berth: u.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI, Digest: digest(body), Caller: r.Header.Get(speech.Caller)}
@@ -340,7 +340,7 @@
 }
 
 func (u *Upstream) tell(t *talk, trouble Trouble, tagged []string, id string, status int, answer []byte, chunks bool) (keep bool) {
-	speech := ford.Plain
+	speech := dataplane.Plain
 	header := tagged
 	if status == http.StatusOK {
 		header = append([]string{speech.Seal + ": " + seal(id, u.ID, answer)}, tagged...)
--- a/fleet/scale/child.go
+++ b/fleet/scale/child.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/flow/ford"
+	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
 	"curlewreach/proto/wire"
 )
@@ -148,7 +148,7 @@
 		Ready: address(task.Ip, task.Port+4), Control: address(task.Ip, task.Port+5), Seeds: task.Seeds, Beat: durationpb.New(beatEvery),
 		Leaving: durationpb.New(2 * time.Second), InForce: durationpb.New(2 * time.Second), Grace: durationpb.New(6 * time.Second), RepeatSlack: 10, Log: "error",
 	}
-	n, err := ford.Start(s, p, ford.Plain, func(*ford.Node) http.Handler { return http.NotFoundHandler() })
+	n, err := dataplane.Start(s, p, dataplane.Plain, func(*dataplane.Node) http.Handler { return http.NotFoundHandler() })
 	if err != nil {
 		return nil, nil, err
 	}
--- a/flow/ford/ford.go
+++ b/internal/dataplane/dataplane.go
@@ -1,5 +1,5 @@
 // Package ford carries requests in an open fleet, whose members no bundle lists: each node learns its mates from the keels.
-package ford
+package dataplane
 
 import (
 	"context"
--- a/flow/ford/hail.go
+++ b/internal/dataplane/hail.go
@@ -1,4 +1,4 @@
-package ford
+package dataplane
 
 import (
 	"context"
