--- a/cmd/drill/open.go
+++ b/cmd/drill/open.go
@@ -21,8 +21,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
+	"curlewreach/internal/dataplane"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -14,9 +14,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/internal/dataplane"
 	"curlewreach/helm"
 	"curlewreach/internal/controlplane"
+	"curlewreach/internal/dataplane"
 	"curlewreach/proto/wire"
 )
 
--- a/fleet/open/doors.go
+++ b/fleet/open/doors.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
+	"curlewreach/internal/dataplane"
 	"curlewreach/proto/wire"
 )
 
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -17,8 +17,8 @@
 
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
-	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
+	"curlewreach/internal/dataplane"
 	"curlewreach/proto/wire"
 )
 
--- a/fleet/open/rules.go
+++ b/fleet/open/rules.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/assay"
-	"curlewreach/pact/chart"
+	"curlewreach/internal/config"
 	"curlewreach/proto/wire"
 )
 
@@ -37,7 +37,7 @@
 	verdict *assay.Verdict
 	by      map[string]*Ask
 	runs    map[string][]*Arrival
-	tables  map[*Sent]*chart.Table
+	tables  map[*Sent]*config.Table
 }
 
 func (b *book) found(format string, args ...any) {
@@ -52,7 +52,7 @@
 	defer h.mu.Unlock()
 	slices.SortStableFunc(h.arrivals, func(a, b *Arrival) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(h.asks, func(a, b *Ask) int { return cmp.Compare(a.At, b.At) })
-	by, runs, tables := map[string]*Ask{}, map[string][]*Arrival{}, map[*Sent]*chart.Table{}
+	by, runs, tables := map[string]*Ask{}, map[string][]*Arrival{}, map[*Sent]*config.Table{}
 	for _, ask := range h.asks {
 		by[ask.ID] = ask
 	}
@@ -60,14 +60,14 @@
 		runs[each.ID] = append(runs[each.ID], each)
 	}
 	for _, sent := range h.sent {
-		tables[sent] = chart.NewTable(sent.Chart)
+		tables[sent] = config.NewTable(sent.Chart)
 	}
 	rules := []struct {
 		name  string
 		judge func(*book)
 	}{
 		{Twice, twice}, {Refused, refused}, {Mixed, mixed}, {Unasked, unasked}, {Routed, routed}, {Drain, drain}, {Lost, lost},
-		{Config, config}, {Back, back}, {Race, race}, {Kept, keeping}, {Budget, budget}, {Denied, denied},
+		{Config, configRule}, {Back, back}, {Race, race}, {Kept, keeping}, {Budget, budget}, {Denied, denied},
 	}
 	verdicts := make([]assay.Verdict, len(rules))
 	for i, rule := range rules {
@@ -239,7 +239,7 @@
 	return all
 }
 
-func config(b *book) {
+func configRule(b *book) {
 	for _, ask := range b.asks {
 		told := b.told[ask.ID]
 		if told == nil || b.troubled(ask.At, told.At) {
--- a/fleet/open/visitors.go
+++ b/fleet/open/visitors.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/pact/chart"
+	"curlewreach/internal/config"
 	"curlewreach/proto/wire"
 )
 
@@ -128,7 +128,7 @@
 	f.living.Lock()
 	current := f.chart
 	f.living.Unlock()
-	if route, known := chart.NewTable(current).Find(host, path); known {
+	if route, known := config.NewTable(current).Find(host, path); known {
 		a.Route, a.Repeat, a.Aim = route.Name(), route.Raw.Repeat, route.Aim()
 	}
 	return a
--- a/fleet/scale/child.go
+++ b/fleet/scale/child.go
@@ -15,8 +15,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/internal/dataplane"
 	"curlewreach/internal/controlplane"
+	"curlewreach/internal/dataplane"
 	"curlewreach/proto/wire"
 )
 
--- a/fleet/scale/measure_test.go
+++ b/fleet/scale/measure_test.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
+	"curlewreach/internal/config"
 	"curlewreach/lens"
 	"curlewreach/pact"
-	"curlewreach/pact/chart"
 	"curlewreach/proto/wire"
 )
 
@@ -78,13 +78,13 @@
 				if err := proto.Unmarshal(body, read); err != nil {
 					b.Fatal(err)
 				}
-				chart.NewTable(read)
+				config.NewTable(read)
 			}
 		})
 		b.Run(fmt.Sprintf("judge/routes=%d", routes), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if faults := chart.Check(chart.Apply(whole, change)); len(faults) > 0 {
+				if faults := config.Check(config.Apply(whole, change)); len(faults) > 0 {
 					b.Fatal(faults)
 				}
 			}
--- a/flow/claims.go
+++ b/flow/claims.go
@@ -8,9 +8,9 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
+	"curlewreach/internal/quorum"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
-	"curlewreach/internal/quorum"
 )
 
 const (
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -9,12 +9,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/quorum"
 	"curlewreach/kin"
 	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/internal/quorum"
 )
 
 const (
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -10,11 +10,11 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
+	"curlewreach/internal/quorum"
 	"curlewreach/kin"
 	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
-	"curlewreach/internal/quorum"
 )
 
 const (
--- a/helm/news.go
+++ b/helm/news.go
@@ -9,11 +9,11 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
+	"curlewreach/internal/quorum"
 	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/internal/quorum"
 )
 
 type server struct{ helm *Helm }
--- a/pact/chart/table.go
+++ b/internal/config/table.go
@@ -1,4 +1,4 @@
-package chart
+package config
 
 import (
 	"strings"
--- a/internal/controlplane/join.go
+++ b/internal/controlplane/join.go
@@ -12,10 +12,10 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
+	"curlewreach/internal/quorum"
 	"curlewreach/lens"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
-	"curlewreach/internal/quorum"
 )
 
 const (
--- a/internal/controlplane/propose.go
+++ b/internal/controlplane/propose.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/pact/chart"
+	"curlewreach/internal/config"
 	"curlewreach/proto/wire"
 )
 
@@ -178,8 +178,8 @@
 	}
 	next := p.Chart
 	if p.Change != nil {
-		next = chart.Apply(head.GetChart(), p.Change)
-		if mishaps := chart.Check(next); len(mishaps) > 0 {
+		next = config.Apply(head.GetChart(), p.Change)
+		if mishaps := config.Check(next); len(mishaps) > 0 {
 			return nil, bounced(serial, mishaps...)
 		}
 	}
@@ -194,7 +194,7 @@
 	case serialOf(p) == 0:
 		return bounced(0, base.Bounce(base.OutOfRange, "serial", "must be above 0"))
 	case p.Chart != nil:
-		if mishaps := chart.Check(p.Chart); len(mishaps) > 0 {
+		if mishaps := config.Check(p.Chart); len(mishaps) > 0 {
 			return bounced(p.Chart.Serial, mishaps...)
 		}
 	}
@@ -218,7 +218,7 @@
 }
 
 func digestOf(p *wire.ChartProposal) []byte {
-	return chart.Digest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change})
+	return config.Digest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change})
 }
 
 func (m *Moor) told(p *wire.ChartProposal, outcome *wire.ChartOutcome) {
--- a/internal/controlplane/soak_test.go
+++ b/internal/controlplane/soak_test.go
@@ -14,7 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"curlewreach/base"
-	"curlewreach/pact/chart"
+	"curlewreach/internal/config"
 	"curlewreach/proto/wire"
 )
 
@@ -56,7 +56,7 @@
 func (l *ledger) serve(c *wire.Chart) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	digest := string(chart.Digest(c))
+	digest := string(config.Digest(c))
 	if was, known := l.served[c.Serial]; known && was != digest {
 		l.faults = append(l.faults, fmt.Sprintf("two charts were served as serial %d", c.Serial))
 	}
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -11,8 +11,8 @@
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
 	"curlewreach/base"
+	"curlewreach/internal/config"
 	"curlewreach/lens"
-	"curlewreach/pact/chart"
 	"curlewreach/proto/wire"
 )
 
@@ -56,7 +56,7 @@
 	ties        *Ties
 	keeper      *lens.Keeper
 	sink        *lens.Sink
-	table       atomic.Pointer[chart.Table]
+	table       atomic.Pointer[config.Table]
 	stopping    atomic.Bool
 	closed      atomic.Bool
 	inside      atomic.Int64
--- a/internal/dataplane/hail.go
+++ b/internal/dataplane/hail.go
@@ -7,7 +7,7 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
-	"curlewreach/pact/chart"
+	"curlewreach/internal/config"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -54,7 +54,7 @@
 	if n.table.Load() == nil && !settled && n.scope.Clock.Mono()-n.born < youth {
 		return
 	}
-	n.table.Store(chart.NewTable(c))
+	n.table.Store(config.NewTable(c))
 	n.scope.Log.Info("chart in force", "serial", c.Serial, "routes", len(c.Routes))
 	n.scope.Note("in-force", "", "")
 }
--- a/internal/dataplane/near.go
+++ b/internal/dataplane/near.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/pact/chart"
+	"curlewreach/internal/config"
 )
 
 const (
@@ -31,7 +31,7 @@
 type visit struct {
 	node    *Node
 	way     Way
-	route   *chart.Route
+	route   *config.Route
 	attempt string
 	m       *message
 	began   time.Duration
@@ -334,7 +334,7 @@
 const bindingSlack = 5 * time.Millisecond
 
 // parent names the request of the upstream beside this node that makes this call, where that is certain.
-func (n *Node) parent(route *chart.Route, began, left time.Duration) string {
+func (n *Node) parent(route *config.Route, began, left time.Duration) string {
 	if further, _ := n.further.Get(route.Name()); !further {
 		return ""
 	}
--- a/internal/dataplane/path_bench_test.go
+++ b/internal/dataplane/path_bench_test.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
+	"curlewreach/internal/config"
 	"curlewreach/lens"
-	"curlewreach/pact/chart"
 	"curlewreach/proto/wire"
 )
 
@@ -81,7 +81,7 @@
 
 func BenchmarkPathFind(b *testing.B) {
 	for _, routes := range []int{40, 1000, 10000} {
-		table := chart.NewTable(benchChart(routes, min(routes, 560)))
+		table := config.NewTable(benchChart(routes, min(routes, 560)))
 		host, path := "service-7.example", "/part-7/shelf/12?x=1"
 		b.Run(fmt.Sprint("routes=", routes), func(b *testing.B) {
 			defer benchCpu(b)()
