--- a/fleet/desk_test.go
+++ b/fleet/desk_test.go
@@ -16,7 +16,7 @@
 	"curlewreach/base"
 	"curlewreach/flow"
 	"curlewreach/helm"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/mime"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
@@ -236,7 +236,7 @@
 		spans, _ := f.Keels[0].Keel.Traces.Recent(0, 100000)
 		Expect(len(spans)).To(BeNumerically(">", len(copies)/3))
 		for _, span := range spans {
-			if span.Parent != "" && span.Side == lens.FarSide {
+			if span.Parent != "" && span.Side == tracing.FarSide {
 				whole, err := f.Clerk.Trace(f.Scope, span.Trace)
 				Expect(err).NotTo(HaveOccurred())
 				Expect(len(whole.Spans)).To(BeNumerically(">=", 2))
--- a/fleet/odds_test.go
+++ b/fleet/odds_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"curlewreach/assay"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -96,12 +96,12 @@
 		children := map[string][]*wire.Span{}
 		for _, span := range spans {
 			sides[span.Side]++
-			if span.Side == lens.AttemptSide {
+			if span.Side == tracing.AttemptSide {
 				children[span.Parent] = append(children[span.Parent], span)
 			}
 		}
 		for _, span := range spans {
-			if span.Side != lens.NearSide {
+			if span.Side != tracing.NearSide {
 				continue
 			}
 			tries := children[span.Id]
@@ -116,14 +116,14 @@
 			}
 		}
 		Expect(retried).To(BeNumerically(">", 0), "a retry is seen from the caller's side")
-		Expect(sides[lens.NearSide]).To(BeNumerically(">", 50))
-		Expect(sides[lens.FarSide]).To(BeNumerically(">", 50))
+		Expect(sides[tracing.NearSide]).To(BeNumerically(">", 50))
+		Expect(sides[tracing.FarSide]).To(BeNumerically(">", 50))
 		_, learning := f.holder()
 		samples := uint64(0)
 		for _, belief := range learning.Beliefs {
 			samples += belief.Samples
 		}
-		Expect(samples).To(BeNumerically("<=", sides[lens.FarSide]), "near spans and attempts teach nothing")
+		Expect(samples).To(BeNumerically("<=", sides[tracing.FarSide]), "near spans and attempts teach nothing")
 		sound(f)
 	})
 })
--- a/fleet/scale/measure_test.go
+++ b/fleet/scale/measure_test.go
@@ -10,7 +10,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/config"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -57,7 +57,7 @@
 			b.ReportAllocs()
 			prior := &wire.Learning{}
 			for b.Loop() {
-				prior = lens.Learn(prior, spans, usual.Common.Tracing, base.SeededRand(1), func(string) bool { return true })
+				prior = tracing.Learn(prior, spans, usual.Common.Tracing, base.SeededRand(1), func(string) bool { return true })
 			}
 		})
 	}
--- a/flow/far.go
+++ b/flow/far.go
@@ -14,7 +14,7 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 )
 
@@ -150,7 +150,7 @@
 		Candidates: f.trail.Candidates,
 	}
 	if uncertain {
-		span.Tags[lens.UncertainTag] = "true"
+		span.Tags[tracing.UncertainTag] = "true"
 	}
 	return span
 }
--- a/flow/near.go
+++ b/flow/near.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -117,7 +117,7 @@
 	}
 	span := &wire.Span{
 		Trace: trail.Trace, Id: n.scope.Rand.Name(8), Parent: trail.Parent, Service: way.Service.Name, Route: way.Route.Name,
-		Node: n.self, Group: way.Group, Side: lens.NearSide, Candidates: trail.Candidates,
+		Node: n.self, Group: way.Group, Side: tracing.NearSide, Candidates: trail.Candidates,
 	}
 	began := s.Clock.Mono()
 	trail.Parent = span.Id
@@ -135,7 +135,7 @@
 		}
 		tries = append(tries, interval{attempt.Started, ended})
 		child := proto.Clone(span).(*wire.Span)
-		child.Id, child.Parent, child.Side, child.Seat = attempt.Name, span.Id, lens.AttemptSide, attempt.Seat
+		child.Id, child.Parent, child.Side, child.Seat = attempt.Name, span.Id, tracing.AttemptSide, attempt.Seat
 		child.Tags = map[string]string{"node": attempt.Node, "state": attempt.State.String()}
 		if attempt.Mishap != nil {
 			child.Tags["kind"] = string(attempt.Mishap.Kind)
--- a/flow/node.go
+++ b/flow/node.go
@@ -18,8 +18,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/tracing"
 	"curlewreach/kin"
-	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -73,8 +73,8 @@
 	repeats   *Repeats
 	room      room
 	budget    *Budget
-	keeper    *lens.Keeper
-	sink      *lens.Sink
+	keeper    *tracing.Keeper
+	sink      *tracing.Sink
 	slice     atomic.Pointer[pact.Bundle]
 	stopping  atomic.Bool
 	ends      atomic.Int64
@@ -103,7 +103,7 @@
 		outward: outwards(s.Net),
 		fences:  NewFences(s.Clock, 2*bounds.Grace.AsDuration()), ties: NewTies(s.Clock),
 		gate: NewGate(s.Clock, int(params.Flights), int(params.Queue)), repeats: NewRepeats(), budget: NewBudget(s.Clock),
-		keeper: lens.NewKeeper(s.Rand), sink: lens.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
+		keeper: tracing.NewKeeper(s.Rand), sink: tracing.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
 	}
 	n.claims = NewClaims(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*claimRatio), bounds.InForce.AsDuration(), bounds.Alone.AsDuration())
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
@@ -273,7 +273,7 @@
 
 func (n *Node) Bundle() *pact.Bundle { return n.slice.Load() }
 
-func (n *Node) Keeper() *lens.Keeper { return n.keeper }
+func (n *Node) Keeper() *tracing.Keeper { return n.keeper }
 
 func (n *Node) Incarnation() string { return n.member.Incarnation() }
 
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -10,8 +10,8 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/quorum"
+	"curlewreach/internal/tracing"
 	"curlewreach/kin"
-	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -31,7 +31,7 @@
 	self      string
 	trove     *quorum.Trove
 	member    *kin.Member
-	traces    *lens.Store
+	traces    *tracing.Store
 	trust     atomic.Pointer[pact.Trust]
 	limits    pact.Limits
 	force     time.Duration
@@ -54,7 +54,7 @@
 	Mates   []quorum.Mate
 	Trove   *quorum.Trove
 	Member  *kin.Member
-	Traces  *lens.Store
+	Traces  *tracing.Store
 	Trust   pact.Trust
 	Limits  pact.Limits
 	Force   time.Duration
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -11,8 +11,8 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/quorum"
+	"curlewreach/internal/tracing"
 	"curlewreach/kin"
-	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -63,7 +63,7 @@
 type Keel struct {
 	Helm   *Helm
 	Trove  *quorum.Trove
-	Traces *lens.Store
+	Traces *tracing.Store
 	params *wire.KeelParams
 	cancel context.CancelFunc
 	doors  []*base.Door
@@ -104,7 +104,7 @@
 		return nil, errors.Errorf("seeds: a keel's own address %s is one of the seeds", params.Mates)
 	}
 	k.Trove = quorum.New(s, store, web, self, mates, time.Duration(float64(force)*roundRatio))
-	traces := lens.OpenStore(s, int(params.Traces))
+	traces := tracing.OpenStore(s, int(params.Traces))
 	k.Traces = traces
 	traces.Mates(web, relays)
 	member := kin.NewMember(s, web, &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone, Core: true},
@@ -116,7 +116,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(quorum.Handler(k.Trove))
 	mux.Handle(kin.Handler(member))
-	mux.Handle(lens.Handler(traces))
+	mux.Handle(tracing.Handler(traces))
 	mux.Handle(Handler(k.Helm))
 	for address, handler := range map[string]http.Handler{params.Mates: mux, params.Operators: Desk(k.Helm)} {
 		door, err := base.Open(s, address, handler)
--- a/helm/learn.go
+++ b/helm/learn.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/tracing"
 	"curlewreach/kin"
-	"curlewreach/lens"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -82,8 +82,8 @@
 }
 
 func (h *Helm) cycle(s base.Scope, current *pact.Bundle, readers map[string]*reader, holder string) {
-	tracing := current.Tracing()
-	bounded, cancel := s.Within(tracing.GetCycle().AsDuration())
+	settings := current.Tracing()
+	bounded, cancel := s.Within(settings.GetCycle().AsDuration())
 	defer cancel()
 	spans := h.recent(bounded, readers)
 	err := h.trove.Change(bounded, LearningKey, func(old []byte) ([]byte, error) {
@@ -95,7 +95,7 @@
 			return nil, nil
 		}
 		prior.Holder = h.self
-		return proto.Marshal(lens.Learn(prior, spans, tracing, s.Rand, current.Names))
+		return proto.Marshal(tracing.Learn(prior, spans, settings, s.Rand, current.Names))
 	})
 	if err != nil {
 		h.scope.Note("learner-stuck", "", err.Error())
@@ -105,10 +105,10 @@
 func (h *Helm) recent(s base.Scope, readers map[string]*reader) []*wire.Span {
 	seen := map[string]bool{}
 	var spans []*wire.Span
-	for name, lens := range h.lenses {
+	for name, client := range h.lenses {
 		at := readers[name]
 		ctx, cancel := context.WithTimeout(s, time.Duration(float64(h.force)/4))
-		reply, err := lens.Recent(ctx, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
+		reply, err := client.Recent(ctx, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
 		cancel()
 		if err != nil {
 			continue
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -14,7 +14,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/quorum"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -250,7 +250,7 @@
 type core struct {
 	mates  []string
 	trove  *quorum.Trove
-	traces *lens.Store
+	traces *tracing.Store
 	moors  map[string]wireconnect.MoorClient
 	lenses map[string]wireconnect.LensClient
 	votes  http.Handler
--- a/internal/controlplane/join.go
+++ b/internal/controlplane/join.go
@@ -13,7 +13,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/quorum"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -65,10 +65,10 @@
 		options = append(options, quorum.Joining)
 	}
 	c.trove = quorum.New(s, store, m.web, m.self, all, part(p.Ack, roundRatio), options...)
-	c.traces = lens.OpenStore(s, min(int(p.MemoryMb)*spansEachMb, spansMost))
+	c.traces = tracing.OpenStore(s, min(int(p.MemoryMb)*spansEachMb, spansMost))
 	c.traces.Mates(m.web, relays)
 	_, c.votes = quorum.Handler(c.trove)
-	_, c.spans = lens.Handler(c.traces)
+	_, c.spans = tracing.Handler(c.traces)
 	return c, nil
 }
 
--- a/internal/controlplane/learn.go
+++ b/internal/controlplane/learn.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -124,7 +124,7 @@
 			return nil, nil
 		}
 		prior.Holder = l.moor.self
-		return proto.Marshal(lens.Learn(prior, spans, l.tracing, s.Rand, names(chart)))
+		return proto.Marshal(tracing.Learn(prior, spans, l.tracing, s.Rand, names(chart)))
 	})
 	if err != nil {
 		s.Note("learner-stuck", LearningKey, err.Error())
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -12,7 +12,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/config"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 )
 
@@ -54,8 +54,8 @@
 	callers     *Callers
 	further     base.Table[bool]
 	ties        *Ties
-	keeper      *lens.Keeper
-	sink        *lens.Sink
+	keeper      *tracing.Keeper
+	sink        *tracing.Sink
 	table       atomic.Pointer[config.Table]
 	stopping    atomic.Bool
 	closed      atomic.Bool
@@ -117,11 +117,11 @@
 		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
 		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: lens.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
+		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
-	n.sink = lens.NewSink(s, n.web, p.Seeds, spansBound)
+	n.sink = tracing.NewSink(s, n.web, p.Seeds, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
 	n.openViews(s)
 	for _, each := range []struct {
--- a/internal/dataplane/path_bench_test.go
+++ b/internal/dataplane/path_bench_test.go
@@ -15,7 +15,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/config"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 )
 
@@ -153,7 +153,7 @@
 func BenchmarkPathTies(b *testing.B) {
 	s := benchScope(b)
 	for _, flying := range []int{1, 16, 256} {
-		ties := NewTies(s, "node", lens.NewKeeper(s.Rand), func(*wire.Span) {})
+		ties := NewTies(s, "node", tracing.NewKeeper(s.Rand), func(*wire.Span) {})
 		way := Way{Service: "service-0", Route: "route-0", Sampled: true}
 		for i := range flying {
 			ties.board(way, time.Duration(i+2)*time.Hour, time.Second)
--- a/internal/dataplane/ties.go
+++ b/internal/dataplane/ties.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 )
 
@@ -39,7 +39,7 @@
 type Ties struct {
 	scope  base.Scope
 	node   string
-	keeper *lens.Keeper
+	keeper *tracing.Keeper
 	push   func(*wire.Span)
 	mu     sync.Mutex
 	flying map[*flight]bool
@@ -47,7 +47,7 @@
 }
 
 // NewTies draws against the keeper's odds at the start of each span.
-func NewTies(s base.Scope, node string, keeper *lens.Keeper, push func(*wire.Span)) *Ties {
+func NewTies(s base.Scope, node string, keeper *tracing.Keeper, push func(*wire.Span)) *Ties {
 	return &Ties{scope: s, node: node, keeper: keeper, push: push, flying: map[*flight]bool{}, habits: map[string]*habit{}}
 }
 
@@ -154,7 +154,7 @@
 		SelfUs: uint64((took - covered(f.inner, f.began, now)).Microseconds()), Status: uint32(status), Tags: map[string]string{"zone": berth.GetZone()},
 	}
 	if f.unsure {
-		span.Tags[lens.UncertainTag] = "true"
+		span.Tags[tracing.UncertainTag] = "true"
 	}
 	t.push(span)
 }
--- a/internal/dataplane/ties_test.go
+++ b/internal/dataplane/ties_test.go
@@ -8,7 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"curlewreach/base"
-	"curlewreach/lens"
+	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 )
 
@@ -19,7 +19,7 @@
 	fresh := func() *Ties {
 		clock, spans = &stepped{now: time.Hour}, nil
 		s := base.Scope{Clock: clock, Rand: base.SeededRand(7), Journal: base.NewJournal(10)}
-		return NewTies(s, "node", lens.NewKeeper(s.Rand), func(span *wire.Span) { spans = append(spans, span) })
+		return NewTies(s, "node", tracing.NewKeeper(s.Rand), func(span *wire.Span) { spans = append(spans, span) })
 	}
 	board := func(t *Ties, route string, left time.Duration) *flight {
 		return t.board(Way{Service: "desk", Route: route, Sampled: true}, clock.now+left, left)
@@ -39,7 +39,7 @@
 		gomega.Expect(spans).To(gomega.HaveLen(1))
 		gomega.Expect(spans[0].DurationUs).To(gomega.BeEquivalentTo(120_000))
 		gomega.Expect(spans[0].SelfUs).To(gomega.BeEquivalentTo(60_000))
-		gomega.Expect(spans[0].Tags).NotTo(gomega.HaveKey(lens.UncertainTag))
+		gomega.Expect(spans[0].Tags).NotTo(gomega.HaveKey(tracing.UncertainTag))
 	})
 
 	ginkgo.It("given two requests of a kind at work, when a call comes, then it is tied to neither and both say they are unsure", func() {
@@ -50,7 +50,7 @@
 			t.land(f, berth, 200)
 		}
 		for _, span := range spans {
-			gomega.Expect(span.Tags).To(gomega.HaveKey(lens.UncertainTag))
+			gomega.Expect(span.Tags).To(gomega.HaveKey(tracing.UncertainTag))
 		}
 	})
 
--- a/lens/measure_test.go
+++ b/internal/tracing/measure_test.go
@@ -1,4 +1,4 @@
-package lens
+package tracing
 
 import (
 	"fmt"
--- a/lens/tags_test.go
+++ b/internal/tracing/tags_test.go
@@ -1,4 +1,4 @@
-package lens
+package tracing
 
 import (
 	"github.com/onsi/ginkgo/v2"
