--- a/cmd/quiz/wrong.go
+++ b/cmd/quiz/wrong.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/helm"
-	"curlewreach/kin"
+	"curlewreach/internal/membership"
 	"curlewreach/proto/wire"
 )
 
@@ -96,7 +96,7 @@
 		return err
 	}
 	for _, each := range holdings.Holdings {
-		if each.Standing != kin.Well {
+		if each.Standing != membership.Well {
 			w.add("%s is %s", each.Node, each.Standing)
 		}
 		if each.Serial < holdings.Serial {
--- a/fleet/kin_test.go
+++ b/fleet/kin_test.go
@@ -6,7 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/kin"
+	"curlewreach/internal/membership"
 )
 
 func (f *Fleet) standing(keel, of *Machine) string {
@@ -15,7 +15,7 @@
 			return sighting.Standing
 		}
 	}
-	return kin.Absent
+	return membership.Absent
 }
 
 var _ = ginkgo.Describe("failure detection", func() {
@@ -23,17 +23,17 @@
 		raised(f)
 		lost := f.Vanes[int(f.Seed)%4]
 		for _, keel := range f.Keels {
-			Expect(f.standing(keel, lost)).To(Equal(kin.Well))
+			Expect(f.standing(keel, lost)).To(Equal(membership.Well))
 		}
 		f.PowerLoss(lost)
 		begun := f.Scope.Clock.Mono()
 		for _, keel := range f.Keels {
-			Expect(f.Until(2*time.Second, func() bool { return f.standing(keel, lost) == kin.Absent })).To(BeTrue())
+			Expect(f.Until(2*time.Second, func() bool { return f.standing(keel, lost) == membership.Absent })).To(BeTrue())
 		}
 		ginkgo.GinkgoWriter.Printf("MEASURE detection, seed %d: absent at all keels after %s\n", f.Seed, f.Scope.Clock.Mono()-begun)
 		Expect(f.Raise(lost)).To(Succeed())
 		for _, keel := range f.Keels {
-			Expect(f.Until(time.Second, func() bool { return f.standing(keel, lost) == kin.Well })).To(BeTrue())
+			Expect(f.Until(time.Second, func() bool { return f.standing(keel, lost) == membership.Well })).To(BeTrue())
 		}
 	})
 
@@ -52,7 +52,7 @@
 		alarms := 0
 		for _, keel := range f.Keels {
 			for event := range keel.Journal.About("") {
-				if event.Topic == "standing" && event.Detail == kin.Absent {
+				if event.Topic == "standing" && event.Detail == membership.Absent {
 					alarms++
 				}
 			}
--- a/flow/node.go
+++ b/flow/node.go
@@ -18,8 +18,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/membership"
 	"curlewreach/internal/tracing"
-	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -65,7 +65,7 @@
 	force     time.Duration
 	web       *http.Client
 	outward   *http.Transport
-	member    *kin.Member
+	member    *membership.Member
 	seats     *Seats
 	fences    *Fences
 	ties      *Ties
@@ -108,7 +108,7 @@
 	n.claims = NewClaims(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*claimRatio), bounds.InForce.AsDuration(), bounds.Alone.AsDuration())
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
 	self := &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone}
-	n.member = kin.NewMember(s, web, self, params.Seeds, nil, time.Duration(float64(leaving)*beatRatio))
+	n.member = membership.NewMember(s, web, self, params.Seeds, nil, time.Duration(float64(leaving)*beatRatio))
 	n.member.Enrich = func(reply *wire.TellReply) {
 		reply.Carried, reply.Watched = n.gate.Granted(), n.budget.Spent()
 	}
@@ -116,7 +116,7 @@
 		slices.SortFunc(rows, func(a, b *wire.Seat) int { return strings.Compare(a.Address, b.Address) })
 		n.member.Change(func(roster *wire.Roster) { roster.Seats = rows })
 	})
-	n.heard, n.first = make([]atomic.Int64, len(params.Seeds)), kin.Turn(params.Name, len(params.Seeds))
+	n.heard, n.first = make([]atomic.Int64, len(params.Seeds)), membership.Turn(params.Name, len(params.Seeds))
 	for _, seed := range params.Seeds {
 		n.keels = append(n.keels, wireconnect.NewHelmClient(web, "http://"+seed))
 	}
@@ -389,7 +389,7 @@
 func (n *Node) Mates() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewFlowHandler(farServer{n}, base.Plain()))
-	mux.Handle(kin.Handler(n.member))
+	mux.Handle(membership.Handler(n.member))
 	return mux
 }
 
--- a/flow/pick.go
+++ b/flow/pick.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/kin"
+	"curlewreach/internal/membership"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -34,7 +34,7 @@
 	return func(yield func(place) bool) {
 		own := n.member.Roster()
 		for _, seat := range own.Seats {
-			if seat.Service == service && !seat.Leaving && !yield(place{node: n.self, incarnation: own.Incarnation, standing: kin.Well, seat: seat}) {
+			if seat.Service == service && !seat.Leaving && !yield(place{node: n.self, incarnation: own.Incarnation, standing: membership.Well, seat: seat}) {
 				return
 			}
 		}
@@ -93,7 +93,7 @@
 	if each.seat.Zone != n.zone {
 		score *= 1 + elsewhere
 	}
-	if each.standing != kin.Well {
+	if each.standing != membership.Well {
 		score *= 1 + cooling*standingBy
 	}
 	if at.cool > n.scope.Clock.Mono() {
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/membership"
 	"curlewreach/internal/quorum"
 	"curlewreach/internal/tracing"
-	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -30,7 +30,7 @@
 	scope     base.Scope
 	self      string
 	trove     *quorum.Trove
-	member    *kin.Member
+	member    *membership.Member
 	traces    *tracing.Store
 	trust     atomic.Pointer[pact.Trust]
 	limits    pact.Limits
@@ -53,7 +53,7 @@
 	Address string
 	Mates   []quorum.Mate
 	Trove   *quorum.Trove
-	Member  *kin.Member
+	Member  *membership.Member
 	Traces  *tracing.Store
 	Trust   pact.Trust
 	Limits  pact.Limits
@@ -132,7 +132,7 @@
 	}
 }
 
-func (h *Helm) View() *kin.View { return h.member.View() }
+func (h *Helm) View() *membership.View { return h.member.View() }
 
 func (h *Helm) Ready() bool { return h.trove.Ready() }
 
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
+	"curlewreach/internal/membership"
 	"curlewreach/internal/quorum"
 	"curlewreach/internal/tracing"
-	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -107,7 +107,7 @@
 	traces := tracing.OpenStore(s, int(params.Traces))
 	k.Traces = traces
 	traces.Mates(web, relays)
-	member := kin.NewMember(s, web, &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone, Core: true},
+	member := membership.NewMember(s, web, &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone, Core: true},
 		params.Seeds, relays, time.Duration(float64(params.Bounds.Leaving.AsDuration())*beatRatio))
 	limits := pact.UsualLimits(params.Bounds.Grace.AsDuration())
 	limits.Bytes = int(params.Bundle)
@@ -115,7 +115,7 @@
 		Silence: max(params.Bounds.Recovery.AsDuration(), params.Bounds.Alone.AsDuration())})
 	mux := http.NewServeMux()
 	mux.Handle(quorum.Handler(k.Trove))
-	mux.Handle(kin.Handler(member))
+	mux.Handle(membership.Handler(member))
 	mux.Handle(tracing.Handler(traces))
 	mux.Handle(Handler(k.Helm))
 	for address, handler := range map[string]http.Handler{params.Mates: mux, params.Operators: Desk(k.Helm)} {
--- a/helm/learn.go
+++ b/helm/learn.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/membership"
 	"curlewreach/internal/tracing"
-	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
@@ -134,7 +134,7 @@
 	}
 	successor := ""
 	for sighting := range h.member.View().All() {
-		if sighting.Roster.Core && sighting.Roster.Node != h.self && sighting.Standing == kin.Well && !sighting.Roster.Stopping {
+		if sighting.Roster.Core && sighting.Roster.Node != h.self && sighting.Standing == membership.Well && !sighting.Roster.Stopping {
 			successor = sighting.Roster.Node
 			break
 		}
--- a/helm/news.go
+++ b/helm/news.go
@@ -9,8 +9,8 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
+	"curlewreach/internal/membership"
 	"curlewreach/internal/quorum"
-	"curlewreach/kin"
 	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -97,7 +97,7 @@
 			since = 0
 		}
 		for sighting := range view.Since(since) {
-			reply.Sightings = append(reply.Sightings, kin.Narrow(sighting, concerns))
+			reply.Sightings = append(reply.Sightings, membership.Narrow(sighting, concerns))
 		}
 		fresh = true
 	}
--- a/kin/view.go
+++ b/internal/membership/view.go
@@ -1,4 +1,4 @@
-package kin
+package membership
 
 import (
 	"iter"
