--- a/cmd/quiz/place.go
+++ b/cmd/quiz/place.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
-	"curlewreach/perch"
+	"curlewreach/internal/placement"
 	"curlewreach/proto/wire"
 )
 
@@ -19,10 +19,10 @@
 	if err := readProto(a.Place.File, plan); err != nil {
 		return badFile{err}
 	}
-	if err := perch.Check(plan); err != nil {
+	if err := placement.Check(plan); err != nil {
 		return badFile{errors.New(strings.Join(base.Mishaps(err), "\n  "))}
 	}
-	seats, clash := perch.Solve(plan)
+	seats, clash := placement.Solve(plan)
 	if len(clash) > 0 {
 		for _, each := range clash {
 			fmt.Fprintln(os.Stderr, " ", each)
--- a/perch/check.go
+++ b/internal/placement/check.go
@@ -1,4 +1,4 @@
-package perch
+package placement
 
 import (
 	"fmt"
