--- a/internal/quorum/old_test.go
+++ b/internal/quorum/old_test.go
@@ -17,7 +17,7 @@
 var _ = ginkgo.Describe("files of the first landing", func() {
 	ginkgo.It("given a core disk it wrote, when today's code opens it, then it is founded, whole and promises on", func() {
 		folder := ginkgo.GinkgoT().TempDir()
-		Expect(os.CopyFS(folder, os.DirFS("../proto/compat/testdata/core"))).To(Succeed())
+		Expect(os.CopyFS(folder, os.DirFS("../../proto/compat/testdata/core"))).To(Succeed())
 		disk, err := base.RealDisk(folder)
 		Expect(err).NotTo(HaveOccurred())
 		s := base.Scope{Context: ginkgo.GinkgoT().Context(), Clock: base.RealClock(), Disk: disk, Rand: base.SeededRand(1), Log: hclog.NewNullLogger(), Journal: base.NewJournal(100)}
