--- /dev/null
+++ b/internal/replica/machine.go
@@ -0,0 +1,330 @@
+// Package replica keeps registers on a set of replicas that is itself agreed.
+//
+// Each key is a register with one owner at a time, chosen by a rising term: the owner has a version on a
+// majority of disks before it counts. The voters belong to a generation; the next generation is a value that a
+// majority of the present one chooses, after which the present one is sealed, its registers are gathered from a
+// majority, and installed on the voters of the next. Machine holds all of it apart from I/O; Replica runs a
+// Machine with a real clock, disk and network.
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"curlewreach/proto/wire"
+)
+
+// Settings are what a Machine is told at its start. Durations are ratios of the bounds in the product's settings.
+type Settings struct {
+	// Address is where the other replicas reach this one.
+	Address string
+	// Seeds are addresses of other replicas, as the settings name them.
+	Seeds []string
+	// Founding says that the whole system starts for the first time.
+	Founding bool
+	// Target is the least number of voters wanted, where there are machines for it.
+	Target int
+	// Watch is the pause between two status rounds.
+	Watch time.Duration
+	// Silence is how long a voter may go unheard before a learner takes its place.
+	Silence time.Duration
+	// Patience is how long a version may stay on too few disks before it is read under a new term.
+	Patience time.Duration
+	// FoundingWait is how long the founder lists who asks.
+	FoundingWait time.Duration
+	// NewID draws an identity that no replica had before.
+	NewID func() string
+	// Note records what happened; it may be nil.
+	Note func(what, subject, detail string)
+}
+
+// Request is a question to another replica; its answer comes back through Answered.
+type Request struct {
+	ID  uint64
+	To  string
+	Ask *wire.ReplicaRequest
+}
+
+// Answer belongs to a question that came in through Receive.
+type Answer struct {
+	Call  uint64
+	Reply *wire.ReplicaReply
+}
+
+// Result ends a ticket of Change, Read, Survey or Leave.
+type Result struct {
+	Ticket uint64
+	// Version is the newest chosen version known.
+	Version *wire.Version
+	// Agreed says that a majority of voters answered since the ticket was opened.
+	Agreed bool
+	// Settled says that Version is the newest chosen one as of some moment since the ticket was opened.
+	Settled bool
+	Err     error
+}
+
+// Save asks for a state to be made durable; the outcome comes back through Saved.
+type Save struct {
+	Number uint64
+	State  *wire.ReplicaState
+}
+
+// Output is what a Machine wants done.
+type Output struct {
+	Save     *Save
+	Requests []Request
+	Answers  []Answer
+	Results  []Result
+	// Chosen is set when a newer version of some key is known to be chosen.
+	Chosen bool
+	// Members is set when the membership or the generation known has changed.
+	Members bool
+}
+
+// Machine is the state machine of one replica. It isn't safe for concurrent use.
+// States are never changed in place, so that a saved or sent one stays as it was.
+type Machine struct {
+	settings Settings
+	now      time.Duration
+	out      Output
+
+	state   *wire.ReplicaState // the newest, perhaps not yet on disk
+	durable *wire.ReplicaState // the last one known to be on disk
+	number  uint64             // of state
+	saving  *Save              // handed out and not yet answered
+	saved   uint64             // number of durable
+	held    []heldReply
+
+	lastRequest uint64
+	waiting     map[uint64]func(*wire.ReplicaReply)
+	local       []func()
+
+	learned    *wire.Membership // the newest membership heard of
+	chosen     map[string]*wire.Version
+	owned      map[string]*ownership
+	highest    map[string]uint64        // highest term number used here, by key
+	heard      map[string]time.Duration // by identity
+	calmSince  time.Duration            // since when this replica has run without a standstill
+	ticked     time.Duration
+	nextStatus time.Duration
+	unsettled  map[string]time.Duration
+	learners   map[string]*learner // by identity
+	rounds     uint64
+	confirmed  bool // a majority has been heard since this replica started, or joined its generation
+	pulling    bool
+	reconfig   reconfiguration
+	founding   foundingState
+	leave      []uint64
+	leaving    bool
+}
+
+// heldReply waits until the state that it speaks of is on disk.
+type heldReply struct {
+	number  uint64
+	deliver func(saved bool)
+}
+
+// NewMachine starts from the state on disk, or from nil where there is none to go by.
+func NewMachine(settings Settings, state *wire.ReplicaState, now time.Duration) *Machine {
+	if settings.Note == nil {
+		settings.Note = func(string, string, string) {}
+	}
+	m := &Machine{
+		settings: settings, now: now, calmSince: now, ticked: now, nextStatus: now,
+		waiting: map[uint64]func(*wire.ReplicaReply){}, chosen: map[string]*wire.Version{}, owned: map[string]*ownership{},
+		highest: map[string]uint64{}, heard: map[string]time.Duration{}, unsettled: map[string]time.Duration{}, learners: map[string]*learner{},
+	}
+	m.founding.since = now
+	if state == nil {
+		state = &wire.ReplicaState{}
+	}
+	m.state, m.durable, m.learned = state, state, state.Membership
+	m.ensureIdentity()
+	return m
+}
+
+// ensureIdentity gives a disk that has none its identity.
+func (m *Machine) ensureIdentity() {
+	if m.state.Id != "" {
+		return
+	}
+	m.change(func(next *wire.ReplicaState) {
+		next.Id = m.settings.NewID()
+		if m.settings.Founding {
+			next.Founding = m.foundingSeeds()
+		}
+	})
+}
+
+// change replaces the state by a changed copy, to be saved.
+func (m *Machine) change(edit func(next *wire.ReplicaState)) {
+	before := m.state
+	next := &wire.ReplicaState{
+		Id: before.Id, Membership: before.Membership, Next: before.Next,
+		Registers: maps.Clone(before.Registers), Known: before.Known, Founding: before.Founding,
+	}
+	if next.Registers == nil {
+		next.Registers = map[string]*wire.Register{}
+	}
+	edit(next)
+	m.state = next
+	m.number++
+}
+
+// whenSaved runs deliver once the present state is on disk, or with false if it can't be saved.
+func (m *Machine) whenSaved(deliver func(saved bool)) {
+	if m.number == m.saved {
+		m.local = append(m.local, func() { deliver(true) })
+		return
+	}
+	m.held = append(m.held, heldReply{m.number, deliver})
+}
+
+// Saved tells how saving a state ended. After a failure the replica goes on from the last state saved.
+func (m *Machine) Saved(now time.Duration, number uint64, ok bool) {
+	m.now = now
+	if m.saving == nil || number != m.saving.Number {
+		return
+	}
+	state := m.saving.State
+	m.saving = nil
+	if ok {
+		m.saved, m.durable = number, state
+	} else {
+		m.settings.Note("disk-trouble", "", "the state could not be saved")
+		m.rollBack()
+	}
+	waiting := m.held
+	m.held = nil
+	for _, each := range waiting {
+		if ok && each.number > number {
+			m.held = append(m.held, each)
+			continue
+		}
+		m.local = append(m.local, func() { each.deliver(ok) })
+	}
+	m.drain()
+}
+
+// rollBack forgets what was not saved. Nobody was told of it: every answer waits for its save.
+func (m *Machine) rollBack() {
+	m.state = m.durable
+	m.number++
+	m.saved = m.number
+	m.ensureIdentity()
+	for _, key := range slices.Sorted(maps.Keys(m.owned)) {
+		o := m.owned[key]
+		if o.term != nil && compareTerms(m.register(key).Promised, o.term) != 0 {
+			o.lose(errDisk)
+		}
+	}
+}
+
+// drain runs what this replica owes itself.
+func (m *Machine) drain() {
+	for len(m.local) > 0 {
+		next := m.local[0]
+		m.local = m.local[1:]
+		next()
+	}
+}
+
+// Take hands out what is to be done since the last call.
+func (m *Machine) Take() Output {
+	out := m.out
+	m.out = Output{}
+	if m.saving == nil && m.number != m.saved {
+		m.saving = &Save{Number: m.number, State: m.state}
+		out.Save = m.saving
+	}
+	return out
+}
+
+// Answered gives the reply to a request, or nil if none came in time.
+func (m *Machine) Answered(now time.Duration, request uint64, reply *wire.ReplicaReply) {
+	m.now = now
+	handle := m.waiting[request]
+	delete(m.waiting, request)
+	if handle == nil {
+		return
+	}
+	if reply != nil {
+		m.hear(reply)
+	}
+	handle(reply)
+	m.drain()
+}
+
+// hear notes what every reply tells: that its sender is there, and which membership it knows.
+func (m *Machine) hear(reply *wire.ReplicaReply) {
+	if reply.From != "" {
+		m.heard[reply.From] = m.now
+	}
+	m.learn(reply.Membership)
+	if reply.Standing == wire.Standing_FENCED || reply.Standing == wire.Standing_BEHIND {
+		m.nextStatus = min(m.nextStatus, m.now+m.settings.Watch/4)
+	}
+}
+
+// Tick lets time pass; it is called several times in each Watch.
+func (m *Machine) Tick(now time.Duration) {
+	m.now = now
+	if now-m.ticked > standstillRatio*m.settings.Watch {
+		m.calmSince = now
+		m.settings.Note("standstill", "", "this replica stood still")
+	}
+	m.ticked = now
+	if m.durable.Id == "" {
+		return
+	}
+	if now >= m.nextStatus {
+		m.nextStatus = now + m.settings.Watch
+		m.startStatusRound(nil)
+	}
+	m.found()
+	m.forgetLearners()
+	m.reconfigure()
+	m.settleOld()
+	m.drain()
+}
+
+// ask sends a question to one replica; handle gets its reply, or nil.
+func (m *Machine) ask(to string, ask *wire.ReplicaRequest, handle func(*wire.ReplicaReply)) {
+	ask.From, ask.Address, ask.Generation = m.state.Id, m.settings.Address, m.generation()
+	if to == m.settings.Address {
+		m.handle(ask, handle)
+		return
+	}
+	m.lastRequest++
+	m.waiting[m.lastRequest] = handle
+	m.out.Requests = append(m.out.Requests, Request{ID: m.lastRequest, To: to, Ask: ask})
+}
+
+// Receive takes a question of another replica; its answer comes out of Take under the same call number.
+func (m *Machine) Receive(now time.Duration, call uint64, ask *wire.ReplicaRequest) {
+	m.now = now
+	m.handle(ask, func(reply *wire.ReplicaReply) {
+		m.out.Answers = append(m.out.Answers, Answer{Call: call, Reply: reply})
+	})
+	m.drain()
+}
+
+// generation is that of the voters that this replica belongs to, or has heard of.
+func (m *Machine) generation() uint64 {
+	if m.state.Membership != nil {
+		return m.state.Membership.Generation
+	}
+	return 0
+}
+
+// votes says whether this replica has a vote in its generation.
+func (m *Machine) votes() bool { return m.state.Membership != nil }
+
+// members is the newest membership that this replica knows of; it may be nil.
+func (m *Machine) members() *wire.Membership {
+	if m.state.Membership != nil && m.state.Membership.Generation >= m.learned.GetGeneration() {
+		return m.state.Membership
+	}
+	return m.learned
+}
--- /dev/null
+++ b/internal/replica/owner.go
@@ -0,0 +1,330 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+var (
+	errDisk     = base.Bounce(base.DiskTrouble, "", "the disk here refused")
+	errNoVote   = base.Bounce(base.Amnesiac, "", "this replica has no vote")
+	errNewer    = base.Bounce(base.Outranked, "", "a higher term came first")
+	errNoQuorum = base.Bounce(base.Unreachable, "", "no majority of replicas promised")
+	errDoubt    = base.Bounce(base.Uncertain, "", "no majority of replicas answered")
+	errReset    = base.Bounce(base.Outranked, "", "the generation has ended")
+)
+
+// task is one change or read that waits for its key.
+type task struct {
+	ticket uint64
+	// change gives the next value, or nil to leave the value as it is. It is nil for a read.
+	change func(old []byte) ([]byte, error)
+	// done runs in place of a result where this replica itself asked.
+	done func(version *wire.Version, err error)
+}
+
+// ownership is this replica's work as owner of one key.
+type ownership struct {
+	machine *Machine
+	key     string
+	term    *wire.Term // nil: not the owner
+	version *wire.Version
+	busy    bool
+	attempt uint64 // rises with each change of phase, so that late replies are told apart
+	queue   []*task
+	running []*task
+}
+
+func (m *Machine) ownership(key string) *ownership {
+	o := m.owned[key]
+	if o == nil {
+		o = &ownership{machine: m, key: key}
+		m.owned[key] = o
+	}
+	return o
+}
+
+// Change has a value of a key replaced. The result comes once a majority of disks has the new version, or, where
+// change leaves the value as it is, once a majority has confirmed that it was the newest since.
+func (m *Machine) Change(now time.Duration, ticket uint64, key string, change func(old []byte) ([]byte, error)) {
+	m.now = now
+	m.enqueue(key, &task{ticket: ticket, change: change})
+	m.drain()
+}
+
+// Read gives the newest value as of some moment after the call.
+func (m *Machine) Read(now time.Duration, ticket uint64, key string) {
+	m.now = now
+	m.enqueue(key, &task{ticket: ticket})
+	m.drain()
+}
+
+func (m *Machine) enqueue(key string, work *task) {
+	o := m.ownership(key)
+	o.queue = append(o.queue, work)
+	o.proceed()
+}
+
+func (t *task) end(m *Machine, version *wire.Version, err error) {
+	if t.done != nil {
+		t.done(version, err)
+		return
+	}
+	m.out.Results = append(m.out.Results, Result{Ticket: t.ticket, Version: version, Agreed: err == nil, Settled: err == nil, Err: err})
+}
+
+// proceed starts on the queue if nothing runs.
+func (o *ownership) proceed() {
+	m := o.machine
+	if o.busy || len(o.queue) == 0 {
+		return
+	}
+	if m.standing(m.generation()) != wire.Standing_GRANTED {
+		o.lose(errNoVote)
+		return
+	}
+	o.busy = true
+	if o.term != nil && compareTerms(m.register(o.key).Promised, o.term) == 0 {
+		o.serve()
+		return
+	}
+	o.seekTerm()
+}
+
+// lose gives up the term and fails all work; whoever asked may ask again.
+func (o *ownership) lose(err error) {
+	o.term, o.busy = nil, false
+	o.attempt++
+	work := slices.Concat(o.running, o.queue)
+	o.running, o.queue = nil, nil
+	for _, each := range work {
+		each.end(o.machine, nil, err)
+	}
+}
+
+// seekTerm promises a higher term on the own disk first, so that no term is used twice, then asks the others.
+func (o *ownership) seekTerm() {
+	m := o.machine
+	number := max(m.register(o.key).GetPromised().GetNumber(), m.highest[o.key]) + 1
+	m.highest[o.key] = number
+	term := &wire.Term{Number: number, Owner: m.state.Id}
+	o.attempt++
+	attempt, membership := o.attempt, m.state.Membership
+	m.ask(m.settings.Address, promiseAsk(o.key, term), func(reply *wire.ReplicaReply) {
+		if o.attempt != attempt {
+			return
+		}
+		if reply.Standing != wire.Standing_GRANTED {
+			o.lose(errDisk)
+			return
+		}
+		o.gather(term, attempt, membership)
+	})
+}
+
+func promiseAsk(key string, term *wire.Term) *wire.ReplicaRequest {
+	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Promise{Promise: &wire.PromiseAsk{Key: key, Term: term}}}
+}
+
+// gather asks all voters for their promise and takes over the newest version among a majority.
+func (o *ownership) gather(term *wire.Term, attempt uint64, membership *wire.Membership) {
+	m := o.machine
+	m.poll(membership, func() *wire.ReplicaRequest { return promiseAsk(o.key, term) }, func(r *round, _ *wire.ReplicaReply) {
+		if o.attempt != attempt {
+			r.closed = true
+			return
+		}
+		switch {
+		case r.granted() >= majority(membership):
+			r.closed = true
+			o.inherit(term, r)
+		case r.hopeless():
+			r.closed = true
+			o.fallBehind(r)
+		}
+	})
+}
+
+// inherit writes the newest version among a majority again under the new term: only then is it surely chosen.
+func (o *ownership) inherit(term *wire.Term, r *round) {
+	var highest *wire.Version
+	for _, reply := range r.replies {
+		if r.grants(reply) {
+			highest = newer(highest, reply.Accepted)
+		}
+	}
+	o.term = term
+	o.machine.settings.Note("owner", o.key, o.machine.settings.Address)
+	if highest == nil {
+		o.version = nil
+		o.serve()
+		return
+	}
+	o.write(&wire.Version{Term: term, Serial: highest.Serial, Value: highest.Value}, o.serve)
+}
+
+// fallBehind gives up after a lost round, remembering the term that won it.
+func (o *ownership) fallBehind(r *round) {
+	m := o.machine
+	outranked := false
+	for _, reply := range r.replies {
+		if reply != nil && reply.Standing == wire.Standing_OUTRANKED {
+			outranked = true
+			m.highest[o.key] = max(m.highest[o.key], reply.Promised.GetNumber())
+		}
+	}
+	if outranked {
+		o.lose(errNewer)
+		return
+	}
+	o.lose(errNoQuorum)
+}
+
+// serve runs the whole queue on the present value and writes the outcome once.
+func (o *ownership) serve() {
+	o.running, o.queue = o.queue, nil
+	var value []byte
+	if o.version != nil {
+		value = o.version.Value
+	}
+	changed := false
+	var kept []*task
+	for _, each := range o.running {
+		next, err := each.apply(value)
+		if err != nil {
+			each.end(o.machine, nil, err)
+			continue
+		}
+		kept = append(kept, each)
+		if next != nil {
+			value, changed = next, true
+		}
+	}
+	o.running = kept
+	switch {
+	case changed:
+		o.write(&wire.Version{Term: o.term, Serial: o.version.GetSerial() + 1, Value: value}, o.finish)
+	case len(kept) > 0:
+		o.reconfirm()
+	default:
+		o.finish()
+	}
+}
+
+func (t *task) apply(old []byte) ([]byte, error) {
+	if t.change == nil {
+		return nil, nil
+	}
+	return t.change(old)
+}
+
+// write has a version accepted by a majority.
+func (o *ownership) write(version *wire.Version, then func()) {
+	m := o.machine
+	o.attempt++
+	attempt, membership := o.attempt, m.state.Membership
+	ask := func() *wire.ReplicaRequest {
+		return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Accept{Accept: &wire.AcceptAsk{Key: o.key, Version: version}}}
+	}
+	m.poll(membership, ask, func(r *round, _ *wire.ReplicaReply) {
+		if o.attempt != attempt {
+			r.closed = true
+			return
+		}
+		switch {
+		case r.granted() >= majority(membership):
+			r.closed = true
+			o.version = version
+			m.markChosen(o.key, version)
+			o.announce(version)
+			then()
+		case r.hopeless():
+			r.closed = true
+			o.term = nil
+			o.lose(errDoubt)
+		}
+	})
+}
+
+// announce tells the others that a version is chosen.
+func (o *ownership) announce(version *wire.Version) {
+	m := o.machine
+	for _, voter := range m.state.Membership.GetVoters() {
+		if voter.Id == m.state.Id {
+			continue
+		}
+		m.ask(voter.Address, &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Chosen{
+			Chosen: &wire.ChosenAsk{Key: o.key, Term: version.Term, Serial: version.Serial},
+		}}, func(*wire.ReplicaReply) {})
+	}
+}
+
+// reconfirm asks a majority whether the term still is the highest, so that what was read was the newest.
+func (o *ownership) reconfirm() {
+	m := o.machine
+	o.attempt++
+	attempt, membership, term := o.attempt, m.state.Membership, o.term
+	ask := func() *wire.ReplicaRequest {
+		return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Confirm{Confirm: &wire.ConfirmAsk{Key: o.key, Term: term}}}
+	}
+	m.poll(membership, ask, func(r *round, _ *wire.ReplicaReply) {
+		if o.attempt != attempt {
+			r.closed = true
+			return
+		}
+		switch {
+		case r.granted() >= majority(membership):
+			r.closed = true
+			o.finish()
+		case r.hopeless():
+			r.closed = true
+			o.fallBehind(r)
+		}
+	})
+}
+
+// finish ends the work that ran and goes on with what came meanwhile.
+func (o *ownership) finish() {
+	work := o.running
+	o.running, o.busy = nil, false
+	o.attempt++
+	for _, each := range work {
+		each.end(o.machine, o.version, nil)
+	}
+	o.proceed()
+}
+
+// takeOver seeks the term of a key that its owner hands over.
+func (m *Machine) takeOver(key string, reply func(*wire.ReplicaReply)) {
+	m.enqueue(key, &task{done: func(_ *wire.Version, err error) {
+		standing := wire.Standing_GRANTED
+		if err != nil {
+			standing = wire.Standing_FAILED
+		}
+		m.answer(reply, standing)
+	}})
+}
+
+// Owner names the voter that a key's highest promised term belongs to.
+func (m *Machine) Owner(key string) (owner *wire.Replica, term *wire.Term) {
+	promised := m.register(key).Promised
+	return voterWith(m.members(), promised.GetOwner()), promised
+}
+
+// resetOwnership ends all work under a generation that is over.
+func (m *Machine) resetOwnership(err error) {
+	m.resetOwnershipBut("", err)
+}
+
+// resetOwnershipBut spares one key.
+func (m *Machine) resetOwnershipBut(spared string, err error) {
+	for _, key := range slices.Sorted(maps.Keys(m.owned)) {
+		if key != spared {
+			m.owned[key].lose(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,273 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"curlewreach/proto/wire"
+)
+
+const (
+	// standstillRatio of Watch without a tick is taken for a standstill: what was unheard meanwhile counts for nothing.
+	standstillRatio = 3
+	// seedRounds is how many status rounds pass between two looks at seeds that are no voters.
+	seedRounds = 8
+)
+
+// survey waits for a majority of voters that answered a question asked since it was opened.
+type survey struct {
+	ticket uint64
+	key    string
+}
+
+// Survey gives the newest chosen version of a key by a round of questions that begins now.
+func (m *Machine) Survey(now time.Duration, ticket uint64, key string) {
+	m.now = now
+	m.startStatusRound([]*survey{{ticket, key}})
+	m.drain()
+}
+
+// startStatusRound asks all members what they hold.
+func (m *Machine) startStatusRound(surveys []*survey) {
+	members := m.members()
+	if members == nil {
+		m.searchMembers()
+		m.endSurveys(surveys, nil)
+		return
+	}
+	m.rounds++
+	if !m.votes() || m.rounds%seedRounds == 0 && m.lonely() {
+		m.searchMembers()
+	}
+	have := m.heldVersions()
+	m.poll(members, func() *wire.ReplicaRequest { return m.statusAsk(have) }, func(r *round, reply *wire.ReplicaReply) {
+		m.hearStatus(reply, have)
+		m.concludeStatus(r, have, surveys)
+	})
+}
+
+// lonely says whether most of the voters have been silent.
+func (m *Machine) lonely() bool {
+	heard := 0
+	for _, voter := range m.members().Voters {
+		if voter.Id == m.state.Id || m.silence(voter.Id) < m.settings.Silence {
+			heard++
+		}
+	}
+	return heard < majority(m.members())
+}
+
+// silence is for how long a replica went unheard while this one ran.
+func (m *Machine) silence(id string) time.Duration {
+	return m.now - max(m.heard[id], m.calmSince)
+}
+
+func (m *Machine) heldVersions() map[string]*wire.Version {
+	have := map[string]*wire.Version{}
+	for key, register := range m.state.Registers {
+		if register.Accepted != nil {
+			have[key] = register.Accepted
+		}
+	}
+	return have
+}
+
+func (m *Machine) statusAsk(have map[string]*wire.Version) *wire.ReplicaRequest {
+	told := map[string]*wire.Version{}
+	for key, version := range have {
+		told[key] = withoutValue(version)
+	}
+	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Status{Status: &wire.StatusAsk{
+		Have: told, Learner: !m.votes(), CaughtUp: m.caughtUp(), Leaving: m.leaving,
+	}}}
+}
+
+// hearStatus takes what one reply tells: a newer generation, or that this replica has been replaced.
+func (m *Machine) hearStatus(reply *wire.ReplicaReply, have map[string]*wire.Version) {
+	if reply == nil {
+		return
+	}
+	m.learn(reply.Membership)
+	if reply.Registers == nil || reply.Membership.GetGeneration() != reply.Generation || reply.Generation <= m.generation() {
+		return
+	}
+	switch {
+	case voterWith(reply.Membership, m.state.Id) != nil:
+		m.enter(reply.Membership, withValues(reply.Registers, have))
+	case m.votes():
+		m.resign()
+	}
+}
+
+// withValues puts back the values that a reply left out because the question named their versions.
+func withValues(told map[string]*wire.Register, have map[string]*wire.Version) map[string]*wire.Register {
+	registers := map[string]*wire.Register{}
+	for key, register := range told {
+		registers[key] = &wire.Register{Promised: register.Promised, Accepted: withValue(register.Accepted, have[key])}
+	}
+	return registers
+}
+
+func withValue(told, known *wire.Version) *wire.Version {
+	if told != nil && known != nil && compareVersions(told, known) == 0 {
+		return known
+	}
+	return told
+}
+
+// learn remembers the newest membership heard of.
+func (m *Machine) learn(membership *wire.Membership) {
+	if membership.GetGeneration() <= m.members().GetGeneration() {
+		return
+	}
+	m.learned = membership
+	m.out.Members = true
+	m.rememberAddresses(membership)
+}
+
+// rememberAddresses keeps the voters' addresses on disk, to find them after a restart with other seeds.
+func (m *Machine) rememberAddresses(membership *wire.Membership) {
+	addresses := addressesOf(membership)
+	if slices.Equal(addresses, m.state.Known) {
+		return
+	}
+	m.change(func(next *wire.ReplicaState) { next.Known = addresses })
+}
+
+func addressesOf(membership *wire.Membership) []string {
+	var addresses []string
+	for _, voter := range membership.GetVoters() {
+		addresses = append(addresses, voter.Address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// concludeStatus ends a round once a majority has answered and each key's newest version is on a majority.
+func (m *Machine) concludeStatus(r *round, have map[string]*wire.Version, surveys []*survey) {
+	agreed := r.granted() >= majority(r.membership)
+	if !agreed && !r.complete() {
+		return
+	}
+	newest, settled := r.newest(have)
+	if agreed {
+		m.adopt(newest, settled)
+	}
+	if !r.complete() && !all(settled) {
+		return
+	}
+	r.closed = r.complete()
+	if r.concluded {
+		return
+	}
+	r.concluded = true
+	if agreed {
+		m.majorityHeard(newest, settled)
+	}
+	for _, each := range surveys {
+		_, disputed := settled[each.key]
+		m.out.Results = append(m.out.Results, Result{
+			Ticket: each.ticket, Version: m.chosen[each.key], Agreed: agreed, Settled: agreed && (!disputed || settled[each.key]),
+		})
+	}
+}
+
+func all(truths map[string]bool) bool {
+	for _, truth := range truths {
+		if !truth {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) endSurveys(surveys []*survey, version *wire.Version) {
+	for _, each := range surveys {
+		m.out.Results = append(m.out.Results, Result{Ticket: each.ticket, Version: version, Err: errNoVote})
+	}
+}
+
+// newest gives each key's highest version among the replies, and whether a majority holds just that.
+func (r *round) newest(have map[string]*wire.Version) (newest map[string]*wire.Version, settled map[string]bool) {
+	newest, settled = map[string]*wire.Version{}, map[string]bool{}
+	for _, reply := range r.replies {
+		if !r.grants(reply) {
+			continue
+		}
+		for key, register := range reply.Registers {
+			if register.Accepted != nil {
+				newest[key] = newer(newest[key], withValue(register.Accepted, have[key]))
+			}
+		}
+	}
+	for key, version := range newest {
+		count := r.count(func(reply *wire.ReplicaReply) bool {
+			held := reply.Registers[key].GetAccepted()
+			return r.grants(reply) && held != nil && compareVersions(held, version) == 0
+		})
+		settled[key] = count >= majority(r.membership)
+	}
+	return newest, settled
+}
+
+// adopt keeps the versions that a majority holds.
+func (m *Machine) adopt(newest map[string]*wire.Version, settled map[string]bool) {
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if !settled[key] {
+			continue
+		}
+		m.keep(key, newest[key])
+		if key != membershipKey {
+			m.markChosen(key, newest[key])
+		}
+	}
+}
+
+// keep takes a chosen version into this replica's own registers.
+func (m *Machine) keep(key string, version *wire.Version) {
+	held := m.register(key)
+	if held.Accepted != nil && compareVersions(version, held.Accepted) <= 0 {
+		return
+	}
+	if m.votes() && (m.state.Next != nil || compareTerms(version.Term, held.Promised) < 0) {
+		return
+	}
+	if !m.votes() && key == membershipKey {
+		return
+	}
+	m.setRegister(key, &wire.Register{Promised: higher(held.Promised, version.Term), Accepted: version})
+}
+
+// majorityHeard notes which keys stand on too few disks, and since when.
+func (m *Machine) majorityHeard(newest map[string]*wire.Version, settled map[string]bool) {
+	m.confirmed = true
+	for key := range newest {
+		if settled[key] {
+			delete(m.unsettled, key)
+		} else if _, known := m.unsettled[key]; !known {
+			m.unsettled[key] = m.now
+		}
+	}
+}
+
+// settleOld reads a key under a new term if its newest version has long been on too few disks.
+func (m *Machine) settleOld() {
+	if !m.votes() {
+		return
+	}
+	for _, key := range slices.Sorted(maps.Keys(m.unsettled)) {
+		if key == membershipKey || m.now-m.unsettled[key] < m.settings.Patience+m.backoff() {
+			continue
+		}
+		m.settings.Note("unsettled", key, "its newest version is on too few disks; reading it under a new term")
+		m.unsettled[key] = m.now
+		m.enqueue(key, &task{done: func(*wire.Version, error) {}})
+	}
+}
+
+// backoff keeps voters from doing the same at the same moment.
+func (m *Machine) backoff() time.Duration {
+	rank := slices.IndexFunc(m.members().GetVoters(), func(voter *wire.Replica) bool { return voter.Id == m.state.Id })
+	return time.Duration(max(rank, 0)) * m.settings.Watch
+}
--- /dev/null
+++ b/internal/replica/terms.go
@@ -0,0 +1,38 @@
+package replica
+
+import (
+	"cmp"
+
+	"curlewreach/proto/wire"
+)
+
+// compareTerms orders terms by number, then by owner.
+func compareTerms(a, b *wire.Term) int {
+	return cmp.Or(cmp.Compare(a.GetNumber(), b.GetNumber()), cmp.Compare(a.GetOwner(), b.GetOwner()))
+}
+
+// compareVersions orders versions by term, then by serial. No two different values share both.
+func compareVersions(a, b *wire.Version) int {
+	return cmp.Or(compareTerms(a.GetTerm(), b.GetTerm()), cmp.Compare(a.GetSerial(), b.GetSerial()))
+}
+
+// newer gives the higher of two versions; either may be nil.
+func newer(a, b *wire.Version) *wire.Version {
+	if b == nil || a != nil && compareVersions(a, b) >= 0 {
+		return a
+	}
+	return b
+}
+
+// higher gives the higher of two terms; either may be nil.
+func higher(a, b *wire.Term) *wire.Term {
+	if b == nil || a != nil && compareTerms(a, b) >= 0 {
+		return a
+	}
+	return b
+}
+
+// withoutValue is the same version for a reader that has its value.
+func withoutValue(version *wire.Version) *wire.Version {
+	return &wire.Version{Term: version.Term, Serial: version.Serial}
+}
