--- /dev/null
+++ b/internal/bytedelta/bytedelta.go
@@ -0,0 +1,192 @@
+// Package bytedelta describes a byte string as copies from an older one and inserted bytes.
+//
+// A delta is a run of operations. Each starts with an unsigned varint that holds the operation's length times two;
+// the lowest bit is set for an insertion, whose bytes follow. A copy is followed by its offset in the old bytes.
+package bytedelta
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math/bits"
+
+	"github.com/pkg/errors"
+)
+
+// blockSize is the length of the old bytes' blocks that are looked for in the new ones, in bytes. Shorter common
+// parts away from both ends are inserted, as a copy takes up to ten bytes itself.
+const blockSize = 32
+
+// ErrMalformed is returned for a delta that was not made against the given old bytes.
+var ErrMalformed = errors.New("malformed delta")
+
+// Encode returns a delta that turns from into to. Equal arguments give equal deltas.
+func Encode(from, to []byte) []byte {
+	prefix := commonPrefix(from, to)
+	suffix := commonSuffix(from[prefix:], to[prefix:])
+	delta := appendCopy(nil, 0, prefix)
+	delta = appendMiddle(delta, from, prefix, len(from)-suffix, to[prefix:len(to)-suffix])
+	return appendCopy(delta, len(from)-suffix, suffix)
+}
+
+// Apply returns the bytes that delta makes of from.
+func Apply(from, delta []byte) ([]byte, error) {
+	var to []byte
+	for len(delta) > 0 {
+		head, size := binary.Uvarint(delta)
+		if size <= 0 {
+			return nil, ErrMalformed
+		}
+		delta = delta[size:]
+		length := head >> 1
+		source := delta
+		if head&1 == 0 {
+			offset, size := binary.Uvarint(delta)
+			if size <= 0 || offset > uint64(len(from)) {
+				return nil, ErrMalformed
+			}
+			delta, source = delta[size:], from[offset:]
+		}
+		if length > uint64(len(source)) {
+			return nil, ErrMalformed
+		}
+		to = append(to, source[:length]...)
+		if head&1 == 1 {
+			delta = delta[length:]
+		}
+	}
+	return to, nil
+}
+
+// appendMiddle encodes to against from[start:end] by the hashes of its blocks.
+func appendMiddle(delta, from []byte, start, end int, to []byte) []byte {
+	if len(to) < blockSize || end-start < blockSize {
+		return appendInsert(delta, to)
+	}
+	index := newBlockIndex(from[start:end])
+	inserted := 0
+	hash := hashOf(to[:blockSize])
+	for at := 0; at+blockSize <= len(to); {
+		block := index.find(hash)
+		if block >= 0 && bytes.Equal(from[start+block:start+block+blockSize], to[at:at+blockSize]) {
+			back := commonSuffix(from[start:start+block], to[inserted:at])
+			length := back + blockSize + commonPrefix(from[start+block+blockSize:end], to[at+blockSize:])
+			delta = appendInsert(delta, to[inserted:at-back])
+			delta = appendCopy(delta, start+block-back, length)
+			at += length - back
+			inserted = at
+			if at+blockSize <= len(to) {
+				hash = hashOf(to[at : at+blockSize])
+			}
+			continue
+		}
+		if at+blockSize < len(to) {
+			hash = rolled(hash, to[at], to[at+blockSize])
+		}
+		at++
+	}
+	return appendInsert(delta, to[inserted:])
+}
+
+func appendCopy(delta []byte, offset, length int) []byte {
+	if length == 0 {
+		return delta
+	}
+	delta = binary.AppendUvarint(delta, uint64(length)<<1)
+	return binary.AppendUvarint(delta, uint64(offset))
+}
+
+func appendInsert(delta, inserted []byte) []byte {
+	if len(inserted) == 0 {
+		return delta
+	}
+	delta = binary.AppendUvarint(delta, uint64(len(inserted))<<1|1)
+	return append(delta, inserted...)
+}
+
+// blockIndex finds the first block of a hash; each slot of its open hash table holds a block's offset plus one.
+type blockIndex struct {
+	slots  []int32
+	hashes []uint64
+	shift  int
+}
+
+func newBlockIndex(from []byte) *blockIndex {
+	width := bits.Len(uint(2 * len(from) / blockSize))
+	index := &blockIndex{slots: make([]int32, 1<<width), hashes: make([]uint64, 1<<width), shift: 64 - width}
+	for at := 0; at+blockSize <= len(from); at += blockSize {
+		hash := hashOf(from[at : at+blockSize])
+		slot := index.slot(hash)
+		if index.slots[slot] == 0 {
+			index.slots[slot], index.hashes[slot] = int32(at+1), hash
+		}
+	}
+	return index
+}
+
+// slot returns the place that holds the hash, or the free one where it belongs.
+func (b *blockIndex) slot(hash uint64) int {
+	slot := int(hash * mixer >> b.shift)
+	for b.slots[slot] != 0 && b.hashes[slot] != hash {
+		slot = (slot + 1) % len(b.slots)
+	}
+	return slot
+}
+
+// find returns the offset of the first block with the hash, or -1.
+func (b *blockIndex) find(hash uint64) int { return int(b.slots[b.slot(hash)]) - 1 }
+
+const (
+	// radix is the base of the rolling polynomial hash, any odd number with well spread bits.
+	radix = 0x9e3779b97f4a7c15
+	// mixer spreads a hash over the index's slots.
+	mixer = 0xd6e8feb86659fd93
+)
+
+// radixToBlock is radix to the power of blockSize, which takes a block's first byte out of its hash.
+var radixToBlock = power(radix, blockSize)
+
+func power(base uint64, exponent int) uint64 {
+	product := uint64(1)
+	for range exponent {
+		product *= base
+	}
+	return product
+}
+
+func hashOf(block []byte) uint64 {
+	hash := uint64(0)
+	for _, each := range block {
+		hash = hash*radix + uint64(each) + 1
+	}
+	return hash
+}
+
+// rolled moves a block's hash on by one byte.
+func rolled(hash uint64, leaving, entering byte) uint64 {
+	return hash*radix + uint64(entering) + 1 - (uint64(leaving)+1)*radixToBlock
+}
+
+// compareStep is the number of bytes that are compared at once while a common part is long.
+const compareStep = 256
+
+func commonPrefix(a, b []byte) int {
+	most, length := min(len(a), len(b)), 0
+	for length+compareStep <= most && bytes.Equal(a[length:length+compareStep], b[length:length+compareStep]) {
+		length += compareStep
+	}
+	for length < most && a[length] == b[length] {
+		length++
+	}
+	return length
+}
+
+func commonSuffix(a, b []byte) int {
+	most, length := min(len(a), len(b)), 0
+	for length+compareStep <= most && bytes.Equal(a[len(a)-length-compareStep:len(a)-length], b[len(b)-length-compareStep:len(b)-length]) {
+		length += compareStep
+	}
+	for length < most && a[len(a)-1-length] == b[len(b)-1-length] {
+		length++
+	}
+	return length
+}
