--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -13,8 +13,6 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
-	"curlewreach/internal/quorum"
-	"curlewreach/internal/tracing"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -52,11 +50,8 @@
 	news        base.Bell
 	view        atomic.Pointer[view]
 	learning    atomic.Pointer[learning]
-	agreed      atomic.Int64
-	reached     atomic.Int64
 	stopping    atomic.Bool
-	joiners     base.Table[bool]
-	founding    atomic.Bool
+	started     time.Duration
 }
 
 // Start opens the doors of a keel; it joins its mates in the background.
@@ -67,15 +62,14 @@
 	}
 	s, cancel := s.Child()
 	m := &Moor{scope: s, self: p.Mates, incarnation: s.Rand.Name(8), web: base.Wire(s), cancel: cancel, roster: newRoster(s.Clock)}
+	m.started = s.Clock.Mono()
 	m.params.Store(p)
 	m.view.Store(&view{})
 	m.learning.Store(&learning{})
-	m.agreed.Store(int64(-time.Hour))
-	m.reached.Store(int64(s.Clock.Mono()))
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewMoorHandler(server{m}, connect.WithCompressMinBytes(largestSpeak), connect.WithReadMaxBytes(largestSpeak)))
 	m.show(mux)
-	mux.HandleFunc("/"+wireconnect.TroveName+"/", m.joined(func(c *core) http.Handler { return c.votes }))
+	mux.HandleFunc("/"+wireconnect.ReplicasName+"/", m.joined(func(c *core) http.Handler { return c.votes }))
 	mux.HandleFunc("/"+wireconnect.LensName+"/", m.joined(func(c *core) http.Handler { return c.spans }))
 	for _, each := range []struct {
 		address string
@@ -108,12 +102,9 @@
 	crew.Go(func() { m.sweep(s) })
 	if c := m.join(s); c != nil {
 		m.core.Store(c)
-		force := m.params.Load().InForce
-		crew.Go(func() { m.recover(s, c) })
-		crew.Go(func() { m.watch(s, c, ChartKey, part(force, watchRatio)) })
-		crew.Go(func() { m.watch(s, c, LearningKey, part(force, 4*watchRatio)) })
+		crew.Go(func() { c.replica.Run(s) })
 		crew.Go(func() { m.follow(s, c) })
-		crew.Go(func() { c.traces.Run(s, part(force, 4*watchRatio)) })
+		crew.Go(func() { c.traces.Run(s, part(m.params.Load().InForce, 4*watchRatio)) })
 		crew.Go(func() { newLearner(m, c).run(s) })
 	}
 	crew.Wait()
@@ -128,59 +119,25 @@
 	})
 }
 
-func (m *Moor) watch(s base.Scope, c *core, key string, every time.Duration) {
-	force := m.params.Load().InForce
-	since, patience := s.Clock.Mono(), force.AsDuration()
-	for s.Err() == nil {
-		asked := s.Clock.Mono()
-		settled, agreed := c.trove.Survey(s, key)
-		if agreed && key == ChartKey {
-			m.reached.Store(int64(asked))
-			if settled {
-				m.agreed.Store(int64(asked))
-			}
-		}
-		switch ready := c.trove.Ready(); {
-		case settled || !ready:
-			since, patience = s.Clock.Mono(), part(force, 0.15+0.3*s.Rand.Float64())
-		case s.Clock.Mono()-since >= patience:
-			s.Note("unsettled", key, "its newest change is on too few disks; reading it under a new epoch")
-			bounded, cancel := s.Within(force.AsDuration())
-			_, _ = c.trove.Read(bounded, key)
-			cancel()
-			since = s.Clock.Mono()
-		}
-		if agreed {
-			base.Await(s, every)
-		} else {
-			base.Await(s, part(force, stepRatio))
-		}
-	}
-}
-
+// follow takes what is newly chosen into view and logs what changes among the members.
 func (m *Moor) follow(s base.Scope, c *core) {
-	mine := false
+	var told memberLog
 	for s.Err() == nil {
-		heard := c.trove.News()
+		heard := c.replica.News()
 		m.look(c)
-		if owns := c.trove.Mine(ChartKey); owns != mine {
-			mine = owns
-			s.Log.Info("ownership of the chart", "mine", mine)
-		}
+		told.log(s, c)
 		base.Await(s, part(m.params.Load().InForce, 1), heard)
 	}
 }
 
 func (m *Moor) look(c *core) {
-	entry, _ := c.trove.Settled(ChartKey)
 	before := m.view.Load()
-	if seen := before.next(m.scope, entry); seen != before {
+	if seen := before.next(m.scope, c.replica.Chosen(ChartKey)); seen != before {
 		m.view.Store(seen)
 		m.news.Ring()
 	}
-	entry, _ = c.trove.Settled(LearningKey)
 	was := m.learning.Load()
-	if learned := was.next(m.scope, entry); learned != was {
+	if learned := was.next(m.scope, c.replica.Chosen(LearningKey)); learned != was {
 		m.learning.Store(learned)
 		if learned.said.GetOdds().GetSerial() != was.said.GetOdds().GetSerial() {
 			m.news.Ring()
@@ -188,19 +145,51 @@
 	}
 }
 
-// Ready says whether this keel votes.
+// memberLog remembers what was last logged of the members.
+type memberLog struct {
+	owns       bool
+	votes      bool
+	generation uint64
+}
+
+func (l *memberLog) log(s base.Scope, c *core) {
+	if owns := c.replica.Mine(ChartKey); owns != l.owns {
+		l.owns = owns
+		s.Log.Info("ownership of the chart", "mine", owns)
+	}
+	view := c.replica.View()
+	votes := view.Generation > 0
+	if generation := view.Members.GetGeneration(); generation != l.generation || votes != l.votes {
+		l.generation, l.votes = generation, votes
+		s.Log.Info("members", "generation", generation, "voters", c.replica.Voters(), "votes", votes, "spare", view.Spare)
+	}
+}
+
+// Ready says whether this control machine votes.
 func (m *Moor) Ready() bool {
 	c := m.core.Load()
-	return c != nil && c.trove.Ready()
+	return c != nil && c.replica.Votes()
 }
 
-// Settled says whether this keel votes and lately agreed with a majority on the newest chart.
+// Settled says whether this control machine votes and lately agreed with a majority on the newest chart.
 func (m *Moor) Settled() bool {
-	return m.Ready() && m.within(&m.agreed, latelyRatio)
+	c := m.core.Load()
+	if c == nil || !c.replica.Votes() {
+		return false
+	}
+	began, ok := c.replica.Settled(ChartKey)
+	return ok && m.lasts(began, latelyRatio)
 }
 
-func (m *Moor) within(since *atomic.Int64, ratio float64) bool {
-	return m.scope.Clock.Mono()-time.Duration(since.Load()) <= part(m.params.Load().InForce, ratio)
+// inTouch says whether a majority has answered within the in-force bound. It only saves callers a wait: what is
+// decided is decided by a majority's answers since the question came.
+func (m *Moor) inTouch(c *core) bool {
+	began, _ := c.replica.LastMajority()
+	return m.lasts(max(began, m.started), 1)
+}
+
+func (m *Moor) lasts(since time.Duration, ratio float64) bool {
+	return m.scope.Clock.Mono()-since <= part(m.params.Load().InForce, ratio)
 }
 
 // Stop hands over what this keel owns, answers what it holds and quits within the grace.
@@ -211,7 +200,10 @@
 	if c := m.core.Load(); c != nil {
 		hand, cancel := s.Within(part(grace, handRatio))
 		m.handOver(hand, c)
-		c.trove.HandOver(hand)
+		if err := c.replica.Leave(hand); err != nil {
+			m.scope.Log.Warn("not replaced before the stop", "error", err)
+		}
+		c.replica.HandOver(hand, ChartKey, LearningKey)
 		cancel()
 	}
 	m.stopping.Store(true)
@@ -243,21 +235,9 @@
 		return errors.New("names, addresses and the folder change only with a restart")
 	}
 	m.params.Store(p)
+	if c := m.core.Load(); c != nil {
+		c.replica.Reload(others(p))
+	}
 	m.scope.Log.SetLevel(hclog.LevelFromString(p.Log))
 	return nil
 }
-
-type core struct {
-	mates  []string
-	trove  *quorum.Trove
-	traces *tracing.Store
-	moors  map[string]wireconnect.MoorClient
-	lenses map[string]wireconnect.LensClient
-	votes  http.Handler
-	spans  http.Handler
-	saved  bool
-}
-
-func (c *core) hears(address string, lately time.Duration) bool {
-	return c.trove.Hears(quorum.Mate{Name: address, Address: address}, lately)
-}
--- a/internal/controlplane/hail.go
+++ b/internal/controlplane/hail.go
@@ -40,7 +40,7 @@
 	seen := m.view.Load()
 	reply = &wire.HailReply{Keel: m.incarnation, Settled: m.Settled(), Serial: seen.serial(), Whole: ask.Keel != m.incarnation}
 	if c := m.core.Load(); c != nil {
-		reply.Keels = c.mates
+		reply.Keels = c.replica.Voters()
 	}
 	if reply.Serial > ask.Serial {
 		fresh = true
--- a/internal/controlplane/join_test.go
+++ b/internal/controlplane/join_test.go
@@ -76,12 +76,12 @@
 			f.kill(i)
 			f.raise(i, false)
 			f.agree(1)
-			Expect(f.keels[i].moor.core.Load().mates).To(Equal([]string{at(0), at(1), at(2)}))
+			Expect(f.keels[i].moor.core.Load().replica.Voters()).To(Equal([]string{at(0), at(1), at(2)}))
 		}
 		f.wipe(0)
 		f.raise(0, false)
 		f.agree(1)
-		Expect(f.keels[0].moor.core.Load().mates).To(Equal([]string{at(0), at(1), at(2)}))
+		Expect(f.keels[0].moor.core.Load().replica.Voters()).To(Equal([]string{at(0), at(1), at(2)}))
 		f.tuning = func(p *wire.MoorParams) { p.Seeds = nil }
 		f.powerLoss(0)
 		f.raise(0, false)
--- a/internal/controlplane/learn.go
+++ b/internal/controlplane/learn.go
@@ -21,11 +21,11 @@
 )
 
 type learning struct {
-	entry *wire.Entry
+	entry *wire.Version
 	said  *wire.Learning
 }
 
-func (l *learning) next(s base.Scope, entry *wire.Entry) *learning {
+func (l *learning) next(s base.Scope, entry *wire.Version) *learning {
 	if entry == nil || entry == l.entry {
 		return l
 	}
@@ -60,9 +60,6 @@
 	pact.Normalise(usual, pact.UsualLimits(m.params.Load().Grace.AsDuration()))
 	l := &learner{moor: m, core: c, tracing: usual.Common.Tracing, cursors: map[string]*cursor{}, moved: m.scope.Clock.Mono(), owed: -1}
 	l.cycle = l.tracing.Cycle.AsDuration()
-	for address := range c.lenses {
-		l.cursors[address] = &cursor{}
-	}
 	return l
 }
 
@@ -70,19 +67,19 @@
 	cycled := -time.Hour
 	for s.Err() == nil {
 		chart, learned := l.moor.view.Load().head.GetChart(), l.moor.learning.Load().said
-		if chart == nil || !l.core.trove.Ready() {
+		if chart == nil || !l.core.replica.Votes() {
 			base.Await(s, part(l.moor.params.Load().InForce, 1.0/shortestCycles))
 			continue
 		}
 		holder := learned.GetHolder()
 		mine := holder == l.moor.self
-		if mine && s.Clock.Mono()-cycled >= l.cycle/2 || l.overdue(s, learned) || holder == "" && l.core.mates[0] == l.moor.self {
+		if mine && s.Clock.Mono()-cycled >= l.cycle/2 || l.overdue(s, learned) || holder == "" && l.core.replica.Voters()[0] == l.moor.self {
 			cycled = s.Clock.Mono()
 			l.learn(s, chart, holder)
 		}
 		var handed <-chan struct{}
 		if !mine {
-			handed = l.core.trove.News()
+			handed = l.core.replica.News()
 		}
 		base.Await(s, l.cycle, handed)
 	}
@@ -115,7 +112,7 @@
 	if len(spans) == 0 && holder == l.moor.self {
 		return
 	}
-	err := l.core.trove.Change(bounded, LearningKey, func(old []byte) ([]byte, error) {
+	err := l.core.replica.Change(bounded, LearningKey, func(old []byte) ([]byte, error) {
 		prior := &wire.Learning{}
 		if err := proto.Unmarshal(old, prior); err != nil {
 			return nil, err
@@ -137,13 +134,22 @@
 	}
 }
 
+func (l *learner) cursor(address string) *cursor {
+	at := l.cursors[address]
+	if at == nil {
+		at = &cursor{}
+		l.cursors[address] = at
+	}
+	return at
+}
+
 func (l *learner) recent(s base.Scope) []*wire.Span {
 	seen := map[string]bool{}
 	var spans []*wire.Span
-	for _, address := range l.core.mates {
-		at := l.cursors[address]
+	for _, address := range l.core.replica.Voters() {
+		at := l.cursor(address)
 		bounded, cancel := s.Within(part(l.moor.params.Load().InForce, 0.25))
-		reply, err := l.core.lenses[address].Recent(bounded, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
+		reply, err := l.core.lens(address).Recent(bounded, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
 		cancel()
 		if err != nil {
 			continue
@@ -180,12 +186,13 @@
 	if m.learning.Load().said.GetHolder() != m.self {
 		return
 	}
-	at := slices.IndexFunc(c.mates, func(mate string) bool { return mate != m.self && c.hears(mate, m.lately()) })
+	voters := c.replica.Voters()
+	at := slices.IndexFunc(voters, func(mate string) bool { return mate != m.self && c.hears(mate, m.lately()) })
 	if at < 0 {
 		return
 	}
-	successor := c.mates[at]
-	err := c.trove.Change(s, LearningKey, func(old []byte) ([]byte, error) {
+	successor := voters[at]
+	err := c.replica.Change(s, LearningKey, func(old []byte) ([]byte, error) {
 		held := &wire.Learning{}
 		if err := proto.Unmarshal(old, held); err != nil || held.Holder != m.self {
 			return nil, err
--- a/internal/controlplane/propose.go
+++ b/internal/controlplane/propose.go
@@ -31,7 +31,7 @@
 	if c == nil {
 		return nil, base.Bounce(base.Uncertain, "", "this keel has not joined its mates")
 	}
-	if !m.within(&m.reached, 1) {
+	if !m.inTouch(c) {
 		return nil, base.Bounce(base.Uncertain, "", "this keel is cut off from the majority")
 	}
 	s, cancel := m.scope.Under(ctx).Within(part(m.params.Load().Ack, callRatio))
@@ -51,8 +51,8 @@
 	}
 	wait := part(m.params.Load().Ack, relayRatio)
 	asked := ""
-	if owner, _, known := c.trove.Owner(ChartKey); known && owner.Address != m.self && c.hears(owner.Address, m.lately()) {
-		asked = owner.Address
+	if owner, _ := c.replica.Owner(ChartKey); owner != "" && owner != m.self && c.hears(owner, m.lately()) {
+		asked = owner
 		if outcome := m.relay(s, c, asked, p, wait); outcome != nil {
 			return outcome
 		}
@@ -69,7 +69,7 @@
 		own <- m.settle(s, c, p)
 		close(moved)
 	}()
-	if c.trove.Ready() {
+	if c.replica.Votes() {
 		base.Await(s, wait, moved)
 	}
 	waiting := 1
@@ -97,9 +97,13 @@
 }
 
 func (m *Moor) mate(c *core, but string) string {
-	start := m.scope.Rand.Below(len(c.mates))
-	for i := range c.mates {
-		mate := c.mates[(start+i)%len(c.mates)]
+	voters := c.replica.Voters()
+	if len(voters) == 0 {
+		return ""
+	}
+	start := m.scope.Rand.Below(len(voters))
+	for i := range voters {
+		mate := voters[(start+i)%len(voters)]
 		if mate != m.self && mate != but && c.hears(mate, m.lately()) {
 			return mate
 		}
@@ -110,7 +114,7 @@
 func (m *Moor) relay(s base.Scope, c *core, mate string, p *wire.ChartProposal, wait time.Duration) *wire.ChartOutcome {
 	bounded, cancel := s.Within(wait)
 	defer cancel()
-	reply, err := c.moors[mate].Propose(bounded, connect.NewRequest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change, Relayed: true}))
+	reply, err := c.moor(mate).Propose(bounded, connect.NewRequest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change, Relayed: true}))
 	if err != nil {
 		m.scope.Note("relay-failed", mate, err.Error())
 		return nil
@@ -138,28 +142,20 @@
 	base.Await(s, pauseLeast+time.Duration(s.Rand.Float64()*float64(pauseSpread)))
 }
 
+// attempt judges the order by the newest chart. The replica answers without an error only once a majority of disks
+// has the change, or, where there is none, has confirmed that no newer chart was there: so every answer is final.
 func (m *Moor) attempt(s base.Scope, c *core, p *wire.ChartProposal) (outcome *wire.ChartOutcome, err error) {
-	var seen []byte
-	err = c.trove.Change(s, ChartKey, func(old []byte) ([]byte, error) {
+	err = c.replica.Change(s, ChartKey, func(old []byte) ([]byte, error) {
 		head := &wire.ChartHead{}
 		if err := proto.Unmarshal(old, head); err != nil {
 			return nil, err
 		}
 		var next *wire.ChartHead
-		seen = old
 		if next, outcome = judge(head, p); next == nil {
 			return nil, nil
 		}
 		return proto.Marshal(next)
 	})
-	if err != nil || outcome.Kind == "" {
-		return outcome, err
-	}
-	// An owner that was overtaken unawares may have judged by an older chart.
-	value, err := c.trove.Read(s, ChartKey)
-	if err == nil && !bytes.Equal(value, seen) {
-		err = base.Bounce(base.Outranked, ChartKey, "judged by an older chart")
-	}
 	return outcome, err
 }
 
--- a/internal/controlplane/propose_test.go
+++ b/internal/controlplane/propose_test.go
@@ -26,7 +26,7 @@
 
 func (f *fleet) owner() int {
 	for i, k := range f.keels {
-		if k.moor != nil && k.moor.core.Load().trove.Mine(ChartKey) {
+		if k.moor != nil && k.moor.core.Load().replica.Mine(ChartKey) {
 			return i
 		}
 	}
@@ -153,7 +153,7 @@
 		Expect(f.within(4*time.Second, func() bool {
 			same, settled := 0, f.keels[0].moor.view.Load()
 			for _, k := range f.keels {
-				if _, entry := k.moor.core.Load().trove.Store().Peek(ChartKey); proto.Equal(entry, settled.entry) {
+				if held := k.moor.core.Load().replica.Held(ChartKey); proto.Equal(held, settled.entry) {
 					same++
 				}
 				if !k.moor.Settled() || k.moor.view.Load().serial() != settled.serial() {
--- a/internal/controlplane/view.go
+++ b/internal/controlplane/view.go
@@ -10,11 +10,11 @@
 )
 
 type view struct {
-	entry *wire.Entry
+	entry *wire.Version
 	head  *wire.ChartHead
 }
 
-func (v *view) next(s base.Scope, entry *wire.Entry) *view {
+func (v *view) next(s base.Scope, entry *wire.Version) *view {
 	if entry == nil || entry == v.entry {
 		return v
 	}
@@ -40,15 +40,14 @@
 	s, cancel := m.scope.Under(ctx).Within(part(m.params.Load().Ack, callRatio))
 	defer cancel()
 	for {
-		settled, agreed := c.trove.Survey(s, ChartKey)
-		if !agreed {
+		survey := c.replica.Survey(s, ChartKey)
+		if !survey.Agreed {
 			return nil, base.Bounce(base.Unreachable, ChartKey, "no majority of disks answered")
 		}
-		if settled {
-			entry, _ := c.trove.Settled(ChartKey)
-			return m.view.Load().next(s, entry).head.GetChart(), nil
+		if survey.Settled {
+			return m.view.Load().next(s, survey.Version).head.GetChart(), nil
 		}
-		value, err := c.trove.Read(s, ChartKey)
+		value, err := c.replica.Read(s, ChartKey)
 		if err == nil {
 			head := &wire.ChartHead{}
 			err = proto.Unmarshal(value, head)
--- a/internal/controlplane/views.go
+++ b/internal/controlplane/views.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -11,7 +10,12 @@
 	"curlewreach/proto/wire"
 )
 
-const joining = "joining"
+// Phases of a control machine, as operators see them.
+const (
+	joining    = "joining"     // the disk isn't open, or no voter was found
+	catchingUp = "catching-up" // it has no vote yet
+	founded    = "founded"     // it votes
+)
 
 // show lets operators look, on the door for mates: GET /view, /chart, /odds, /journal, /metrics.
 func (m *Moor) show(mux *http.ServeMux) {
@@ -44,34 +48,48 @@
 	p, now, learned := m.params.Load(), m.scope.Clock.Mono(), m.learning.Load().said
 	view := &wire.KeelView{
 		Keel: p.Name, Address: m.self, Zone: p.Zone, Incarnation: m.incarnation, Phase: joining, Settled: m.Settled(), Stopping: m.stopping.Load(),
-		ReachedMs: ms(now - time.Duration(m.reached.Load())), Serial: m.view.Load().serial(),
+		ReachedMs: ms(now), Serial: m.view.Load().serial(),
 		Learner: learned.GetHolder(), Odds: learned.GetOdds().GetSerial(), Cycle: learned.GetCycle(),
 	}
-	if agreed := time.Duration(m.agreed.Load()); agreed > -time.Hour {
-		view.AgreedMs = proto.Uint64(ms(now - agreed))
-	}
 	view.Nodes, _ = m.roster.since(0, true, "")
 	c := m.core.Load()
 	if c == nil {
 		return view
 	}
-	view.Phase = strings.ToLower(c.trove.Store().Phase().String())
 	view.Owed = uint32(c.traces.Owed())
-	if owner, _, known := c.trove.Owner(ChartKey); known {
-		view.Owner = owner.Address
+	if began, ok := c.replica.LastMajority(); ok {
+		view.ReachedMs = ms(now - began)
 	}
-	for _, mate := range c.mates {
-		view.Mates = append(view.Mates, &wire.KeelMate{Address: mate, Heard: mate == m.self || c.hears(mate, m.lately())})
+	if began, ok := c.replica.Settled(ChartKey); ok {
+		view.AgreedMs = proto.Uint64(ms(now - began))
 	}
-	for _, key := range c.trove.Store().Keys() {
-		owner, epoch, _ := c.trove.Owner(key)
-		state := &wire.KeyState{Key: key, Owner: owner.Address, Epoch: epoch.GetNumber(), Sick: c.trove.Store().IsSick(key), Copies: uint32(c.trove.Copies(key))}
-		if _, entry := c.trove.Store().Peek(key); entry != nil {
-			state.Serial = entry.Serial
+	view.Owner, _ = c.replica.Owner(ChartKey)
+	m.showMembers(c, view)
+	return view
+}
+
+// showMembers tells who votes, who is catching up and what a further loss would cost.
+func (m *Moor) showMembers(c *core, view *wire.KeelView) {
+	seen := c.replica.View()
+	view.Generation, view.Sealed, view.Spare = seen.Members.GetGeneration(), seen.Sealed, int32(seen.Spare)
+	switch {
+	case seen.Generation > 0:
+		view.Phase = founded
+	case seen.Members != nil:
+		view.Phase = catchingUp
+	}
+	for _, voter := range c.replica.Voters() {
+		view.Mates = append(view.Mates, &wire.KeelMate{Address: voter, Heard: voter == m.self || c.hears(voter, m.lately())})
+	}
+	for _, each := range seen.Learners {
+		view.Learners = append(view.Learners, &wire.KeelLearner{Address: each.Replica.Address, CaughtUp: each.CaughtUp})
+	}
+	for _, key := range []string{ChartKey, LearningKey} {
+		if version := c.replica.Chosen(key); version != nil {
+			owner, term := c.replica.Owner(key)
+			view.Keys = append(view.Keys, &wire.KeyState{Key: key, Owner: owner, Epoch: term.GetNumber(), Serial: version.Serial, Copies: uint32(c.replica.Copies(key))})
 		}
-		view.Keys = append(view.Keys, state)
 	}
-	return view
 }
 
 func (m *Moor) metrics(page *base.Metrics) {
--- a/internal/replica/machine.go
+++ b/internal/replica/machine.go
@@ -109,9 +109,11 @@
 	ticked     time.Duration
 	nextStatus time.Duration
 	unsettled  map[string]time.Duration
+	copies     map[string]int      // of each key's newest version, as last seen
 	learners   map[string]*learner // by identity
 	rounds     uint64
-	confirmed  bool // a majority has been heard since this replica started, or joined its generation
+	confirmed  bool          // a majority has been heard since this replica started, or joined its generation
+	majorityAt time.Duration // when the last round began that a majority answered
 	pulling    bool
 	reconfig   reconfiguration
 	founding   foundingState
@@ -133,7 +135,7 @@
 	m := &Machine{
 		settings: settings, now: now, calmSince: now, ticked: now, nextStatus: now,
 		waiting: map[uint64]func(*wire.ReplicaReply){}, chosen: map[string]*wire.Version{}, owned: map[string]*ownership{},
-		highest: map[string]uint64{}, heard: map[string]time.Duration{}, unsettled: map[string]time.Duration{}, learners: map[string]*learner{},
+		highest: map[string]uint64{}, heard: map[string]time.Duration{}, unsettled: map[string]time.Duration{}, copies: map[string]int{}, learners: map[string]*learner{},
 	}
 	m.founding.since = now
 	if state == nil {
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -11,6 +11,8 @@
 const (
 	// standstillRatio of Watch without a tick is taken for a standstill: what was unheard meanwhile counts for nothing.
 	standstillRatio = 3
+	// absentRounds is how many status rounds a voter may be silent before a round no longer waits for it.
+	absentRounds = 2
 	// seedRounds is how many status rounds pass between two looks at seeds that are no voters.
 	seedRounds = 8
 )
@@ -40,10 +42,10 @@
 	if !m.votes() || m.rounds%seedRounds == 0 && m.lonely() {
 		m.searchMembers()
 	}
-	have := m.heldVersions()
+	have, began := m.heldVersions(), m.now
 	m.poll(members, func() *wire.ReplicaRequest { return m.statusAsk(have) }, func(r *round, reply *wire.ReplicaReply) {
 		m.hearStatus(reply, have)
-		m.concludeStatus(r, have, surveys)
+		m.concludeStatus(r, began, have, surveys)
 	})
 }
 
@@ -145,7 +147,7 @@
 }
 
 // concludeStatus ends a round once a majority has answered and each key's newest version is on a majority.
-func (m *Machine) concludeStatus(r *round, have map[string]*wire.Version, surveys []*survey) {
+func (m *Machine) concludeStatus(r *round, began time.Duration, have map[string]*wire.Version, surveys []*survey) {
 	agreed := r.granted() >= majority(r.membership)
 	if !agreed && !r.complete() {
 		return
@@ -154,7 +156,7 @@
 	if agreed {
 		m.adopt(newest, settled)
 	}
-	if !r.complete() && !all(settled) {
+	if !r.complete() && (!all(settled) || m.awaits(r)) {
 		return
 	}
 	r.closed = r.complete()
@@ -163,7 +165,11 @@
 	}
 	r.concluded = true
 	if agreed {
+		m.majorityAt = max(m.majorityAt, began)
 		m.majorityHeard(newest, settled)
+		for key, version := range newest {
+			m.copies[key] = r.copies(key, version)
+		}
 	}
 	for _, each := range surveys {
 		_, disputed := settled[each.key]
@@ -173,6 +179,14 @@
 	}
 }
 
+// awaits says whether a voter that was heard lately has not replied yet. It may hold a version that nobody else has.
+func (m *Machine) awaits(r *round) bool {
+	return slices.ContainsFunc(r.membership.Voters, func(voter *wire.Replica) bool {
+		_, replied := r.replies[voter.Id]
+		return !replied && m.silence(voter.Id) < absentRounds*m.settings.Watch
+	})
+}
+
 func all(truths map[string]bool) bool {
 	for _, truth := range truths {
 		if !truth {
@@ -202,15 +216,19 @@
 		}
 	}
 	for key, version := range newest {
-		count := r.count(func(reply *wire.ReplicaReply) bool {
-			held := reply.Registers[key].GetAccepted()
-			return r.grants(reply) && held != nil && compareVersions(held, version) == 0
-		})
-		settled[key] = count >= majority(r.membership)
+		settled[key] = r.copies(key, version) >= majority(r.membership)
 	}
 	return newest, settled
 }
 
+// copies counts the replies that hold a version.
+func (r *round) copies(key string, version *wire.Version) int {
+	return r.count(func(reply *wire.ReplicaReply) bool {
+		held := reply.Registers[key].GetAccepted()
+		return r.grants(reply) && held != nil && compareVersions(held, version) == 0
+	})
+}
+
 // adopt keeps the versions that a majority holds.
 func (m *Machine) adopt(newest map[string]*wire.Version, settled map[string]bool) {
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
@@ -271,3 +289,10 @@
 	rank := slices.IndexFunc(m.members().GetVoters(), func(voter *wire.Replica) bool { return voter.Id == m.state.Id })
 	return time.Duration(max(rank, 0)) * m.settings.Watch
 }
+
+// Settled tells when the last round began in which a majority answered; ok is false if the newest version of the
+// key was then on too few disks, or if there was no such round.
+func (m *Machine) Settled(key string) (began time.Duration, ok bool) {
+	_, disputed := m.unsettled[key]
+	return m.majorityAt, m.confirmed && !disputed
+}
--- a/internal/tracing/store.go
+++ b/internal/tracing/store.go
@@ -30,7 +30,7 @@
 	fresh       []*wire.Span
 	number      uint64
 	owed        deque.Deque[*wire.Batch]
-	mates       []wireconnect.LensClient
+	mates       func() []wireconnect.LensClient
 }
 
 func OpenStore(s base.Scope, bound int) *Store {
@@ -73,10 +73,24 @@
 	}
 }
 
+// Mates names the other stores, which keep copies of what this one holds.
 func (t *Store) Mates(web *http.Client, addresses []string) {
+	var clients []wireconnect.LensClient
 	for _, address := range addresses {
-		t.mates = append(t.mates, wireconnect.NewLensClient(web, "http://"+address))
+		clients = append(clients, wireconnect.NewLensClient(web, "http://"+address))
 	}
+	t.FollowMates(func() []wireconnect.LensClient { return clients })
+}
+
+// FollowMates names the other stores by a function that is asked each time, as they may change.
+// It must be called before Run.
+func (t *Store) FollowMates(mates func() []wireconnect.LensClient) { t.mates = mates }
+
+func (t *Store) others() []wireconnect.LensClient {
+	if t.mates == nil {
+		return nil
+	}
+	return t.mates()
 }
 
 func (t *Store) Run(s base.Scope, every time.Duration) {
@@ -113,7 +127,7 @@
 		t.mu.Lock()
 		batch := t.owed.Front()
 		t.mu.Unlock()
-		if !slices.ContainsFunc(t.mates, func(mate wireconnect.LensClient) bool {
+		if !slices.ContainsFunc(t.others(), func(mate wireconnect.LensClient) bool {
 			return keep(s, mate, &wire.KeepRequest{Batch: batch}, every)
 		}) {
 			return
