--- a/internal/controlplane/propose.go
+++ b/internal/controlplane/propose.go
@@ -1,9 +1,7 @@
 package controlplane
 
 import (
-	"bytes"
 	"context"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,7 +13,6 @@
 )
 
 const (
-	marksKept   = 64
 	pauseLeast  = 4 * time.Millisecond
 	pauseSpread = 24 * time.Millisecond
 	pauseStuck  = 40 * time.Millisecond
@@ -159,12 +156,14 @@
 	return outcome, err
 }
 
+// judge gives the head that an order leads to, or what to answer without one; neither where that can't be known.
 func judge(head *wire.ChartHead, p *wire.ChartProposal) (*wire.ChartHead, *wire.ChartOutcome) {
-	serial, current, digest := serialOf(p), head.GetChart().GetSerial(), digestOf(p)
-	for _, mark := range head.GetMarks() {
-		if mark.Serial == serial && bytes.Equal(mark.Digest, digest) {
-			return nil, &wire.ChartOutcome{Serial: serial}
-		}
+	serial, current, asked := serialOf(p), head.GetChart().GetSerial(), orderOf(p)
+	switch recall(head, asked) {
+	case taken:
+		return nil, &wire.ChartOutcome{Serial: serial}
+	case forgotten:
+		return nil, nil
 	}
 	if baseOf(p) != current {
 		return nil, bounced(serial, base.Bounce(base.StaleBase, "base", "serial %d is current", current))
@@ -179,8 +178,7 @@
 			return nil, bounced(serial, mishaps...)
 		}
 	}
-	marks := append(slices.Clone(head.GetMarks()), &wire.ChartMark{Serial: serial, Digest: digest})
-	return &wire.ChartHead{Chart: next, Marks: marks[max(0, len(marks)-marksKept):]}, &wire.ChartOutcome{Serial: serial}
+	return &wire.ChartHead{Chart: next, Orders: remember(head, asked)}, &wire.ChartOutcome{Serial: serial}
 }
 
 func vet(p *wire.ChartProposal) *wire.ChartOutcome {
@@ -213,10 +211,6 @@
 	return max(p.GetChart().GetBase(), p.GetChange().GetBase())
 }
 
-func digestOf(p *wire.ChartProposal) []byte {
-	return config.Digest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change})
-}
-
 func (m *Moor) told(p *wire.ChartProposal, outcome *wire.ChartOutcome) {
 	if outcome.Kind == "" {
 		m.scope.Log.Info("chart taken", "serial", outcome.Serial, "relayed", p.GetRelayed())
--- a/internal/controlplane/soak_test.go
+++ b/internal/controlplane/soak_test.go
@@ -200,26 +200,26 @@
 	Expect(f.until(func() bool { return f.ready() && f.newest(0) > 0 })).To(BeTrue())
 	f.agree(f.newest(0))
 	head := f.keels[0].moor.view.Load().head
-	marked, serials, oldest := map[string]bool{}, map[uint64]bool{}, ^uint64(0)
-	for _, mark := range head.Marks {
-		marked[fmt.Sprintf("%d %x", mark.Serial, mark.Digest)] = true
-		serials[mark.Serial] = true
-		oldest = min(oldest, mark.Serial)
+	Expect(head.Orders.Forgotten).To(BeZero(), "every order of the story is remembered")
+	remembered, serials := map[order]bool{}, map[uint64]bool{}
+	for i, serial := range head.Orders.Serials {
+		remembered[order{serial, head.Orders.Digests[i]}] = true
+		serials[serial] = true
 	}
-	whose, acks := map[uint64]string{}, 0
+	whose, acks := map[uint64]*order{}, 0
 	for _, each := range l.verdicts {
-		key := fmt.Sprintf("%d %x", serialOf(each.p), digestOf(each.p))
+		asked := orderOf(each.p)
 		if each.taken {
 			acks++
-			Expect(whose[baseOf(each.p)]).To(BeEmpty(), "two were taken on %d", baseOf(each.p))
-			whose[baseOf(each.p)] = key
+			Expect(whose[baseOf(each.p)]).To(BeNil(), "two were taken on %d", baseOf(each.p))
+			whose[baseOf(each.p)] = &asked
 		}
-		if each.clear && serialOf(each.p) >= oldest {
-			Expect(marked[key]).To(Equal(each.taken), "serial %d on %d, answered taken=%t", serialOf(each.p), baseOf(each.p), each.taken)
+		if each.clear {
+			Expect(remembered[asked]).To(Equal(each.taken), "serial %d on %d, answered taken=%t", serialOf(each.p), baseOf(each.p), each.taken)
 		}
 	}
 	for serial := range l.served {
-		Expect(serials[serial] || serial < oldest).To(BeTrue(), "serial %d was served and never taken", serial)
+		Expect(serials[serial]).To(BeTrue(), "serial %d was served and never taken", serial)
 	}
 	Expect(l.faults).To(BeEmpty())
 	Expect(acks).To(BeNumerically(">=", 3))
