A status round of the generation before no longer leaves its membership in the next

Cause: a round that began under one generation could end after the replica had entered the next, and what it found settled was kept, the membership register too. The next generation then held its own number as its successor and could never be replaced again. The new test fails without the mend.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -106,13 +106,20 @@
 	}
 	answer := m.blankReply(wire.Standing_GRANTED)
 	answer.Promised, answer.Accepted = ask.Term, held.Accepted
+	if held.Accepted != nil && ask.Have != nil && compareVersions(held.Accepted, ask.Have) == 0 {
+		answer.Accepted = withoutValue(held.Accepted)
+	}
 	m.answerSaved(reply, answer)
 }
 
 // accept keeps a version unless a higher term was promised.
 func (m *Machine) accept(ask *wire.AcceptAsk, reply func(*wire.ReplicaReply)) {
 	held := m.register(ask.Key)
-	version := ask.Version
+	version := wholeVersion(ask, held.Accepted)
+	if version == nil {
+		m.answer(reply, wire.Standing_NEEDS_WHOLE)
+		return
+	}
 	if compareTerms(version.GetTerm(), held.Promised) < 0 || compareVersions(version, held.Accepted) < 0 {
 		answer := m.blankReply(wire.Standing_OUTRANKED)
 		answer.Promised = held.Promised
--- /dev/null
+++ b/internal/replica/delta.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"curlewreach/internal/bytedelta"
+	"curlewreach/proto/wire"
+)
+
+// deltaRatio is the largest delta worth sending, as a share of the whole value.
+const deltaRatio = 0.5
+
+func acceptAsk(ask *wire.AcceptAsk) *wire.ReplicaRequest {
+	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Accept{Accept: ask}}
+}
+
+// deltaAsk tells a version by its difference to the one before it, or is nil where that doesn't pay.
+func deltaAsk(key string, version, before *wire.Version) *wire.AcceptAsk {
+	if before == nil {
+		return nil
+	}
+	delta := bytedelta.Encode(before.Value, version.Value)
+	if float64(len(delta)) > deltaRatio*float64(len(version.Value)) {
+		return nil
+	}
+	return &wire.AcceptAsk{Key: key, Version: withoutValue(version), Base: withoutValue(before), Delta: delta}
+}
+
+// wholeVersion gives the version that is to be accepted, or nil if the one that its delta starts from isn't held.
+func wholeVersion(ask *wire.AcceptAsk, held *wire.Version) *wire.Version {
+	if ask.Base == nil {
+		return ask.Version
+	}
+	if held == nil || compareVersions(held, ask.Base) != 0 {
+		return nil
+	}
+	value, err := bytedelta.Apply(held.Value, ask.Delta)
+	if err != nil {
+		return nil
+	}
+	return &wire.Version{Term: ask.Version.Term, Serial: ask.Version.Serial, Value: value}
+}
--- /dev/null
+++ b/internal/replica/generation_test.go
@@ -0,0 +1,48 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"curlewreach/proto/wire"
+)
+
+// generationOf makes a membership of replicas whose identities are their addresses.
+func generationOf(generation uint64, addresses ...string) *wire.Membership {
+	membership := &wire.Membership{Generation: generation, Target: uint32(len(addresses))}
+	for _, address := range addresses {
+		membership.Voters = append(membership.Voters, &wire.Replica{Id: address, Address: address})
+	}
+	return membership
+}
+
+func voterOf(membership *wire.Membership, address string) *Machine {
+	state := &wire.ReplicaState{Id: address, Membership: membership, Registers: map[string]*wire.Register{}}
+	return NewMachine(Settings{
+		Address: address, Watch: simWatch, Silence: simSilence, Patience: time.Second, FoundingWait: time.Second,
+		NewID: func() string { return address + "/again" },
+	}, state, 0)
+}
+
+// A round of the generation before may end after the next has begun; what it says of the membership is over.
+func TestLateRoundOfTheGenerationBefore(t *testing.T) {
+	before, next := generationOf(1, "a", "b", "c"), generationOf(2, "a", "b", "d")
+	m := voterOf(before, "a")
+	m.Tick(time.Second)
+	asked := m.Take().Requests
+	m.Receive(time.Second, 1, &wire.ReplicaRequest{From: "b", Address: "b", Generation: 1, Ask: &wire.ReplicaRequest_Install{
+		Install: &wire.InstallAsk{Membership: next, Registers: map[string]*wire.Register{}},
+	}})
+	m.Take()
+	chosen := &wire.Version{Term: &wire.Term{Number: 1, Owner: "b"}, Serial: 1, Value: []byte("the second generation")}
+	held := map[string]*wire.Register{membershipKey: {Promised: chosen.Term, Accepted: chosen}}
+	for _, request := range asked {
+		m.Answered(time.Second, request.ID, &wire.ReplicaReply{From: request.To, Generation: 1, Membership: before, Registers: held})
+	}
+	if m.generation() != 2 {
+		t.Fatalf("generation %d, want 2", m.generation())
+	}
+	if stale := m.register(membershipKey).Accepted; stale != nil {
+		t.Fatalf("the second generation holds %q as its successor", stale.Value)
+	}
+}
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -114,7 +114,7 @@
 	term := &wire.Term{Number: number, Owner: m.state.Id}
 	o.attempt++
 	attempt, membership := o.attempt, m.state.Membership
-	m.ask(m.settings.Address, promiseAsk(o.key, term), func(reply *wire.ReplicaReply) {
+	m.ask(m.settings.Address, promiseAsk(o.key, term, nil), func(reply *wire.ReplicaReply) {
 		if o.attempt != attempt {
 			return
 		}
@@ -126,14 +126,19 @@
 	})
 }
 
-func promiseAsk(key string, term *wire.Term) *wire.ReplicaRequest {
-	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Promise{Promise: &wire.PromiseAsk{Key: key, Term: term}}}
+func promiseAsk(key string, term *wire.Term, have *wire.Version) *wire.ReplicaRequest {
+	ask := &wire.PromiseAsk{Key: key, Term: term}
+	if have != nil {
+		ask.Have = withoutValue(have)
+	}
+	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Promise{Promise: ask}}
 }
 
 // gather asks all voters for their promise and takes over the newest version among a majority.
 func (o *ownership) gather(term *wire.Term, attempt uint64, membership *wire.Membership) {
 	m := o.machine
-	m.poll(membership, func() *wire.ReplicaRequest { return promiseAsk(o.key, term) }, func(r *round, _ *wire.ReplicaReply) {
+	have := m.register(o.key).Accepted
+	m.poll(membership, func() *wire.ReplicaRequest { return promiseAsk(o.key, term, have) }, func(r *round, _ *wire.ReplicaReply) {
 		if o.attempt != attempt {
 			r.closed = true
 			return
@@ -141,7 +146,7 @@
 		switch {
 		case r.granted() >= majority(membership):
 			r.closed = true
-			o.inherit(term, r)
+			o.inherit(term, have, r)
 		case r.hopeless():
 			r.closed = true
 			o.fallBehind(r)
@@ -150,11 +155,11 @@
 }
 
 // inherit writes the newest version among a majority again under the new term: only then is it surely chosen.
-func (o *ownership) inherit(term *wire.Term, r *round) {
+func (o *ownership) inherit(term *wire.Term, have *wire.Version, r *round) {
 	var highest *wire.Version
 	for _, reply := range r.replies {
 		if r.grants(reply) {
-			highest = newer(highest, reply.Accepted)
+			highest = newer(highest, withValue(reply.Accepted, have))
 		}
 	}
 	o.term = term
@@ -164,7 +169,7 @@
 		o.serve()
 		return
 	}
-	o.write(&wire.Version{Term: term, Serial: highest.Serial, Value: highest.Value}, o.serve)
+	o.write(&wire.Version{Term: term, Serial: highest.Serial, Value: highest.Value}, highest, o.serve)
 }
 
 // fallBehind gives up after a lost round, remembering the term that won it.
@@ -207,7 +212,7 @@
 	o.running = kept
 	switch {
 	case changed:
-		o.write(&wire.Version{Term: o.term, Serial: o.version.GetSerial() + 1, Value: value}, o.finish)
+		o.write(&wire.Version{Term: o.term, Serial: o.version.GetSerial() + 1, Value: value}, o.version, o.finish)
 	case len(kept) > 0:
 		o.reconfirm()
 	default:
@@ -222,15 +227,20 @@
 	return t.change(old)
 }
 
-// write has a version accepted by a majority.
-func (o *ownership) write(version *wire.Version, then func()) {
+// write has a version accepted by a majority. Voters that hold the one before it are sent the difference.
+func (o *ownership) write(version, before *wire.Version, then func()) {
 	m := o.machine
 	o.attempt++
 	attempt, membership := o.attempt, m.state.Membership
-	ask := func() *wire.ReplicaRequest {
-		return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Accept{Accept: &wire.AcceptAsk{Key: o.key, Version: version}}}
+	whole := func() *wire.ReplicaRequest { return acceptAsk(&wire.AcceptAsk{Key: o.key, Version: version}) }
+	delta := deltaAsk(o.key, version, before)
+	ask := func(voter *wire.Replica) *wire.ReplicaRequest {
+		if delta == nil || voter.Id == m.state.Id {
+			return whole()
+		}
+		return acceptAsk(delta)
 	}
-	m.poll(membership, ask, func(r *round, _ *wire.ReplicaReply) {
+	m.pollEach(membership, ask, whole, func(r *round, _ *wire.ReplicaReply) {
 		if o.attempt != attempt {
 			r.closed = true
 			return
--- a/internal/replica/round.go
+++ b/internal/replica/round.go
@@ -16,9 +16,15 @@
 
 // poll asks every voter of membership; each runs after each reply until it closes the round.
 func (m *Machine) poll(membership *wire.Membership, ask func() *wire.ReplicaRequest, each func(r *round, reply *wire.ReplicaReply)) {
+	m.pollEach(membership, func(*wire.Replica) *wire.ReplicaRequest { return ask() }, nil, each)
+}
+
+// pollEach asks each voter something of its own. Where a voter needs the whole of what it was told in part, it is
+// asked once more, with whole.
+func (m *Machine) pollEach(membership *wire.Membership, ask func(*wire.Replica) *wire.ReplicaRequest, whole func() *wire.ReplicaRequest, each func(r *round, reply *wire.ReplicaReply)) {
 	r := &round{membership: membership, replies: map[string]*wire.ReplicaReply{}}
 	for _, voter := range membership.Voters {
-		m.ask(voter.Address, ask(), func(reply *wire.ReplicaReply) {
+		take := func(reply *wire.ReplicaReply) {
 			if r.closed {
 				return
 			}
@@ -27,6 +33,13 @@
 			}
 			r.replies[voter.Id] = reply
 			each(r, reply)
+		}
+		m.ask(voter.Address, ask(voter), func(reply *wire.ReplicaReply) {
+			if whole != nil && reply.GetStanding() == wire.Standing_NEEDS_WHOLE && !r.closed {
+				m.ask(voter.Address, whole(), take)
+				return
+			}
+			take(reply)
 		})
 	}
 }
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -153,7 +153,7 @@
 		return
 	}
 	newest, settled := r.newest(have)
-	if agreed {
+	if agreed && r.membership.Generation >= m.generation() {
 		m.adopt(newest, settled)
 	}
 	if !r.complete() && (!all(settled) || m.awaits(r)) {
@@ -229,16 +229,15 @@
 	})
 }
 
-// adopt keeps the versions that a majority holds.
+// adopt keeps the versions that a majority holds. The membership register is left to those who change it: its
+// versions mean something in their own generation only.
 func (m *Machine) adopt(newest map[string]*wire.Version, settled map[string]bool) {
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		if !settled[key] {
+		if key == membershipKey || !settled[key] {
 			continue
 		}
 		m.keep(key, newest[key])
-		if key != membershipKey {
-			m.markChosen(key, newest[key])
-		}
+		m.markChosen(key, newest[key])
 	}
 }
 
@@ -251,9 +250,6 @@
 	if m.votes() && (m.state.Next != nil || compareTerms(version.Term, held.Promised) < 0) {
 		return
 	}
-	if !m.votes() && key == membershipKey {
-		return
-	}
 	m.setRegister(key, &wire.Register{Promised: higher(held.Promised, version.Term), Accepted: version})
 }
 
