--- a/fleet/rig/disk.go
+++ b/fleet/rig/disk.go
@@ -47,16 +47,38 @@
 	clear(d.pending)
 }
 
+// PowerLoss takes away what was not synced. Each name that was made, renamed or removed without a sync of its folder
+// is kept or lost by itself; what was not synced of a file is kept up to some place.
 func (d *Disk) PowerLoss() {
+	d.PowerLossKeeping(func(int) bool { return d.rand.Below(2) == 0 })
+}
+
+// Unsynced returns the number of changes of names that a loss of power may take away.
+func (d *Disk) Unsynced() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	total := 0
+	for _, changes := range d.pending {
+		total += len(changes)
+	}
+	return total
+}
+
+// PowerLossKeeping is a PowerLoss that keeps the unsynced changes of names, numbered in their order from 0 on within
+// the sorted folders, for which keep is true.
+func (d *Disk) PowerLossKeeping(keep func(unsynced int) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	number := 0
 	for _, folder := range slices.Sorted(maps.Keys(d.pending)) {
-		changes := d.pending[folder]
-		for _, each := range changes[:d.rand.Below(len(changes)+1)] {
-			put(d.durable, each)
+		for _, each := range d.pending[folder] {
+			if keep(number) {
+				put(d.durable, each)
+			}
+			number++
 		}
-		delete(d.pending, folder)
 	}
+	clear(d.pending)
 	clear(d.names)
 	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
 		node := d.durable[name]
@@ -68,6 +90,33 @@
 	}
 }
 
+// Clone returns a disk of its own with the same content, synced or not.
+func (d *Disk) Clone(rand *base.Rand) *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	nodes := map[*inode]*inode{nil: nil}
+	cloneOf := func(node *inode) *inode {
+		if _, done := nodes[node]; !done {
+			nodes[node] = &inode{data: slices.Clone(node.data), synced: slices.Clone(node.synced), solid: node.solid}
+		}
+		return nodes[node]
+	}
+	clone := NewDisk(rand)
+	clone.full = d.full
+	for name, node := range d.names {
+		clone.names[name] = cloneOf(node)
+	}
+	for name, node := range d.durable {
+		clone.durable[name] = cloneOf(node)
+	}
+	for folder, changes := range d.pending {
+		for _, each := range changes {
+			clone.pending[folder] = append(clone.pending[folder], change{each.name, cloneOf(each.node)})
+		}
+	}
+	return clone
+}
+
 func (d *Disk) Fill(full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/fleet/rig/faults.go
@@ -0,0 +1,124 @@
+package rig
+
+import (
+	"errors"
+
+	"curlewreach/base"
+)
+
+// Outcome tells what becomes of one write to a disk.
+type Outcome int
+
+const (
+	// Done is a write that succeeds.
+	Done Outcome = iota
+	// Refused is a write that fails and leaves the disk as it was.
+	Refused
+	// Unknown is a write that fails although it was done.
+	Unknown
+	// Torn is a write that fails with half of its bytes written; for anything but a file's bytes it is Refused.
+	Torn
+	// CrashBefore ends the process before the write.
+	CrashBefore
+	// CrashAfter ends the process after the write.
+	CrashAfter
+)
+
+var (
+	// ErrRefused is returned for a write that Faults let fail.
+	ErrRefused = errors.New("the disk refused a write")
+	// ErrCrashed is returned for each write after a crash.
+	ErrCrashed = errors.New("the process has crashed")
+)
+
+// Faults is a disk whose writes are numbered from 0 on and fail or crash as told. It is for one goroutine.
+type Faults struct {
+	base.Disk
+	// Decide returns the outcome of the write with the given number.
+	Decide  func(point int) Outcome
+	points  int
+	crashed bool
+}
+
+// Points returns the number of writes so far.
+func (f *Faults) Points() int { return f.points }
+
+// Crashed tells whether a crash has come.
+func (f *Faults) Crashed() bool { return f.crashed }
+
+func (f *Faults) write(do, tear func() error) error {
+	if f.crashed {
+		return ErrCrashed
+	}
+	outcome := f.Decide(f.points)
+	f.points++
+	switch outcome {
+	case Refused:
+		return ErrRefused
+	case Torn:
+		_ = tear()
+		return ErrRefused
+	case Unknown:
+		_ = do()
+		return ErrRefused
+	case CrashBefore:
+		f.crashed = true
+		_ = tear()
+		return ErrCrashed
+	case CrashAfter:
+		f.crashed = true
+		_ = do()
+		return ErrCrashed
+	}
+	return do()
+}
+
+func nothing() error { return nil }
+
+// Create opens a new file for writing.
+func (f *Faults) Create(name string) (created base.DiskFile, err error) {
+	err = f.write(func() (err error) {
+		created, err = f.Disk.Create(name)
+		return err
+	}, nothing)
+	if err != nil {
+		return nil, err
+	}
+	return &faultyFile{created, f}, nil
+}
+
+// Rename gives a file another name.
+func (f *Faults) Rename(from, to string) error {
+	return f.write(func() error { return f.Disk.Rename(from, to) }, nothing)
+}
+
+// SyncFolder makes a folder's names durable.
+func (f *Faults) SyncFolder(folder string) error {
+	return f.write(func() error { return f.Disk.SyncFolder(folder) }, nothing)
+}
+
+// Remove takes a file away.
+func (f *Faults) Remove(name string) error {
+	return f.write(func() error { return f.Disk.Remove(name) }, nothing)
+}
+
+type faultyFile struct {
+	base.DiskFile
+	faults *Faults
+}
+
+// Write appends to the file; torn, it appends the first half only.
+func (f *faultyFile) Write(data []byte) (written int, err error) {
+	half := func() error {
+		_, err := f.DiskFile.Write(data[:len(data)/2])
+		return err
+	}
+	err = f.faults.write(func() error {
+		written, err = f.DiskFile.Write(data)
+		return err
+	}, half)
+	return written, err
+}
+
+// Sync makes the file's bytes durable.
+func (f *faultyFile) Sync() error { return f.faults.write(f.DiskFile.Sync, nothing) }
--- /dev/null
+++ b/internal/statestore/crash_test.go
@@ -0,0 +1,350 @@
+package statestore
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/fleet/rig"
+	"curlewreach/proto/wire"
+)
+
+const (
+	// scriptSaves is enough for several snapshots, each with its trims, under the small limits.
+	scriptSaves = 15
+	// openTries is the number of Opens that a script makes on a disk that refuses.
+	openTries = 3
+	// allSubsets is enough to try each subset of seven unsynced names; of more names as many are drawn.
+	allSubsets = 1 << 7
+	// someSubsets is the number of subsets drawn where each of many places is combined with each of many others.
+	someSubsets = 1 << 4
+)
+
+// history is what one process did to a disk until it ended.
+type history struct {
+	disk *rig.Disk
+	// possible are the states that a restart may find: the last acknowledged one first, nil for none, and all that
+	// were tried since.
+	possible []*wire.ReplicaState
+	// lost tells that the state was unreadable when the process started, and none has been acknowledged since.
+	lost   bool
+	points int
+}
+
+// blank is the history of a disk that nothing was done to.
+func blank(disk *rig.Disk) history {
+	return history{disk: disk, possible: []*wire.ReplicaState{nil}}
+}
+
+// damaged is the history of a disk whose state was made unreadable.
+func damaged(disk *rig.Disk) history {
+	return history{disk: disk, possible: []*wire.ReplicaState{nil}, lost: true}
+}
+
+// play opens the disk of a history and saves the states of the script, as far as no crash comes.
+func play(t *testing.T, past history, first uint64, decide func(point int) rig.Outcome) history {
+	t.Helper()
+	faults := &rig.Faults{Disk: past.disk, Decide: decide}
+	store := openStubbornly(t, faults, &past)
+	if store != nil {
+		past.save(store, faults, first)
+	}
+	past.points = faults.Points()
+	return past
+}
+
+func openStubbornly(t *testing.T, faults *rig.Faults, past *history) *Store {
+	t.Helper()
+	for range openTries {
+		store, state, err := open(faults, discard, small)
+		if errors.Is(err, ErrUnreadable) && past.lost {
+			past.possible = []*wire.ReplicaState{nil}
+			return store
+		}
+		if store != nil && err == nil {
+			past.expectPossible(t, state, "at the start")
+			past.possible, past.lost = []*wire.ReplicaState{state}, false
+			return store
+		}
+		if !errors.Is(err, rig.ErrRefused) && !errors.Is(err, rig.ErrCrashed) {
+			t.Fatal(err)
+		}
+	}
+	return nil
+}
+
+func (h *history) save(store *Store, faults *rig.Faults, first uint64) {
+	for serial := first; serial < first+scriptSaves && !faults.Crashed(); serial++ {
+		state := stateOf(serial)
+		if store.Save(state) == nil {
+			h.possible, h.lost = []*wire.ReplicaState{state}, false
+		} else {
+			h.possible = append(h.possible, state)
+		}
+	}
+}
+
+// check opens a disk and expects one of the possible states, or that the loss is still known.
+func (h *history) check(t *testing.T, disk *rig.Disk, when string) {
+	t.Helper()
+	store, state, err := open(disk, discard, small)
+	if errors.Is(err, ErrUnreadable) && h.lost {
+		return
+	}
+	if err != nil {
+		t.Fatalf("%s: %v; files %v", when, err, disk.Names())
+	}
+	h.expectPossible(t, state, when)
+	expectDurable(t, disk, state, when)
+	expectGoesOn(t, disk, store, when)
+}
+
+func (h *history) expectPossible(t *testing.T, state *wire.ReplicaState, when string) {
+	t.Helper()
+	possible := h.possible
+	if h.lost {
+		possible = possible[1:]
+	}
+	for _, each := range possible {
+		if (each == nil) == (state == nil) && proto.Equal(each, state) {
+			return
+		}
+	}
+	t.Fatalf("%s: found neither the acknowledged state nor one tried since: %v", when, state)
+}
+
+// expectDurable expects that what was loaded outlasts a loss of power that keeps as little as it may.
+func expectDurable(t *testing.T, disk *rig.Disk, state *wire.ReplicaState, when string) {
+	t.Helper()
+	later := disk.Clone(base.SeededRand(1))
+	later.PowerLossKeeping(func(int) bool { return false })
+	_, again, err := open(later, discard, small)
+	if err != nil || !proto.Equal(again, state) {
+		t.Fatalf("%s: loaded %v, and after a loss of power %v, %v", when, state, again, err)
+	}
+}
+
+// expectGoesOn expects that the store that was loaded can be saved to.
+func expectGoesOn(t *testing.T, disk *rig.Disk, store *Store, when string) {
+	t.Helper()
+	const later = 100
+	for serial := range uint64(2) {
+		if err := store.Save(stateOf(later + serial)); err != nil {
+			t.Fatalf("%s: %v", when, err)
+		}
+		after := disk.Clone(base.SeededRand(1))
+		after.PowerLossKeeping(func(int) bool { return false })
+		_, state, err := open(after, discard, small)
+		if err != nil || !proto.Equal(state, stateOf(later+serial)) {
+			t.Fatalf("%s: saved %d, found %v, %v", when, later+serial, state, err)
+		}
+	}
+}
+
+// checkAfterEnd checks the disk as it is after a mere kill, and after a loss of power in the subsets of what was not
+// synced.
+func (h *history) checkAfterEnd(t *testing.T, seed uint64, most int, when string) (checked int) {
+	t.Helper()
+	h.check(t, h.disk.Clone(base.SeededRand(seed)), when+", killed")
+	unsynced := h.disk.Unsynced()
+	subsets := subsetsOf(unsynced, most, seed)
+	for _, subset := range subsets {
+		disk := h.disk.Clone(base.SeededRand(seed ^ subset))
+		disk.PowerLossKeeping(func(i int) bool { return subset>>i&1 == 1 })
+		h.check(t, disk, fmt.Sprintf("%s, power lost, kept %b of %d", when, subset, unsynced))
+	}
+	return 1 + len(subsets)
+}
+
+// subsetsOf returns all subsets of count names if there are at most so many, else none, all, and some drawn.
+func subsetsOf(count, most int, seed uint64) []uint64 {
+	if 1<<count <= most {
+		subsets := make([]uint64, 1<<count)
+		for i := range subsets {
+			subsets[i] = uint64(i)
+		}
+		return subsets
+	}
+	random := rand.New(rand.NewPCG(seed, uint64(count)))
+	subsets := []uint64{0, 1<<count - 1}
+	for len(subsets) < most {
+		subsets = append(subsets, random.Uint64()&(1<<count-1))
+	}
+	return subsets
+}
+
+func always(int) rig.Outcome { return rig.Done }
+
+// at gives one outcome at one write and another at a second one.
+func at(point int, outcome rig.Outcome, point2 int, outcome2 rig.Outcome) func(int) rig.Outcome {
+	return func(each int) rig.Outcome {
+		switch each {
+		case point:
+			return outcome
+		case point2:
+			return outcome2
+		}
+		return rig.Done
+	}
+}
+
+var crashes = []rig.Outcome{rig.CrashBefore, rig.CrashAfter}
+
+func TestCrashAtEachWriteKeepsTheLastSavedState(t *testing.T) {
+	points := play(t, blank(newDisk(1)), 0, always).points
+	checked := 0
+	for point := range points {
+		for _, crash := range crashes {
+			past := play(t, blank(newDisk(uint64(point))), 0, at(point, crash, -1, rig.Done))
+			checked += past.checkAfterEnd(t, uint64(point), allSubsets, fmt.Sprintf("crash %d at write %d", crash, point))
+		}
+	}
+	t.Logf("%d write points, %d disks loaded", points, checked)
+}
+
+func TestCrashAfterAFailedWriteKeepsTheLastSavedState(t *testing.T) {
+	const window = 12
+	points := play(t, blank(newDisk(1)), 0, always).points
+	checked := 0
+	for failed := range points {
+		for _, failure := range []rig.Outcome{rig.Refused, rig.Unknown, rig.Torn} {
+			for point := failed + 1; point < min(failed+window, points); point++ {
+				past := play(t, blank(newDisk(uint64(point))), 0, at(failed, failure, point, rig.CrashAfter))
+				checked += past.checkAfterEnd(t, uint64(failed), someSubsets, fmt.Sprintf("failure %d at write %d, crash at write %d", failure, failed, point))
+			}
+		}
+	}
+	t.Logf("%d write points, %d disks loaded", points, checked)
+}
+
+// TestManyFailuresAndRestartsKeepTheLastSavedState plays lives of several processes on one disk, each with failures at
+// random and a crash, with and without a loss of power.
+func TestManyFailuresAndRestartsKeepTheLastSavedState(t *testing.T) {
+	const lives, seeds = 4, 200
+	checked := 0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		past := blank(newDisk(seed))
+		for life := range uint64(lives) {
+			past = play(t, past, life*scriptSaves, randomTrouble(random))
+			checked += past.checkAfterEnd(t, seed, someSubsets, fmt.Sprintf("seed %d, life %d", seed, life))
+			if random.IntN(2) == 0 {
+				past.disk.PowerLoss()
+			}
+		}
+	}
+	t.Logf("%d seeds, %d disks loaded", seeds, checked)
+}
+
+// randomTrouble lets a share of the writes fail, single ones or several on end, until a crash.
+func randomTrouble(random *rand.Rand) func(int) rig.Outcome {
+	share, crash, on := random.Float64()/3, random.IntN(90), 0
+	failures := []rig.Outcome{rig.Refused, rig.Unknown, rig.Torn}
+	return func(point int) rig.Outcome {
+		if point == crash {
+			return crashes[random.IntN(len(crashes))]
+		}
+		if on > 0 {
+			on--
+			return failures[random.IntN(len(failures))]
+		}
+		if random.Float64() < share {
+			on = random.IntN(5)
+			return failures[random.IntN(len(failures))]
+		}
+		return rig.Done
+	}
+}
+
+// damages are ways to spoil the disk of savedFiles.
+func damages(t *testing.T) map[string]func() *rig.Disk {
+	t.Helper()
+	ways := map[string]func() *rig.Disk{}
+	for i := range 3 {
+		ways[fmt.Sprintf("bit of file %d", i)] = func() *rig.Disk {
+			disk, names := savedFiles(t)
+			disk.Flip(names[i])
+			return disk
+		}
+	}
+	for i := range 2 {
+		ways[fmt.Sprintf("loss of file %d", i)] = func() *rig.Disk {
+			disk, names := savedFiles(t)
+			_ = disk.Remove(names[i])
+			_ = disk.SyncFolder("")
+			return disk
+		}
+	}
+	return ways
+}
+
+func TestLostStateNeverComesBack(t *testing.T) {
+	const first = 40
+	checked := 0
+	for name, damage := range damages(t) {
+		points := play(t, damaged(damage()), first, always).points
+		for point := range points {
+			for _, outcome := range []rig.Outcome{rig.CrashBefore, rig.CrashAfter, rig.Refused, rig.Unknown, rig.Torn} {
+				past := play(t, damaged(damage()), first, at(point, outcome, point+3, rig.CrashAfter))
+				checked += past.checkAfterEnd(t, uint64(point), someSubsets, fmt.Sprintf("%s, outcome %d at write %d", name, outcome, point))
+			}
+		}
+	}
+	t.Logf("%d disks loaded", checked)
+}
+
+func TestLostStateIsKnownUntilTheNextSave(t *testing.T) {
+	for name, damage := range damages(t) {
+		disk := damage()
+		for range 3 {
+			expectUnreadable(t, disk)
+			disk.PowerLoss()
+		}
+		store := expectUnreadable(t, disk)
+		mustSave(t, store, stateOf(50))
+		_, state := mustOpen(t, disk)
+		if !proto.Equal(state, stateOf(50)) {
+			t.Fatalf("%s: found %v", name, state)
+		}
+	}
+}
+
+func TestFullDiskLeavesTheStateAndServesAgain(t *testing.T) {
+	disk := newDisk(1)
+	store, _ := mustOpen(t, disk)
+	mustSave(t, store, stateOf(1))
+	disk.Fill(true)
+	for serial := range uint64(5) {
+		if store.Save(stateOf(2+serial)) == nil {
+			t.Fatal("saved on a full disk")
+		}
+	}
+	if stats := store.Stats(); stats.Failures != 5 || stats.Saves != 1 {
+		t.Fatalf("%+v", stats)
+	}
+	_, state := mustOpen(t, disk)
+	expectState(t, state, stateOf(1))
+	disk.Fill(false)
+	mustSave(t, store, stateOf(9))
+	_, state = mustOpen(t, disk)
+	expectState(t, state, stateOf(9))
+}
+
+func TestFullDiskKeepsALossKnown(t *testing.T) {
+	disk, names := savedFiles(t)
+	disk.Flip(names[2])
+	disk.Fill(true)
+	store := expectUnreadable(t, disk)
+	if store.Save(stateOf(50)) == nil {
+		t.Fatal("saved on a full disk")
+	}
+	expectUnreadable(t, disk)
+	disk.Fill(false)
+	mustSave(t, store, stateOf(50))
+	_, state := mustOpen(t, disk)
+	expectState(t, state, stateOf(50))
+}
