--- a/internal/statestore/flat_test.go
+++ b/internal/statestore/flat_test.go
@@ -325,3 +325,42 @@
 	shown.Y.Min = 0
 	return shown
 }
+
+// BenchmarkSave is the processor time of one change, on a disk in memory.
+func BenchmarkSave(b *testing.B) {
+	store, _, err := Open(newDisk(1), discard)
+	if err != nil {
+		b.Fatal(err)
+	}
+	big := newBigState()
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		state := big.nextState()
+		b.StartTimer()
+		if err := store.Save(state); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkLoad is the processor time of a load of a snapshot and as many changes as ever follow one.
+func BenchmarkLoad(b *testing.B) {
+	disk := newDisk(1)
+	store, _, err := Open(disk, discard)
+	if err != nil {
+		b.Fatal(err)
+	}
+	big := newBigState()
+	for range changesPerSnapshot + 1 {
+		if err := store.Save(big.nextState()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := Open(disk, discard); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
