--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -36,7 +36,7 @@
 func (args) Version() string { return "drill " + base.Version }
 
 func (args) Description() string {
-	return "runs a whole fleet on this machine; a test tool, so it starts processes; 'drill scale' measures how control grows, 'drill open' runs an open fleet"
+	return "runs a whole fleet on this machine; a test tool, so it starts processes; 'drill scale' measures how control grows, 'drill open' runs an open fleet, 'drill replace' replaces its control machines"
 }
 
 func main() {
@@ -48,6 +48,8 @@
 			os.Exit(scale.ChildMain())
 		case openWord:
 			end(openMain(os.Args[2:]))
+		case replaceWord:
+			end(replaceMain(os.Args[2:]))
 		case openKeel:
 			end(openKeelMain(os.Args[2]))
 		case openNode:
--- /dev/null
+++ b/cmd/drill/replace.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+const (
+	replaceWord = "replace"
+	// replaceWithin is the bound for a new control machine to vote, and for the next change to be acknowledged.
+	replaceWithin = 4 * time.Second
+	replacePoll   = 50 * time.Millisecond
+	// plannedLead is how long a planned successor runs before the old machine is told to stop.
+	plannedLead = time.Second
+)
+
+type replaceArgs struct {
+	Rounds int    `arg:"--rounds" default:"6" help:"replacements; lost and planned by turns"`
+	Nodes  int    `arg:"--nodes" default:"3" help:"application machines"`
+	Folder string `arg:"--folder" help:"where params, data and logs go; a temporary one when left out"`
+	Log    string `arg:"--log" default:"info" help:"log level of the fleet's processes"`
+}
+
+// Description says what the command does.
+func (replaceArgs) Description() string {
+	return "replaces the control machines of an open fleet one after the other, in real processes, and checks that each newcomer votes and changes go on"
+}
+
+// replacement is one run of the command.
+type replacement struct {
+	fleet   *openFleet
+	keels   []*exec.Cmd // the processes of fleet.keels
+	serial  uint64
+	started int
+}
+
+func replaceMain(words []string) error {
+	args := &replaceArgs{}
+	parser, err := arg.NewParser(arg.Config{Program: "drill replace"}, args)
+	if err != nil {
+		return err
+	}
+	parser.MustParse(words)
+	if args.Folder == "" {
+		if args.Folder, err = os.MkdirTemp("", "drill"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(args.Folder)
+	}
+	fleet := &openFleet{openArgs: openArgs{Nodes: args.Nodes, Folder: args.Folder, Log: args.Log}}
+	defer fleet.fell()
+	if err := fleet.raise(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := fleet.propose(ctx); err != nil {
+		return err
+	}
+	run := &replacement{fleet: fleet, keels: fleet.children[:openKeels:openKeels], serial: 1, started: openKeels}
+	for round := range args.Rounds {
+		if err := run.replace(ctx, round%2 == 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replace has the oldest control machine replaced by one at a new address.
+func (r *replacement) replace(ctx context.Context, planned bool) error {
+	old, oldAddress, oldFolder := r.keels[0], r.fleet.keels[0], filepath.Join(r.fleet.Folder, fmt.Sprintf("core-%d", r.started-openKeels+1))
+	how := "lost"
+	if planned {
+		how = "planned"
+	} else if err := endChild(old, syscall.SIGKILL); err != nil {
+		return err
+	}
+	address, begun, err := r.startKeel()
+	if err != nil {
+		return err
+	}
+	if planned {
+		time.Sleep(plannedLead)
+		begun = time.Now()
+		if err := endChild(old, syscall.SIGTERM); err != nil {
+			return err
+		}
+	}
+	if err := os.RemoveAll(oldFolder); err != nil {
+		return err
+	}
+	view, err := r.awaitVote(ctx, address, oldAddress)
+	if err != nil {
+		return err
+	}
+	voted := time.Since(begun)
+	if err := r.change(ctx, address); err != nil {
+		return err
+	}
+	fmt.Printf("%-8s %s by %s: generation %d, votes after %d ms, serial %d acknowledged after %d ms\n",
+		how, oldAddress, address, view.Generation, voted.Milliseconds(), r.serial, time.Since(begun).Milliseconds())
+	return nil
+}
+
+// endChild signals a process and waits until it is gone.
+func endChild(child *exec.Cmd, signal os.Signal) error {
+	if err := child.Process.Signal(signal); err != nil {
+		return err
+	}
+	_ = child.Wait()
+	return nil
+}
+
+// startKeel starts a control machine at the next address; the oldest drops out of the seeds.
+func (r *replacement) startKeel() (address string, begun time.Time, err error) {
+	r.started++
+	address = fmt.Sprintf("127.0.2.%d:%d", r.started, openMates)
+	name := fmt.Sprintf("core-%d", r.started)
+	seeds := r.fleet.keels
+	begun = time.Now()
+	err = r.fleet.start(openKeel, name, &wire.MoorParams{
+		Name: name, Zone: fmt.Sprintf("z%d", (r.started-1)%openKeels+1), Mates: address, Operators: fmt.Sprintf("127.0.2.%d:7005", r.started),
+		Seeds: seeds, Folder: filepath.Join(r.fleet.Folder, name), Log: r.fleet.Log,
+	})
+	r.fleet.keels = append(seeds[1:len(seeds):len(seeds)], address)
+	r.keels = append(r.keels[1:], r.fleet.children[len(r.fleet.children)-1])
+	return address, begun, err
+}
+
+// awaitVote waits until the new control machine votes and the old one doesn't.
+func (r *replacement) awaitVote(ctx context.Context, address, old string) (*wire.KeelView, error) {
+	for begun := time.Now(); time.Since(begun) < replaceWithin; time.Sleep(replacePoll) {
+		view, err := keelView(ctx, address)
+		if err != nil || view.Phase != "founded" || len(view.Mates) != openKeels {
+			continue
+		}
+		gone := true
+		for _, voter := range view.Mates {
+			gone = gone && voter.Address != old
+		}
+		if gone {
+			return view, nil
+		}
+	}
+	return nil, errors.Errorf("%s has not taken the place of %s within %s", address, old, replaceWithin)
+}
+
+func keelView(ctx context.Context, address string) (*wire.KeelView, error) {
+	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/view", nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := http.DefaultClient.Do(ask)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	view := &wire.KeelView{}
+	return view, decodeJSON(answer.Body, view)
+}
+
+// change has a further change acknowledged by the new control machine.
+func (r *replacement) change(ctx context.Context, address string) error {
+	service := "books"
+	change := &wire.ChartChange{Serial: r.serial + 1, Base: r.serial, Routes: []*wire.ChartRoute{{
+		Name: "search", Host: "open.example", Prefix: fmt.Sprintf("/search/%d/", r.serial), Repeat: wire.Repeat_REPEATABLE, CutoffMs: 2000, AimMs: 500, Tries: 2, Service: &service,
+	}}}
+	keel := wireconnect.NewMoorClient(http.DefaultClient, "http://"+address)
+	for begun := time.Now(); time.Since(begun) < replaceWithin; time.Sleep(replacePoll) {
+		bounded, cancel := context.WithTimeout(ctx, time.Second)
+		outcome, err := keel.Propose(bounded, connect.NewRequest(&wire.ChartProposal{Change: change}))
+		cancel()
+		if err != nil {
+			continue
+		}
+		if outcome.Msg.Kind != "" {
+			return errors.Errorf("serial %d was refused: %v", change.Serial, outcome.Msg.Reasons)
+		}
+		r.serial++
+		return nil
+	}
+	return errors.Errorf("serial %d was not acknowledged within %s", change.Serial, replaceWithin)
+}
+
+func decodeJSON(body io.Reader, into proto.Message) error {
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	return protojson.Unmarshal(raw, into)
+}
