A replica that enters a generation keeps what it promised, so that no term is used twice

Found by review, not seen: after a restart in the next generation a term number could be drawn again, and a reply that leaves out a value named by term and serial could then have stood for another value. The new test fails without the mend.

--- a/internal/replica/generation.go
+++ b/internal/replica/generation.go
@@ -291,11 +291,23 @@
 }
 
 // enter makes this replica a voter of a generation, with registers that hold all that was chosen before it.
+// What it promised itself is kept, so that it never uses a term twice.
 func (m *Machine) enter(membership *wire.Membership, registers map[string]*wire.Register) {
 	m.change(func(next *wire.ReplicaState) {
+		promised := next.Registers
 		next.Membership, next.Next, next.Founding = membership, nil, nil
-		next.Registers = maps.Clone(registers)
-		delete(next.Registers, membershipKey)
+		next.Registers = map[string]*wire.Register{}
+		for key, register := range registers {
+			if key != membershipKey {
+				term := higher(register.Promised, promised[key].GetPromised())
+				next.Registers[key] = &wire.Register{Promised: term, Accepted: register.Accepted}
+			}
+		}
+		for key, register := range promised {
+			if key != membershipKey && next.Registers[key] == nil {
+				next.Registers[key] = &wire.Register{Promised: register.Promised}
+			}
+		}
 		next.Known = addressesOf(membership)
 	})
 	m.startAnew("generation", describe(membership))
--- a/internal/replica/generation_test.go
+++ b/internal/replica/generation_test.go
@@ -46,3 +46,25 @@
 		t.Fatalf("the second generation holds %q as its successor", stale.Value)
 	}
 }
+
+// A version that was never chosen is left behind with its generation. Its term must not be used again for another.
+func TestTermsAreNotUsedAgainInTheNextGeneration(t *testing.T) {
+	before, next := generationOf(1, "a", "b", "c"), generationOf(2, "a", "b", "d")
+	m := voterOf(before, "a")
+	used := &wire.Term{Number: 9, Owner: "a"}
+	for call, key := range []string{"known", "unknown"} {
+		m.Receive(0, uint64(call), &wire.ReplicaRequest{From: "a", Address: "a", Generation: 1, Ask: &wire.ReplicaRequest_Promise{
+			Promise: &wire.PromiseAsk{Key: key, Term: used},
+		}})
+	}
+	gathered := map[string]*wire.Register{"known": {Promised: &wire.Term{Number: 3, Owner: "b"}}}
+	m.Receive(0, 7, &wire.ReplicaRequest{From: "b", Address: "b", Generation: 1, Ask: &wire.ReplicaRequest_Install{
+		Install: &wire.InstallAsk{Membership: next, Registers: gathered},
+	}})
+	restarted := NewMachine(m.settings, m.Take().Save.State, 0)
+	for _, key := range []string{"known", "unknown"} {
+		if promised := restarted.register(key).Promised; compareTerms(promised, used) < 0 {
+			t.Fatalf("key %s: %v is promised, below the term %v used before", key, promised, used)
+		}
+	}
+}
