--- /dev/null
+++ b/internal/replica/checker_test.go
@@ -0,0 +1,310 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/proto/wire"
+)
+
+// checker watches a world for what must never happen.
+type checker struct {
+	world       *world
+	failure     string
+	generations map[uint64]*wire.Membership
+	newest      *wire.Membership // of generations
+	chosen      map[string][]*wire.Version
+	versions    map[string][]byte                // value by key, term and serial
+	owners      map[string]string                // process by key and term
+	promised    map[string]map[string]*wire.Term // highest granted, by identity and generation, then by key
+	seals       map[string]bool                  // by identity and generation
+	installed   map[string]uint64                // the highest generation that an identity held durably
+	losses      []loss
+}
+
+// loss is a disk of a voter that is gone and not yet made up for.
+type loss struct {
+	id         string
+	generation uint64
+}
+
+// nodeView is what was last seen of a node, to look only at what changed.
+type nodeView struct {
+	state, durable *wire.ReplicaState
+	learned        *wire.Membership
+	chosen         map[string]*wire.Version
+}
+
+func newChecker(w *world) *checker {
+	return &checker{
+		world: w, generations: map[uint64]*wire.Membership{}, chosen: map[string][]*wire.Version{}, versions: map[string][]byte{},
+		owners: map[string]string{}, promised: map[string]map[string]*wire.Term{}, seals: map[string]bool{}, installed: map[string]uint64{},
+	}
+}
+
+func (c *checker) fail(format string, details ...any) {
+	if c.failure == "" {
+		c.failure = fmt.Sprintf("%v: ", c.world.now) + fmt.Sprintf(format, details...)
+	}
+}
+
+// observe looks at a machine after each input.
+func (c *checker) observe(n *node) {
+	m := n.machine
+	if m.state != n.seen.state {
+		n.seen.state = m.state
+		c.knowMembership(n, m.state.Membership)
+		c.knowMembership(n, m.state.Next)
+	}
+	if m.learned != n.seen.learned {
+		n.seen.learned = m.learned
+		c.knowMembership(n, m.learned)
+	}
+	if n.seen.chosen == nil {
+		n.seen.chosen = map[string]*wire.Version{}
+	}
+	for key, version := range m.chosen {
+		if n.seen.chosen[key] != version {
+			n.seen.chosen[key] = version
+			c.knowChosen(n, key, version)
+		}
+	}
+}
+
+// knowMembership demands that a generation has one membership, without a voter twice and with none too few.
+func (c *checker) knowMembership(n *node, membership *wire.Membership) {
+	if membership == nil {
+		return
+	}
+	known := c.generations[membership.Generation]
+	if known != nil {
+		if known != membership && !proto.Equal(known, membership) {
+			c.fail("%s knows %s, which was %s", n.address, describeIDs(membership), describeIDs(known))
+		}
+		return
+	}
+	c.generations[membership.Generation] = membership
+	if membership.Generation > c.newest.GetGeneration() {
+		c.newest = membership
+	}
+	ids, addresses := map[string]bool{}, map[string]bool{}
+	for _, voter := range membership.Voters {
+		if ids[voter.Id] || addresses[voter.Address] {
+			c.fail("%s has a voter twice", describeIDs(membership))
+		}
+		ids[voter.Id], addresses[voter.Address] = true, true
+	}
+	for _, voter := range membership.Voters {
+		if _, known := c.installed[voter.Id]; !known {
+			c.fail("%s names %s, an identity that was on no disk", describeIDs(membership), voter.Id)
+		}
+		c.neverBack(voter.Id, membership.Generation)
+	}
+	if first := c.generations[1]; first != nil && len(membership.Voters) < len(first.Voters) {
+		c.fail("%s has fewer voters than the first", describeIDs(membership))
+	}
+}
+
+// neverBack demands that an identity that was replaced is no voter again.
+func (c *checker) neverBack(id string, generation uint64) {
+	left := false
+	for earlier := generation - 1; earlier > 0; earlier-- {
+		switch membership := c.generations[earlier]; {
+		case membership == nil:
+		case voterWith(membership, id) == nil:
+			left = true
+		case left:
+			c.fail("%s is a voter of generation %d again, after it was replaced", id, generation)
+		}
+	}
+}
+
+func describeIDs(membership *wire.Membership) string {
+	var voters []string
+	for _, voter := range membership.GetVoters() {
+		voters = append(voters, voter.Id+"@"+voter.Address)
+	}
+	return fmt.Sprintf("generation %d of %s", membership.GetGeneration(), strings.Join(voters, " "))
+}
+
+// knowChosen demands that of two chosen versions the older is an ancestor of the newer: values are lists of changes.
+func (c *checker) knowChosen(n *node, key string, version *wire.Version) {
+	if key == membershipKey {
+		return
+	}
+	for _, other := range c.chosen[key] {
+		older, newer := other, version
+		if compareVersions(older, newer) > 0 {
+			older, newer = newer, older
+		}
+		if !bytes.HasPrefix(newer.Value, older.Value) {
+			c.fail("%s takes %s=%q %v for chosen, but so was %q %v", n.address, key, version.Value, version.Term, other.Value, other.Term)
+		}
+		if compareVersions(other, version) == 0 {
+			return
+		}
+	}
+	c.chosen[key] = append(c.chosen[key], version)
+}
+
+// sent demands that a term and serial stand for one value, and a term for one owner's process.
+func (c *checker) sent(n *node, request *wire.ReplicaRequest) {
+	accept := request.GetAccept()
+	if accept == nil {
+		return
+	}
+	term := accept.Version.Term
+	generation := ""
+	if accept.Key == membershipKey {
+		generation = fmt.Sprint(request.Generation)
+	}
+	owner := fmt.Sprintf("%s%s/%d/%s", accept.Key, generation, term.Number, term.Owner)
+	process := fmt.Sprintf("%s/%d", n.address, n.life)
+	if known, ok := c.owners[owner]; ok && known != process {
+		c.fail("the term %s was used by %s and %s", owner, known, process)
+	}
+	c.owners[owner] = process
+	name := fmt.Sprintf("%s/%d", owner, accept.Version.Serial)
+	if known, ok := c.versions[name]; ok && !bytes.Equal(known, accept.Version.Value) {
+		c.fail("the version %s is both %q and %q", name, known, accept.Version.Value)
+	}
+	c.versions[name] = accept.Version.Value
+}
+
+func (c *checker) hasSealed(n *node, generation uint64) bool {
+	return c.seals[fmt.Sprintf("%s/%d", n.machine.durable.Id, generation)]
+}
+
+// answered demands of a granted vote that its giver is a voter that holds the generation durably, hasn't sealed it
+// before it was asked, and hasn't promised a higher term.
+func (c *checker) answered(call *call, reply *wire.ReplicaReply) {
+	if reply.Standing != wire.Standing_GRANTED {
+		return
+	}
+	request := call.request
+	generation := request.Generation
+	name := fmt.Sprintf("%s/%d", reply.From, generation)
+	switch ask := request.Ask.(type) {
+	case *wire.ReplicaRequest_Seal:
+		c.seals[name] = true
+	case *wire.ReplicaRequest_Promise:
+		c.voted(call, reply, generation)
+		c.promise(name, ask.Promise.Key, ask.Promise.Term)
+	case *wire.ReplicaRequest_Accept:
+		c.voted(call, reply, generation)
+		c.promise(name, ask.Accept.Key, ask.Accept.Version.Term)
+	case *wire.ReplicaRequest_Confirm:
+		c.voted(call, reply, generation)
+	}
+}
+
+// voted checks the right to a vote.
+func (c *checker) voted(call *call, reply *wire.ReplicaReply, generation uint64) {
+	if reply.Generation != generation {
+		c.fail("%s votes in generation %d by a reply of generation %d", reply.From, generation, reply.Generation)
+	}
+	if call.sealed {
+		c.fail("%s votes in generation %d, which it has sealed", reply.From, generation)
+	}
+	if voterWith(c.generations[generation], reply.From) == nil {
+		c.fail("%s votes in %s", reply.From, describeIDs(c.generations[generation]))
+	}
+	// An identity that has been resigned meanwhile is no longer on the disk.
+	if durable := call.to.diskState(); durable.GetId() == reply.From && durable.GetMembership().GetGeneration() < generation {
+		c.fail("%s votes in generation %d with %s on its disk", reply.From, generation, describeIDs(durable.GetMembership()))
+	}
+}
+
+// promise remembers the highest term that was granted.
+func (c *checker) promise(name, key string, term *wire.Term) {
+	if c.promised[name] == nil {
+		c.promised[name] = map[string]*wire.Term{}
+	}
+	c.promised[name][key] = higher(c.promised[name][key], term)
+}
+
+// wrote demands that a disk holds every promise that was told in the same generation.
+func (c *checker) wrote(n *node, state *wire.ReplicaState) {
+	generation := state.Membership.GetGeneration()
+	c.knowMembership(n, state.Membership)
+	c.installed[state.Id] = max(c.installed[state.Id], generation)
+	for key, term := range c.promised[fmt.Sprintf("%s/%d", state.Id, generation)] {
+		if generation > 0 && compareTerms(state.Registers[key].GetPromised(), term) < 0 {
+			c.fail("%s told that it promised %v for %s and writes %v", n.address, term, key, state.Registers[key].GetPromised())
+		}
+	}
+}
+
+// lostDisk counts a disk whose voter is gone.
+func (c *checker) lostDisk(n *node) {
+	if id := n.diskState().GetId(); id != "" && c.counts(id) {
+		c.losses = append(c.losses, loss{id, c.newest.GetGeneration()})
+	}
+}
+
+// counts says whether an identity is a voter of the newest generation, or of an earlier one that isn't over.
+func (c *checker) counts(id string) bool {
+	if c.newest == nil {
+		return true
+	}
+	for generation := c.newest.Generation; generation > 0; generation-- {
+		membership := c.generations[generation]
+		if voterWith(membership, id) != nil {
+			return true
+		}
+		if membership != nil && c.complete(membership) {
+			return false
+		}
+	}
+	return false
+}
+
+// complete says whether every voter of a membership holds it durably, but for those whose disks are gone.
+func (c *checker) complete(membership *wire.Membership) bool {
+	for _, voter := range membership.Voters {
+		if c.installed[voter.Id] < membership.Generation && !c.isLost(voter.Id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *checker) isLost(id string) bool {
+	for _, each := range c.losses {
+		if each.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// outstanding counts the voters whose disks are gone and that no later generation has made up for.
+func (c *checker) outstanding() int {
+	count := 0
+	for _, each := range c.losses {
+		madeUp := false
+		for generation, membership := range c.generations {
+			madeUp = madeUp || generation >= each.generation && voterWith(membership, each.id) == nil && c.complete(membership)
+		}
+		if !madeUp {
+			count++
+		}
+	}
+	return count
+}
+
+// tolerates says whether one more disk may be lost: by the smallest generation that isn't over.
+func (c *checker) tolerates() bool {
+	voters := len(c.newest.Voters)
+	for generation := c.newest.Generation; generation > 0; generation-- {
+		membership := c.generations[generation]
+		voters = min(voters, len(membership.GetVoters()))
+		if membership != nil && c.complete(membership) {
+			break
+		}
+	}
+	return c.outstanding() < (voters-1)/2
+}
--- /dev/null
+++ b/internal/replica/replacement_test.go
@@ -0,0 +1,84 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// mustChange has a value taken at an address, trying again until it is or the time is over.
+func (w *world) mustChange(t *testing.T, address, key, value string, within time.Duration) {
+	t.Helper()
+	taken, until := false, w.now+within
+	for !taken && w.now < until {
+		ended := false
+		w.ask(address, func(m *Machine, ticket uint64) {
+			m.Change(w.now, ticket, key, func([]byte) ([]byte, error) { return []byte(value), nil })
+		}, func(result Result) { taken, ended = result.Err == nil, true })
+		w.run(until-w.now, func() bool { return ended })
+		if !taken {
+			w.run(min(20*time.Millisecond, until-w.now), nil)
+		}
+	}
+	w.mustBeSound(t)
+	if !taken {
+		t.Fatalf("%v: no change is taken at %s", w.now, address)
+	}
+}
+
+// mustRead demands a value at an address.
+func (w *world) mustRead(t *testing.T, address, key, want string, within time.Duration) {
+	t.Helper()
+	got, answered, until := "", false, w.now+within
+	for !answered && w.now < until {
+		ended := false
+		w.ask(address, func(m *Machine, ticket uint64) { m.Read(w.now, ticket, key) }, func(result Result) {
+			got, answered, ended = string(result.Version.GetValue()), result.Err == nil, true
+		})
+		w.run(until-w.now, func() bool { return ended })
+		if !answered {
+			w.run(min(20*time.Millisecond, until-w.now), nil)
+		}
+	}
+	w.mustBeSound(t)
+	if !answered || got != want {
+		t.Fatalf("%v: %s reads %q (answered: %v), want %q", w.now, address, got, answered, want)
+	}
+}
+
+// mustBeSound fails the test if a check of the world has failed.
+func (w *world) mustBeSound(t *testing.T) {
+	t.Helper()
+	if w.check.failure != "" {
+		t.Fatal(w.check.failure)
+	}
+}
+
+// newFoundedWorld lets a system start and settle.
+func newFoundedWorld(t *testing.T, addresses ...string) *world {
+	w := newWorld(1, addresses[:3]...)
+	w.log = t.Logf
+	w.found(addresses...)
+	w.run(2500*time.Millisecond, nil)
+	w.mustBeSound(t)
+	return w
+}
+
+func TestReplacedOneAfterTheOther(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.mustChange(t, "a:1", "k", "one;", 2*time.Second)
+	living, value := []string{"a:1", "b:1", "c:1"}, "one;"
+	for i := range 9 {
+		gone := living[0]
+		w.remove(gone)
+		fresh := fmt.Sprintf("n%d:1", i)
+		w.run(time.Second, nil)
+		w.seeds = living
+		w.start(fresh, false)
+		living = append(living[1:], fresh)
+		w.run(4*time.Second, nil)
+		value += fmt.Sprint("v", i, ";")
+		w.mustChange(t, fresh, "k", value, 2*time.Second)
+		w.mustRead(t, living[0], "k", value, 2*time.Second)
+	}
+}
