A copy installed under a higher promise is no vote for its version

Found by the model: two coordinators gather from different majorities and install different copies, one of them (a version of term 1) with a promise of term 2 beside it. A survey counted those copies as a majority, called the version settled and told it; the next owner then took over the version of term 2, which descends from another value. A status reply now counts for a version only if its term is still the highest promised there. Without the change TestCopyInstalledUnderHigherPromiseIsNotSettled fails.

--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -216,11 +216,21 @@
 		}
 	}
 	for key, version := range newest {
-		settled[key] = r.copies(key, version) >= majority(r.membership)
+		settled[key] = r.votes(key, version) >= majority(r.membership)
 	}
 	return newest, settled
 }
 
+// votes counts the replies that hold a version as a vote for it. A copy that was installed, or taken over, under a
+// higher promise is none: a version of that higher term may stand elsewhere.
+func (r *round) votes(key string, version *wire.Version) int {
+	return r.count(func(reply *wire.ReplicaReply) bool {
+		held := reply.Registers[key]
+		return r.grants(reply) && held.GetAccepted() != nil && compareVersions(held.Accepted, version) == 0 &&
+			compareTerms(held.Promised, version.Term) == 0
+	})
+}
+
 // copies counts the replies that hold a version.
 func (r *round) copies(key string, version *wire.Version) int {
 	return r.count(func(reply *wire.ReplicaReply) bool {
--- /dev/null
+++ b/internal/replica/survey_test.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+// TestCopyInstalledUnderHigherPromiseIsNotSettled: a alone has "one", c alone has "two" under a higher term that b
+// promised. c gathers from itself and b, and installs "two" on d; b gathers from a and itself, and installs "one" on
+// both. A survey by a and b must not take "one" for chosen: d, b give "two" to the next owner.
+func TestCopyInstalledUnderHigherPromiseIsNotSettled(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.start("d:1", false)
+	w.run(time.Second, nil)
+	w.intercept = func(m message) verdict { return verdict{lost: m.request.GetAccept().GetKey() == "k"} }
+	w.request("a:1", "k", "one;", func(Result) {}) // accepted by a alone
+	w.run(100*time.Millisecond, nil)
+	w.isolate("a:1", "c:1", "d:1")
+	w.request("c:1", "k", "two;", func(Result) {}) // promised by b and c, accepted by c alone
+	w.run(100*time.Millisecond, nil)
+	w.intercept = func(m message) verdict { return verdict{lost: m.request.GetInstall() != nil && m.to == "b:1"} }
+	w.ask("c:1", func(m *Machine, ticket uint64) { m.Leave(w.now, ticket) }, func(Result) {})
+	w.run(5*time.Second, func() bool { return w.nodes["d:1"].machine.durable.Membership != nil }) // installed on d with "two;"
+	w.isolate("c:1", "a:1", "b:1", "d:1")
+	w.isolate("d:1", "a:1", "b:1")
+	w.intercept = nil
+	w.run(5*time.Second, func() bool { return w.nodes["a:1"].machine.generation() == 2 }) // b gathers "one;" from a and itself
+	w.run(time.Second, nil)
+	var told Result
+	w.ask("a:1", func(m *Machine, ticket uint64) { m.Survey(w.now, ticket, "k") }, func(result Result) { told = result })
+	w.run(time.Second, nil)
+	if told.Settled {
+		t.Errorf("%q is settled, though nobody wrote it to a majority", told.Version.GetValue())
+	}
+	w.reunite("d:1", "b:1")
+	w.isolate("a:1", "b:1")
+	w.ask("d:1", func(m *Machine, ticket uint64) { m.Read(w.now, ticket, "k") }, func(Result) {})
+	w.run(time.Second, nil)
+	w.mustBeSound(t)
+}
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -440,3 +440,13 @@
 	w.tickets[ticket] = done
 	n.input(n.life, func() { open(n.machine, ticket) })
 }
+
+// restart runs a stopped process again, from what its disk holds.
+func (w *world) restart(address string) { w.start(address, false) }
+
+// request opens a change that puts a value, whatever the old one was.
+func (w *world) request(address, key, value string, done func(Result)) {
+	w.ask(address, func(m *Machine, ticket uint64) {
+		m.Change(w.now, ticket, key, func([]byte) ([]byte, error) { return []byte(value), nil })
+	}, done)
+}
