A sealed voter counts for no learner while the next generation is unsaved

Found by the model: between installing a generation and having it on disk, a voter told learners the sealed one as if it still held. With a third voter that was cut off, a learner's survey called a value settled that had been replaced. Now such a voter answers SEALED. Without the change the test's learner is told the old value.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -162,7 +162,8 @@
 	m.local = append(m.local, func() { reply(answer) })
 }
 
-// standingForLearner tells an asker without a vote whether this reply counts as a voter's.
+// standingForLearner tells an asker without a vote whether this reply counts as a voter's: only if the generation on
+// disk, of which the reply tells, is neither sealed nor over.
 func (m *Machine) standingForLearner(ask *wire.ReplicaRequest) wire.Standing {
 	switch {
 	case m.awaitsFounding():
@@ -170,7 +171,7 @@
 		return wire.Standing_FOUNDING
 	case m.durable.Membership == nil:
 		return wire.Standing_NO_VOTE
-	case m.state.Next != nil:
+	case m.state.Next != nil || m.durable.Next != nil || m.durable.Membership.Generation != m.generation():
 		return wire.Standing_SEALED
 	}
 	return wire.Standing_GRANTED
--- a/internal/replica/survey_test.go
+++ b/internal/replica/survey_test.go
@@ -38,3 +38,37 @@
 	w.run(time.Second, nil)
 	w.mustBeSound(t)
 }
+
+// TestSealedVoterTellsNothingToLearnersWhileTheNextGenerationIsNotOnItsDisk: c is cut off, b has sealed generation 1
+// and is slow to save generation 2, in which a and d take a change. A learner that asks b and c must not count b.
+func TestSealedVoterTellsNothingToLearnersWhileTheNextGenerationIsNotOnItsDisk(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.mustChange(t, "a:1", "k", "one;", time.Second)
+	w.start("e:1", false)
+	w.run(200*time.Millisecond, nil) // e knows generation 1
+	w.isolate("e:1", "a:1", "b:1", "c:1")
+	w.isolate("c:1", "a:1", "b:1")
+	w.start("d:1", false)
+	slow := false
+	w.saveDelay = func(n *node) time.Duration {
+		if n.address == "b:1" && slow {
+			return 3 * time.Second
+		}
+		return simSaveDelay
+	}
+	w.intercept = func(m message) verdict {
+		slow = slow || m.request.GetInstall() != nil // b has sealed generation 1; installing the next takes long
+		return verdict{}
+	}
+	w.run(3*time.Second, func() bool { return slow })
+	w.run(100*time.Millisecond, nil)
+	w.mustChange(t, "a:1", "k", "one;two;", time.Second)
+	w.reunite("e:1", "b:1", "c:1")
+	var told Result
+	w.ask("e:1", func(m *Machine, ticket uint64) { m.Survey(w.now, ticket, "k") }, func(result Result) { told = result })
+	w.run(time.Second, nil)
+	w.mustBeSound(t)
+	if told.Settled && string(told.Version.GetValue()) != "one;two;" {
+		t.Fatalf("a learner is told that %q is settled", told.Version.GetValue())
+	}
+}
