The first generation consists of the seeds alone

Found by the model: with further machines in the first generation, the founder and two of them took a change while the other two seeds were cut off; the founder then lost its disk, heard from both seeds that nothing was founded, and founded a second system beside the first: the change was gone with one of five disks. Now the voters are the seeds, so that the word of all other seeds covers every majority; the other joiners are counted in the target and come in as learners. Without the change the test sees two memberships of generation 1.

--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -51,23 +50,33 @@
 	m.ask(m.state.Founding[0], &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Found{Found: &wire.FoundAsk{}}}, m.hearFounder)
 }
 
-// foundFirst fixes the first generation once all seeds have asked and the others had time to.
+// foundFirst fixes the first generation once all seeds have asked and the others had time to. Its voters are the
+// seeds, and no others: a founder that lost its disk asks just them whether anything was founded.
 func (m *Machine) foundFirst() {
 	if m.now-m.founding.since < m.settings.FoundingWait {
 		return
 	}
 	voters := []*wire.Replica{{Id: m.state.Id, Address: m.settings.Address}}
-	for _, address := range slices.Sorted(maps.Keys(m.founding.joiners)) {
-		voters = append(voters, &wire.Replica{Id: m.founding.joiners[address], Address: address})
-	}
 	for _, seed := range m.state.Founding {
-		if seed != m.settings.Address && m.founding.joiners[seed] == "" {
+		if seed == m.settings.Address {
+			continue
+		}
+		if m.founding.joiners[seed] == "" {
 			return
 		}
+		voters = append(voters, &wire.Replica{Id: m.founding.joiners[seed], Address: seed})
 	}
 	slices.SortFunc(voters, func(a, b *wire.Replica) int { return strings.Compare(a.Id, b.Id) })
-	target := max(len(voters), m.settings.Target)
-	m.enter(&wire.Membership{Generation: 1, Voters: voters, Target: uint32(target)}, map[string]*wire.Register{})
+	m.enter(&wire.Membership{Generation: 1, Voters: voters, Target: uint32(m.foundingTarget())}, map[string]*wire.Register{})
+}
+
+// foundingTarget is the number of voters wanted: seeds and other joiners, which come in as learners.
+func (m *Machine) foundingTarget() int {
+	all := map[string]bool{m.settings.Address: true}
+	for address := range m.founding.joiners {
+		all[address] = true
+	}
+	return max(len(all), m.settings.Target)
 }
 
 // answerFounding lists a replica that asks for the first generation, or hands that out.
