A change is refused only by a value that a majority has confirmed

Refusals now wait for the same confirmation, or write, as the rest of their batch. Without the change TestRefusalNeedsMajority is refused by the old value.

--- a/internal/replica/machine.go
+++ b/internal/replica/machine.go
@@ -61,7 +61,8 @@
 	Agreed bool
 	// Settled says that Version is the newest chosen one as of some moment since the ticket was opened.
 	Settled bool
-	Err     error
+	// Err is why the ticket failed. With Settled, it is the error that the change gave on that version.
+	Err error
 }
 
 // Save asks for a state to be made durable; the outcome comes back through Saved.
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -25,6 +25,8 @@
 	change func(old []byte) ([]byte, error)
 	// done runs in place of a result where this replica itself asked.
 	done func(version *wire.Version, err error)
+	// refusal is the error that change gave. It stands once a majority has confirmed the value that it was given.
+	refusal error
 }
 
 // ownership is this replica's work as owner of one key.
@@ -69,12 +71,22 @@
 	o.proceed()
 }
 
-func (t *task) end(m *Machine, version *wire.Version, err error) {
+// fail ends a task without knowledge of the newest value.
+func (t *task) fail(m *Machine, err error) {
+	t.end(m, Result{Ticket: t.ticket, Err: err})
+}
+
+// conclude ends a task on the newest value.
+func (t *task) conclude(m *Machine, version *wire.Version) {
+	t.end(m, Result{Ticket: t.ticket, Version: version, Agreed: true, Settled: true, Err: t.refusal})
+}
+
+func (t *task) end(m *Machine, result Result) {
 	if t.done != nil {
-		t.done(version, err)
+		t.done(result.Version, result.Err)
 		return
 	}
-	m.out.Results = append(m.out.Results, Result{Ticket: t.ticket, Version: version, Agreed: err == nil, Settled: err == nil, Err: err})
+	m.out.Results = append(m.out.Results, result)
 }
 
 // proceed starts on the queue if nothing runs.
@@ -102,7 +114,7 @@
 	work := slices.Concat(o.running, o.queue)
 	o.running, o.queue = nil, nil
 	for _, each := range work {
-		each.end(o.machine, nil, err)
+		each.fail(o.machine, err)
 	}
 }
 
@@ -189,31 +201,22 @@
 	o.lose(errNoQuorum)
 }
 
-// serve runs the whole queue on the present value and writes the outcome once.
+// serve runs the whole queue on the present value and writes the outcome once. Refusals wait for a majority too:
+// this replica may have been replaced as owner without having heard of it.
 func (o *ownership) serve() {
 	o.running, o.queue = o.queue, nil
-	var value []byte
-	if o.version != nil {
-		value = o.version.Value
-	}
-	changed := false
-	var kept []*task
+	value, changed := o.version.GetValue(), false
 	for _, each := range o.running {
 		next, err := each.apply(value)
-		if err != nil {
-			each.end(o.machine, nil, err)
-			continue
-		}
-		kept = append(kept, each)
-		if next != nil {
+		each.refusal = err
+		if err == nil && next != nil {
 			value, changed = next, true
 		}
 	}
-	o.running = kept
 	switch {
 	case changed:
 		o.write(&wire.Version{Term: o.term, Serial: o.version.GetSerial() + 1, Value: value}, o.version, o.finish)
-	case len(kept) > 0:
+	case len(o.running) > 0:
 		o.reconfirm()
 	default:
 		o.finish()
@@ -303,7 +306,7 @@
 	o.running, o.busy = nil, false
 	o.attempt++
 	for _, each := range work {
-		each.end(o.machine, o.version, nil)
+		each.conclude(o.machine, o.version)
 	}
 	o.proceed()
 }
