A replaced voter keeps its disk until a majority holds the next generation

With that replica and one more lost, two of five, the old voters had no majority left to gather from and the change was gone for ever. Now it resigns when a status round shows the newer generation on a majority of its voters. Without the change the test's read never ends.

--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -82,3 +82,46 @@
 		w.mustRead(t, living[0], "k", value, 2*time.Second)
 	}
 }
+
+// TestReplacedVoterKeepsItsDiskUntilTheNextGenerationStandsOnAMajority: a change is on a, b and c; a and b are cut off
+// and replaced by f and g, but only f has installed generation 2. a and b hear of it, then f and c lose their disks: two of
+// five, and the change must still be there.
+func TestReplacedVoterKeepsItsDiskUntilTheNextGenerationStandsOnAMajority(t *testing.T) {
+	w := newWorld(1, "a:1", "b:1", "c:1", "d:1", "e:1")
+	w.target = 5
+	w.log = t.Logf
+	w.found("a:1", "b:1", "c:1", "d:1", "e:1")
+	w.run(2500*time.Millisecond, nil)
+	w.intercept = func(m message) verdict {
+		return verdict{lost: m.request.GetAccept() != nil && (m.to == "d:1" || m.to == "e:1")}
+	}
+	w.mustChange(t, "a:1", "k", "one;", time.Second) // on a, b and c
+	w.intercept = nil
+	w.isolate("a:1", w.names...)
+	w.isolate("b:1", w.names...)
+	w.start("f:1", false)
+	w.start("g:1", false)
+	stopped := false
+	w.intercept = func(m message) verdict {
+		if install := m.request.GetInstall(); install != nil {
+			stopped = true
+			return verdict{lost: m.to != "f:1"}
+		}
+		return verdict{lost: stopped && m.reply != nil && m.reply.From == "i006" && m.to != "a:1" && m.to != "b:1"}
+	}
+	w.run(5*time.Second, func() bool { return w.nodes["f:1"].machine.durable.Membership != nil })
+	for _, busy := range []string{"c:1", "d:1", "e:1", "g:1"} {
+		w.crash(busy, true)
+	}
+	w.intercept = nil
+	w.reunite("a:1", w.names...)
+	w.reunite("b:1", w.names...)
+	w.run(4*time.Second, nil) // a and b hear of generation 2 from f
+	w.remove("f:1")
+	w.remove("c:1")
+	for _, back := range []string{"d:1", "e:1", "g:1"} {
+		w.restart(back)
+	}
+	w.run(5*time.Second, nil)
+	w.mustRead(t, "d:1", "k", "one;", 4*time.Second)
+}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -45,6 +45,7 @@
 	have, began := m.heldVersions(), m.now
 	m.poll(members, func() *wire.ReplicaRequest { return m.statusAsk(have) }, func(r *round, reply *wire.ReplicaReply) {
 		m.hearStatus(reply, have)
+		m.resignIfReplaced(r)
 		m.concludeStatus(r, began, have, surveys)
 	})
 }
@@ -85,7 +86,7 @@
 	}}}
 }
 
-// hearStatus takes what one reply tells: a newer generation, or that this replica has been replaced.
+// hearStatus takes what one reply tells of a newer generation.
 func (m *Machine) hearStatus(reply *wire.ReplicaReply, have map[string]*wire.Version) {
 	if reply == nil {
 		return
@@ -94,10 +95,20 @@
 	if reply.Registers == nil || reply.Membership.GetGeneration() != reply.Generation || reply.Generation <= m.generation() {
 		return
 	}
-	switch {
-	case voterWith(reply.Membership, m.state.Id) != nil:
+	if voterWith(reply.Membership, m.state.Id) != nil {
 		m.enter(reply.Membership, withValues(reply.Registers, have))
-	case m.votes():
+	}
+}
+
+// resignIfReplaced gives up the vote once a majority of a newer generation, without this replica, holds it on disk.
+// Until then the next generation may have to be installed again from what is held here.
+func (m *Machine) resignIfReplaced(r *round) {
+	newer := r.membership
+	if !m.votes() || newer.Generation <= m.generation() || voterWith(newer, m.state.Id) != nil {
+		return
+	}
+	installed := r.count(func(reply *wire.ReplicaReply) bool { return reply.Generation >= newer.Generation })
+	if installed >= majority(newer) {
 		m.resign()
 	}
 }
