A voter that missed an install catches up where no key was written yet

Found by the model (shrunk to: a full disk, a newcomer, a change): an empty map of registers arrives as an absent one, which was taken for a reply that holds nothing. Status replies now tell the generation on disk, 0 for none, and that decides. Without the change the voter stays in generation 1.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -155,8 +155,9 @@
 		m.pull(ask.Address)
 	}
 	answer := m.blankReply(standing)
+	answer.Generation = m.durable.Membership.GetGeneration()
 	if m.durable.Membership != nil {
-		answer.Generation, answer.Membership = m.durable.Membership.Generation, m.durable.Membership
+		answer.Membership = m.durable.Membership
 		answer.Registers = m.heldRegisters(question.Have)
 	}
 	m.local = append(m.local, func() { reply(answer) })
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -125,3 +125,19 @@
 	w.run(5*time.Second, nil)
 	w.mustRead(t, "d:1", "k", "one;", 4*time.Second)
 }
+
+// TestVoterThatMissedTheInstallCatchesUpWithoutKeys: b is replaced by d before any key was written, and c misses the
+// install; on the wire, no registers and an absent map are the same.
+func TestVoterThatMissedTheInstallCatchesUpWithoutKeys(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.intercept = func(m message) verdict { return verdict{lost: m.to == "c:1" && m.request.GetInstall() != nil} }
+	w.remove("b:1")
+	w.start("d:1", false)
+	w.run(4*time.Second, nil)
+	w.intercept = nil
+	w.run(4*time.Second, nil)
+	w.mustBeSound(t)
+	if got := w.nodes["c:1"].machine.generation(); got != 2 {
+		t.Fatalf("c holds generation %d, want 2", got)
+	}
+}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -92,7 +92,7 @@
 		return
 	}
 	m.learn(reply.Membership)
-	if reply.Registers == nil || reply.Membership.GetGeneration() != reply.Generation || reply.Generation <= m.generation() {
+	if reply.Membership.GetGeneration() != reply.Generation || reply.Generation <= m.generation() {
 		return
 	}
 	if voterWith(reply.Membership, m.state.Id) != nil {
