A first generation is told only once it is on the founder's disk

Found while reading, shown by a directed schedule: replies named the generation that was still being saved. If the founder crashed then, others remembered a generation that never was: a seed with a new disk took the founding for done and never joined, so nothing was founded at all. Without the change the test ends with a machine without a vote.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -54,7 +54,16 @@
 }
 
 func (m *Machine) blankReply(standing wire.Standing) *wire.ReplicaReply {
-	return &wire.ReplicaReply{From: m.durable.Id, Generation: m.generation(), Standing: standing, Membership: m.members()}
+	return &wire.ReplicaReply{From: m.durable.Id, Generation: m.generation(), Standing: standing, Membership: m.toldMembership()}
+}
+
+// toldMembership is the newest membership that this replica tells: one that it heard of, or holds on disk. A first
+// generation that isn't on disk may yet come to nothing.
+func (m *Machine) toldMembership() *wire.Membership {
+	if m.durable.Membership.GetGeneration() >= m.learned.GetGeneration() {
+		return m.durable.Membership
+	}
+	return m.learned
 }
 
 // ifVoter runs vote if this replica votes in the generation of the question; else it says why not.
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -89,7 +89,13 @@
 		m.founding.joiners[ask.Address] = ask.From
 		m.answer(reply, wire.Standing_FOUNDING)
 	case m.votes():
-		m.answerSaved(reply, m.blankReply(wire.Standing_GRANTED))
+		m.whenSaved(func(saved bool) {
+			if !saved {
+				m.answer(reply, wire.Standing_FAILED)
+				return
+			}
+			m.answer(reply, wire.Standing_GRANTED)
+		})
 	default:
 		m.answer(reply, wire.Standing_NO_VOTE)
 	}
--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -27,3 +27,30 @@
 	w.run(4*time.Second, nil)
 	w.mustBeSound(t)
 }
+
+// TestFirstGenerationIsToldOnlyFromDisk: a tells of generation 1 while saving it, crashes before it is saved, and b loses
+// its disk; whoever had heard of that generation told b that all was founded, and nothing ever was.
+func TestFirstGenerationIsToldOnlyFromDisk(t *testing.T) {
+	w := newWorld(1, "a:1", "b:1", "c:1")
+	w.log = t.Logf
+	w.saveDelay = func(n *node) time.Duration {
+		if n.address == "a:1" && w.now > 500*time.Millisecond && w.now < 2*time.Second {
+			return time.Second
+		}
+		return simSaveDelay
+	}
+	w.found("a:1", "b:1", "c:1", "d:1")
+	w.run(1500*time.Millisecond, nil)
+	w.crash("a:1", false)
+	w.wipe("b:1")
+	w.run(100*time.Millisecond, nil)
+	w.start("a:1", false)
+	w.start("b:1", false)
+	w.run(4*time.Second, nil)
+	w.mustBeSound(t)
+	for _, address := range w.names {
+		if n := w.nodes[address]; n.machine.durable.Membership == nil {
+			t.Errorf("%s has no vote", address)
+		}
+	}
+}
