A replaced coordinator is admitted again

Found while reading, shown by a directed schedule: a replica that had once chosen a membership, or heard that it was chosen, waited as a learner for a copy of that version, which no learner takes; it never counted as caught up and got no place again. The register of the membership is no longer kept among the chosen versions. Without the change no learner takes the third place.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -207,8 +207,12 @@
 	}
 }
 
-// markChosen keeps the newest version known to be chosen.
+// markChosen keeps the newest version known to be chosen. The membership's register begins anew with each generation,
+// so that its versions say nothing later.
 func (m *Machine) markChosen(key string, version *wire.Version) {
+	if key == membershipKey {
+		return
+	}
 	if version == nil || m.chosen[key] != nil && compareVersions(version, m.chosen[key]) <= 0 {
 		return
 	}
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -141,3 +141,23 @@
 		t.Fatalf("c holds generation %d, want 2", got)
 	}
 }
+
+// TestReplacedCoordinatorIsAdmittedAgain: b coordinates the replacement of a, is then replaced itself, and is the only
+// learner when c falls silent.
+func TestReplacedCoordinatorIsAdmittedAgain(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	all := []string{"a:1", "b:1", "c:1", "d:1"}
+	w.mustChange(t, "a:1", "k", "one;", time.Second)
+	w.start("d:1", false)
+	w.run(time.Second, nil)
+	for i, silent := range []string{"a:1", "b:1", "c:1"} {
+		w.isolate(silent, all...)
+		w.run(4*time.Second, nil) // the learner takes its place
+		w.reunite(silent, all...)
+		w.run(2*time.Second, nil) // it is the learner
+		w.mustBeSound(t)
+		if got := w.check.newest.Generation; got != uint64(i)+2 {
+			t.Fatalf("after %s fell silent, the newest is %s", silent, describeIDs(w.check.newest))
+		}
+	}
+}
