An identity is admitted only once it is on its disk

Found while reading, shown by a directed schedule: a replica that was still saving its new identity asked for a place under it and got one; a crash then would have left the membership with a voter that never was, one loss more than had happened.

--- a/internal/replica/generation.go
+++ b/internal/replica/generation.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// caughtUp says whether this disk holds the newest versions known to be chosen.
+// caughtUp says whether this disk holds this identity and the newest versions known to be chosen.
 func (m *Machine) caughtUp() bool {
-	if !m.confirmed {
+	if !m.confirmed || m.durable.Id != m.state.Id {
 		return false
 	}
 	for key, version := range m.chosen {
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -161,3 +161,23 @@
 		}
 	}
 }
+
+// TestIdentityIsAdmittedOnlyFromDisk: a has been replaced and takes long to save its new identity, while c is down.
+func TestIdentityIsAdmittedOnlyFromDisk(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.mustChange(t, "b:1", "k", "one;", time.Second)
+	w.isolate("a:1", "b:1", "c:1", "d:1")
+	w.start("d:1", false)
+	w.run(4*time.Second, nil) // d takes the place of a
+	w.crash("c:1", true)
+	w.run(1600*time.Millisecond, nil)
+	w.saveDelay = func(n *node) time.Duration {
+		if n.address == "a:1" {
+			return 5 * time.Second
+		}
+		return simSaveDelay
+	}
+	w.reunite("a:1", "b:1", "d:1")
+	w.run(3*time.Second, nil)
+	w.mustBeSound(t)
+}
