A membership chosen in one generation is no vote in the next

Found by the model, shrunk to: one of three replaced for good, another leaves, three pauses. A replica's status round, begun in generation 1 and held up by the lost voter, ended after the replica had entered generation 2 and put the membership that was chosen in generation 1 into the register that chooses generation 3. It spread by agreement and no membership could ever be chosen again.

--- a/internal/replica/checker_test.go
+++ b/internal/replica/checker_test.go
@@ -263,6 +263,7 @@
 func (c *checker) wrote(n *node, state *wire.ReplicaState) {
 	generation := state.Membership.GetGeneration()
 	c.knowMembership(n, state.Membership)
+	c.checkMembershipRegister(n, state)
 	c.installed[state.Id] = max(c.installed[state.Id], generation)
 	for key, term := range c.promised[fmt.Sprintf("%s/%d", state.Id, generation)] {
 		if generation > 0 && compareTerms(state.Registers[key].GetPromised(), term) < 0 {
@@ -271,6 +272,18 @@
 	}
 }
 
+// checkMembershipRegister demands that the register of the membership holds what should follow this generation.
+func (c *checker) checkMembershipRegister(n *node, state *wire.ReplicaState) {
+	version := state.Registers[membershipKey].GetAccepted()
+	if version == nil || state.Membership == nil {
+		return
+	}
+	next := &wire.Membership{}
+	if err := proto.Unmarshal(version.Value, next); err != nil || next.Generation != state.Membership.Generation+1 {
+		c.fail("%s in generation %d holds %s for the next", n.address, state.Membership.Generation, describeIDs(next))
+	}
+}
+
 // lostDisk counts a disk whose voter is gone.
 func (c *checker) lostDisk(n *node) {
 	if id := n.diskState().GetId(); id != "" && c.counts(id) {
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -181,3 +181,25 @@
 	w.run(3*time.Second, nil)
 	w.mustBeSound(t)
 }
+
+// TestMembershipChosenInAnEndedGenerationIsNoVoteInTheNext: a is gone and c leaves, but stops once it has chosen that d
+// takes its place. A status round of d, held up by a, begins then and ends when b has installed generation 2 on d.
+func TestMembershipChosenInAnEndedGenerationIsNoVoteInTheNext(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.remove("a:1")
+	w.start("d:1", false)
+	w.run(800*time.Millisecond, nil)
+	w.ask("c:1", func(m *Machine, ticket uint64) { m.Leave(w.now, ticket) }, func(Result) {})
+	accepted := func(address string) bool {
+		return w.nodes[address].machine.durable.Registers[membershipKey].GetAccepted() != nil
+	}
+	w.run(time.Second, func() bool { return accepted("b:1") && accepted("c:1") })
+	w.crash("c:1", true)
+	w.restart("c:1")
+	w.run(2*time.Second, nil)
+	w.mustBeSound(t)
+	w.run(4*time.Second, nil) // c comes in again, in the place of a
+	if w.check.newest.Generation != 3 || !w.check.complete(w.check.newest) {
+		t.Fatalf("after generation 2 there is no other: %s", describeIDs(w.check.newest))
+	}
+}
