A survey that outlives its generation tells what it found

Chosen versions of ordinary keys are adopted from any round; the membership's register never is. Without the change the test is told that no version is settled as the newest.

--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -164,7 +164,7 @@
 		return
 	}
 	newest, settled := r.newest(have)
-	if agreed && r.membership.Generation >= m.generation() {
+	if agreed {
 		m.adopt(newest, settled)
 	}
 	if !r.complete() && (!all(settled) || m.awaits(r)) {
--- a/internal/replica/survey_test.go
+++ b/internal/replica/survey_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"curlewreach/proto/wire"
 )
 
 // TestCopyInstalledUnderHigherPromiseIsNotSettled: a alone has "one", c alone has "two" under a higher term that b
@@ -72,3 +74,26 @@
 		t.Fatalf("a learner is told that %q is settled", told.Version.GetValue())
 	}
 }
+
+// TestSurveyThatOutlivesItsGenerationTellsWhatItFound: b missed a change that a and c took in generation 1, asks them,
+// and has entered generation 2 when their replies come.
+func TestSurveyThatOutlivesItsGenerationTellsWhatItFound(t *testing.T) {
+	before, next := generationOf(1, "a", "b", "c"), generationOf(2, "a", "b", "d")
+	m := voterOf(before, "b")
+	m.Survey(time.Second, 1, "k")
+	asked := m.Take().Requests
+	m.Receive(time.Second, 1, &wire.ReplicaRequest{From: "a", Address: "a", Generation: 1, Ask: &wire.ReplicaRequest_Install{
+		Install: &wire.InstallAsk{Membership: next, Registers: map[string]*wire.Register{}},
+	}})
+	m.Take()
+	taken := &wire.Version{Term: &wire.Term{Number: 1, Owner: "a"}, Serial: 1, Value: []byte("one;")}
+	held := map[string]*wire.Register{"k": {Promised: taken.Term, Accepted: taken}}
+	for _, request := range asked {
+		m.Answered(time.Second, request.ID, &wire.ReplicaReply{From: request.To, Generation: 1, Membership: before, Registers: held})
+	}
+	for _, result := range m.Take().Results {
+		if result.Settled && string(result.Version.GetValue()) != "one;" {
+			t.Fatalf("%q is settled, but a majority told of %q", result.Version.GetValue(), taken.Value)
+		}
+	}
+}
