--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -65,7 +65,6 @@
 	web     *http.Client
 	old     map[string]bool
 	history *assay.History
-	shots   int
 }
 
 func readJSON(file string, into any) error {
