--- a/fleet/answers_test.go
+++ b/fleet/answers_test.go
@@ -39,7 +39,6 @@
 
 var (
 	hold   = mime.Habitual{Service: "lending", Route: "hold", Method: "POST", Path: "/lending/hold/7"}
-	search = mime.Habitual{Service: "catalogue", Route: "search", Method: "GET", Path: "/catalogue/search?q=7"}
 	report = mime.Habitual{Service: "catalogue", Route: "report", Method: "GET", Path: "/catalogue/report/7"}
 )
 
--- a/fleet/trouble_test.go
+++ b/fleet/trouble_test.go
@@ -94,9 +94,8 @@
 		}
 		f.Pass(2 * time.Second)
 		before := len(f.History.Calls())
-		outcome := f.push("second", 1, nudge(2))
-		if outcome.Verdict == wire.Verdict_UNKNOWN {
-			outcome = f.resolve("second")
+		if f.push("second", 1, nudge(2)).Verdict == wire.Verdict_UNKNOWN {
+			f.resolve("second")
 		}
 		f.Pass(5 * time.Second)
 		calls := f.History.Calls()[before:]
