--- a/fleet/open/upstream.go
+++ b/fleet/open/upstream.go
@@ -56,7 +56,6 @@
 	mu        sync.Mutex
 	troubles  []Trouble
 	leaving   bool
-	left      time.Duration
 	sequence  uint64
 	waiting   int
 	conns     int
