--- a/fleet/scale/crowd.go
+++ b/fleet/scale/crowd.go
@@ -55,7 +55,6 @@
 	serial  uint64
 	odds    uint64
 	rand    *base.Rand
-	cancel  context.CancelFunc
 	stop    context.CancelFunc
 	gone    map[string]uint8
 	back    map[string]bool
