--- a/helm/rollout.go
+++ b/helm/rollout.go
@@ -23,9 +23,8 @@
 )
 
 type confirm struct {
-	incarnation string
-	serial      uint64
-	at          time.Duration
+	serial uint64
+	at     time.Duration
 }
 
 func (h *Helm) confirm(ask *wire.NewsRequest) {
