--- a/pact/tree.go
+++ b/pact/tree.go
@@ -9,12 +9,11 @@
 type tree struct{ roots map[string]*branch }
 
 type branch struct {
-	fixed    map[string]*branch
-	any      *branch
-	owner    string
-	template string
-	service  *wire.Service
-	route    *wire.Route
+	fixed   map[string]*branch
+	any     *branch
+	owner   string
+	service *wire.Service
+	route   *wire.Route
 }
 
 func newTree() *tree { return &tree{roots: map[string]*branch{}} }
