--- a/assay/check.go
+++ b/assay/check.go
@@ -42,8 +42,19 @@
 		name  string
 		judge func(*account)
 	}{
-		{RanTwice, ranTwice}, {NotRun, notRun}, {Whole, wholeAnswers}, {Allowed, allowedServices}, {InForce, inForce}, {SlideBack, slideBack},
-		{OneAck, oneAck}, {BouncedOut, bouncedOut}, {LeavingOff, leavingOff}, {Stops, plannedStops}, {Repeats, repeats}, {ReadBack, readBack}, {Returns, returned},
+		{RanTwice, ranTwice},
+		{NotRun, notRun},
+		{Whole, wholeAnswers},
+		{Allowed, allowedServices},
+		{InForce, inForce},
+		{SlideBack, slideBack},
+		{OneAck, oneAck},
+		{BouncedOut, bouncedOut},
+		{LeavingOff, leavingOff},
+		{Stops, plannedStops},
+		{Repeats, repeats},
+		{ReadBack, readBack},
+		{Returns, returned},
 	}
 	verdicts := make([]Verdict, len(rules))
 	for i, rule := range rules {
--- a/assay/rows.go
+++ b/assay/rows.go
@@ -1,8 +1,9 @@
 package assay
 
 import (
-	"curlewreach/proto/wire"
 	"time"
+
+	"curlewreach/proto/wire"
 )
 
 type Run struct {
--- a/assay/rules.go
+++ b/assay/rules.go
@@ -1,12 +1,13 @@
 package assay
 
 import (
-	"curlewreach/proto/wire"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"curlewreach/proto/wire"
 )
 
 func ranTwice(a *account) {
