--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -94,8 +94,15 @@
 		}
 		Eventually(func() []string { beat(); return wrong() }, 12*time.Second, 50*time.Millisecond).Should(BeEmpty())
 		for _, o := range []*open{
-			{Nodes: &none{}}, {Keels: &none{}}, {Chart: &none{}}, {Routes: &none{}}, {Odds: &none{}}, {Wrong: &none{}}, {Node: &named{"app-1"}},
-			{Journal: &journal{Node: "app-1", Last: 5}}, {Journal: &journal{Node: "core-1", Last: 5}},
+			{Nodes: &none{}},
+			{Keels: &none{}},
+			{Chart: &none{}},
+			{Routes: &none{}},
+			{Odds: &none{}},
+			{Wrong: &none{}},
+			{Node: &named{"app-1"}},
+			{Journal: &journal{Node: "app-1", Last: 5}},
+			{Journal: &journal{Node: "core-1", Last: 5}},
 		} {
 			Expect(ask(o)).To(Succeed())
 		}
