--- a/fleet/open/calm_test.go
+++ b/fleet/open/calm_test.go
@@ -33,10 +33,16 @@
 				chunked        bool
 				extra          []string
 			}{
-				{"GET", "/search/%2e%2e/x?a=b&c=%20&d", 0, false, nil}, {"GET", "/search//x/./y/../z", 0, false, nil}, {"DELETE", "/return/;a=1", 0, false, nil},
-				{"PATCH", "/return/x", 900_000, true, nil}, {"POST", "/return/x?y=%2F", 0, false, []string{"Connection: X-Near", "X-Near: 1"}}, {"OPTIONS", "/search/x", 0, false, nil},
-				{"GET", "/search/x?" + strings.Repeat("q=1&", 1500), 0, false, []string{"X-Long: " + strings.Repeat("y", 6000)}}, {"GET", "/search/x", 300, false, []string{"Accept: a", "Accept: b"}},
-				{"PUT", "/return/x", 1, true, []string{"Expect: 100-continue"}}, {"REPORT", "/return/", 5_000_000, false, []string{"Content-Type: a/b"}},
+				{"GET", "/search/%2e%2e/x?a=b&c=%20&d", 0, false, nil},
+				{"GET", "/search//x/./y/../z", 0, false, nil},
+				{"DELETE", "/return/;a=1", 0, false, nil},
+				{"PATCH", "/return/x", 900_000, true, nil},
+				{"POST", "/return/x?y=%2F", 0, false, []string{"Connection: X-Near", "X-Near: 1"}},
+				{"OPTIONS", "/search/x", 0, false, nil},
+				{"GET", "/search/x?" + strings.Repeat("q=1&", 1500), 0, false, []string{"X-Long: " + strings.Repeat("y", 6000)}},
+				{"GET", "/search/x", 300, false, []string{"Accept: a", "Accept: b"}},
+				{"PUT", "/return/x", 1, true, []string{"Expect: 100-continue"}},
+				{"REPORT", "/return/", 5_000_000, false, []string{"Content-Type: a/b"}},
 			} {
 				host := map[bool]string{true: "books.example", false: "LOANS.example:8080"}[each.target[:4] == "/sea"]
 				body := bytes.Repeat([]byte{'z', byte(i), '\r', '\n'}, (each.body+3)/4)
--- a/fleet/open/crowd_test.go
+++ b/fleet/open/crowd_test.go
@@ -86,8 +86,11 @@
 		rate    float64
 		slowest float64
 	}{
-		{"lose half their answers", Reset, 0.5, everyService, 90, 1}, {"lose every answer", Reset, 1, []string{"books"}, 90, 1}, {"fall silent half the time", Silent, 0.5, []string{"books"}, 60, 1},
-		{"fail half the time amid further calls", Failing, 0.5, []string{"loans"}, 90, 1}, {"are slow by turns", Sound, 0, nil, 70, 8},
+		{"lose half their answers", Reset, 0.5, everyService, 90, 1},
+		{"lose every answer", Reset, 1, []string{"books"}, 90, 1},
+		{"fall silent half the time", Silent, 0.5, []string{"books"}, 60, 1},
+		{"fail half the time amid further calls", Failing, 0.5, []string{"loans"}, 90, 1},
+		{"are slow by turns", Sound, 0, nil, 70, 8},
 	} {
 		storyOf("given upstreams that "+each.name+", when visitors come, then repeats and hedges stay within what is paid", 3, small, []uint64{1, 2}, func(f *Fleet) {
 			raised(f)
--- a/fleet/open/rules.go
+++ b/fleet/open/rules.go
@@ -66,8 +66,19 @@
 		name  string
 		judge func(*book)
 	}{
-		{Twice, twice}, {Refused, refused}, {Mixed, mixed}, {Unasked, unasked}, {Routed, routed}, {Drain, drain}, {Lost, lost},
-		{Config, configRule}, {Back, back}, {Race, race}, {Kept, keeping}, {Budget, budget}, {Denied, denied},
+		{Twice, twice},
+		{Refused, refused},
+		{Mixed, mixed},
+		{Unasked, unasked},
+		{Routed, routed},
+		{Drain, drain},
+		{Lost, lost},
+		{Config, configRule},
+		{Back, back},
+		{Race, race},
+		{Kept, keeping},
+		{Budget, budget},
+		{Denied, denied},
 	}
 	verdicts := make([]assay.Verdict, len(rules))
 	for i, rule := range rules {
--- a/fleet/open/upstreams_test.go
+++ b/fleet/open/upstreams_test.go
@@ -26,9 +26,22 @@
 		late         time.Duration
 		once, others float64
 	}{
-		{Silent, 0, 0.75, 0.85}, {Reset, 0, 0.7, 0.95}, {Torn, 0, 0.7, 0.95}, {Garbled, 0, 0.7, 0.95}, {Unsealed, 0, 0.7, 0.95}, {Endless, 0, 0.7, 0.95},
-		{Failing, 0, 0.7, 0.95}, {Twin, 0, 0.995, 0.995}, {LateTwin, 3 * time.Millisecond, 0.99, 0.995}, {LateTwin, 30 * time.Millisecond, 0.99, 0.995}, {Stale, 0, 0.995, 0.995},
-		{Trail, 0, 0.995, 0.995}, {LateTrail, 15 * time.Millisecond, 0.7, 0.95}, {Crossed, 0, 0.995, 0.995}, {Closing, 0, 0.995, 0.995}, {Hangup, 0, 0.7, 0.95},
+		{Silent, 0, 0.75, 0.85},
+		{Reset, 0, 0.7, 0.95},
+		{Torn, 0, 0.7, 0.95},
+		{Garbled, 0, 0.7, 0.95},
+		{Unsealed, 0, 0.7, 0.95},
+		{Endless, 0, 0.7, 0.95},
+		{Failing, 0, 0.7, 0.95},
+		{Twin, 0, 0.995, 0.995},
+		{LateTwin, 3 * time.Millisecond, 0.99, 0.995},
+		{LateTwin, 30 * time.Millisecond, 0.99, 0.995},
+		{Stale, 0, 0.995, 0.995},
+		{Trail, 0, 0.995, 0.995},
+		{LateTrail, 15 * time.Millisecond, 0.7, 0.95},
+		{Crossed, 0, 0.995, 0.995},
+		{Closing, 0, 0.995, 0.995},
+		{Hangup, 0, 0.7, 0.95},
 	} {
 		storyOf(fmt.Sprintf("given upstreams with one answer in ten %s %s, when visitors come, then nothing runs twice, every success is whole and its own", each.fault, each.late), 3, small, []uint64{1, 2}, func(f *Fleet) {
 			raised(f)
