--- a/fleet/rig/disk.go
+++ b/fleet/rig/disk.go
@@ -299,7 +299,6 @@
 }
 
 func (f *file) Sync() error {
-
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	f.node.synced, f.node.solid = slices.Clone(f.node.data), true
--- a/fleet/rig/net.go
+++ b/fleet/rig/net.go
@@ -42,8 +42,10 @@
 }
 
 func NewWorld(rand *base.Rand, latency Latency) *World {
-	return &World{rand: rand, latency: latency, listeners: map[string]*listener{}, ends: map[*end]bool{}, cuts: map[[2]string]bool{},
-		frozen: map[string]chan struct{}{}, links: map[[2]string]Link{}, crossing: map[[2]string]*crossed{}, dead: map[string]bool{}}
+	return &World{
+		rand: rand, latency: latency, listeners: map[string]*listener{}, ends: map[*end]bool{}, cuts: map[[2]string]bool{},
+		frozen: map[string]chan struct{}{}, links: map[[2]string]Link{}, crossing: map[[2]string]*crossed{}, dead: map[string]bool{},
+	}
 }
 
 func host(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
