--- a/flow/vane.go
+++ b/flow/vane.go
@@ -42,8 +42,10 @@
 	s, cancel := s.Child()
 	v := &Vane{Node: NewNode(s, base.Wire(s), params, trust), params: params, cancel: cancel}
 	for _, each := range []opening{
-		{params.Mates, v.Node.Mates()}, {params.Ops, v.Node.Ops()},
-		{params.Upstreams, v.Node.Upstreams()}, {params.Visitors, v.Node.Visitors()},
+		{params.Mates, v.Node.Mates()},
+		{params.Ops, v.Node.Ops()},
+		{params.Upstreams, v.Node.Upstreams()},
+		{params.Visitors, v.Node.Visitors()},
 	} {
 		door, err := base.Open(s, each.address, each.handler)
 		if err != nil {
