--- a/helm/keel.go
+++ b/helm/keel.go
@@ -111,8 +111,10 @@
 		params.Seeds, relays, time.Duration(float64(params.Bounds.Leaving.AsDuration())*beatRatio))
 	limits := pact.UsualLimits(params.Bounds.Grace.AsDuration())
 	limits.Bytes = int(params.Bundle)
-	k.Helm = New(s, web, Parts{Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force, Slide: params.Bounds.SlideBack.AsDuration(),
-		Silence: max(params.Bounds.Recovery.AsDuration(), params.Bounds.Alone.AsDuration())})
+	k.Helm = New(s, web, Parts{
+		Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force, Slide: params.Bounds.SlideBack.AsDuration(),
+		Silence: max(params.Bounds.Recovery.AsDuration(), params.Bounds.Alone.AsDuration()),
+	})
 	mux := http.NewServeMux()
 	mux.Handle(quorum.Handler(k.Trove))
 	mux.Handle(membership.Handler(member))
