--- a/internal/config/chart_test.go
+++ b/internal/config/chart_test.go
@@ -19,8 +19,10 @@
 	return &wire.Chart{
 		Serial: 7, Base: 5,
 		Routes: []*wire.ChartRoute{
-			{Name: "search", Host: "a.example", Prefix: "/books/", Repeat: wire.Repeat_REPEATABLE, CutoffMs: 3000, AimMs: 500, Rank: 2, Tries: 2,
-				Forks: []*wire.Fork{{Service: "desk", Weight: 90}, {Service: "ledger", Weight: 10}}},
+			{
+				Name: "search", Host: "a.example", Prefix: "/books/", Repeat: wire.Repeat_REPEATABLE, CutoffMs: 3000, AimMs: 500, Rank: 2, Tries: 2,
+				Forks: []*wire.Fork{{Service: "desk", Weight: 90}, {Service: "ledger", Weight: 10}},
+			},
 			{Name: "loan", Host: "a.example", Prefix: "/books/loans/", CutoffMs: 4000, AimMs: 600, Rank: 1, Tries: 2, Service: proto.String("ledger")},
 		},
 		Services: []*wire.ChartService{{Name: "desk", Probe: "/health", ConnLimit: 110, Protocol: "h1"}, {Name: "ledger", Probe: "/health", ConnLimit: 110, Protocol: "h1"}},
