--- a/base/check.go
+++ b/base/check.go
@@ -7,6 +7,8 @@
 	"github.com/pkg/errors"
 )
 
+// IsAddress is a validation rule: a string must be empty or an IP address and a
+// port, such as 127.0.0.1:8080. Host names are refused.
 var IsAddress = validation.By(func(value any) error {
 	text, _ := value.(string)
 	if text == "" {
--- a/base/clock.go
+++ b/base/clock.go
@@ -2,13 +2,19 @@
 
 import "time"
 
+// Clock tells the time. Simulations give each machine a clock of its own, which
+// may be off or run fast.
 type Clock interface {
+	// Wall returns the wall clock's time, which may jump.
 	Wall() time.Time
+	// Mono returns the time since an arbitrary start. It never goes back;
+	// deadlines and timers are measured with it.
 	Mono() time.Duration
 }
 
 type realClock struct{ born time.Time }
 
+// RealClock returns the machine's clock. Mono counts from this call.
 func RealClock() Clock { return realClock{time.Now()} }
 
 func (c realClock) Wall() time.Time     { return time.Now() }
--- a/base/disk.go
+++ b/base/disk.go
@@ -10,24 +10,41 @@
 	"github.com/pkg/errors"
 )
 
+// Disk is a process's data folder. Names are relative to it and use slashes.
+// Nothing is durable before Sync (a file's content) or SyncFolder (creations,
+// renames and removals in a folder) returned nil.
 type Disk interface {
+	// Create makes a file, or empties the present one.
 	Create(name string) (DiskFile, error)
+	// Rename moves a file in one step and replaces what stands at to.
 	Rename(from, to string) error
+	// SyncFolder makes the folder's entries durable.
 	SyncFolder(folder string) error
+	// MakeFolder makes a folder that lasts and the missing ones above it.
 	MakeFolder(folder string) error
+	// Read returns a file's content, or an error that is fs.ErrNotExist.
 	Read(name string) ([]byte, error)
+	// List returns the names in a folder, none if there is no folder.
 	List(folder string) ([]string, error)
+	// Remove deletes a file.
 	Remove(name string) error
 }
 
+// DiskFile is a file being written. Its content is durable once Sync returned
+// nil.
 type DiskFile interface {
 	io.Writer
 	Sync() error
 	Close() error
 }
 
+// Aside ends the name of a file that is being written. A file of such a name
+// was left by a crash and may be deleted.
 const Aside = ".aside"
 
+// Keep writes a file so that after a crash either the old or the whole new
+// content is there: written beside, synced, renamed, and the folder synced. An
+// error leaves it open which of the two is on the disk.
 func Keep(d Disk, name string, body []byte) error {
 	aside := name + Aside
 	file, err := d.Create(aside)
@@ -55,6 +72,8 @@
 
 type realDisk struct{ root string }
 
+// RealDisk returns the folder root of the machine's file system, which is made
+// if missing.
 func RealDisk(root string) (Disk, error) {
 	if err := os.MkdirAll(root, 0o755); err != nil {
 		return nil, errors.Wrap(err, "data folder")
--- a/base/frame.go
+++ b/base/frame.go
@@ -9,6 +9,8 @@
 	"curlewreach/proto/wire"
 )
 
+// Frame encodes a message together with its SHA-256 digest, for a file that may
+// be torn or altered.
 func Frame(message proto.Message) ([]byte, error) {
 	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	if err != nil {
@@ -18,6 +20,8 @@
 	return proto.Marshal(&wire.Record{Body: body, Digest: digest[:]})
 }
 
+// Unframe decodes what Frame encoded. It returns an error if the digest doesn't
+// match.
 func Unframe(raw []byte, message proto.Message) error {
 	record := &wire.Record{}
 	if err := proto.Unmarshal(raw, record); err != nil {
--- a/base/journal.go
+++ b/base/journal.go
@@ -9,17 +9,28 @@
 	"github.com/gammazero/deque"
 )
 
+// Event is an entry of the journal.
 type Event struct {
-	Serial  uint64        `json:"serial"`
-	At      time.Time     `json:"at"`
-	Mono    time.Duration `json:"mono"`
-	Topic   string        `json:"topic"`
-	Subject string        `json:"subject,omitempty"`
-	Detail  string        `json:"detail,omitempty"`
+	// Serial numbers the events of one process, from 1 without gaps.
+	Serial uint64 `json:"serial"`
+	// At is the wall clock's time.
+	At time.Time `json:"at"`
+	// Mono is the monotonic clock's time.
+	Mono time.Duration `json:"mono"`
+	// Topic is the kind of event, one of a fixed set of words.
+	Topic string `json:"topic"`
+	// Subject names what the event is about, for instance a request.
+	Subject string `json:"subject,omitempty"`
+	Detail  string `json:"detail,omitempty"`
 }
 
+// View is a reader of the journal that is told each event in order. Fold is
+// called under the journal's lock: it must be quick and must not use the
+// journal.
 type View interface{ Fold(Event) }
 
+// Journal keeps a process's newest events in memory and counts all by topic. It
+// is safe for concurrent use.
 type Journal struct {
 	mu     sync.Mutex
 	bound  int
@@ -29,10 +40,13 @@
 	counts map[string]uint64
 }
 
+// NewJournal returns a journal that keeps the newest bound events and tells all
+// to the views.
 func NewJournal(bound int, views ...View) *Journal {
 	return &Journal{bound: bound, views: views, counts: map[string]uint64{}}
 }
 
+// Append numbers and stores an event. The oldest is forgotten beyond the bound.
 func (j *Journal) Append(event Event) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -48,18 +62,21 @@
 	}
 }
 
+// Attach adds a view, which is told the events from now on.
 func (j *Journal) Attach(view View) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.views = append(j.views, view)
 }
 
+// Len returns how many rows the journal holds in memory: events and topics.
 func (j *Journal) Len() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.events.Len() + len(j.counts)
 }
 
+// Counts returns the number of events so far by topic, forgotten ones too.
 func (j *Journal) Counts() map[string]uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -70,6 +87,8 @@
 	return counts
 }
 
+// About iterates over the kept events about a subject, or over all if it is
+// empty, the oldest first. It sees the journal as it was at the call.
 func (j *Journal) About(subject string) iter.Seq[Event] {
 	j.mu.Lock()
 	kept := make([]Event, 0, j.events.Len())
@@ -88,7 +107,8 @@
 	}
 }
 
-// Last gives the newest events about a subject, or all if that is empty, the oldest first.
+// Last returns at most so many of the newest events about a subject, or of all
+// if that is empty, the oldest first.
 func (j *Journal) Last(subject string, most int) []Event {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/base/loop.go
+++ b/base/loop.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+// Tick calls do at each interval until the scope ends. Ticks that fall due
+// while do runs are dropped but for one.
 func Tick(s Scope, every time.Duration, do func(Scope)) {
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
@@ -18,6 +20,7 @@
 	}
 }
 
+// Drain calls do for each item of the channel until the scope ends.
 func Drain[T any](s Scope, in <-chan T, do func(T)) {
 	for {
 		select {
@@ -29,6 +32,8 @@
 	}
 }
 
+// Await blocks until one of at most two signals is readable (true), or until
+// the scope ends or the longest wait is over (false).
 func Await(s Scope, longest time.Duration, signals ...<-chan struct{}) bool {
 	wakeup := time.NewTimer(longest)
 	defer wakeup.Stop()
@@ -51,11 +56,13 @@
 	}
 }
 
+// Bell wakes all that wait for a change. The zero value is ready for use.
 type Bell struct {
 	mu   sync.Mutex
 	rung chan struct{}
 }
 
+// Heard returns a channel that the next Ring closes.
 func (b *Bell) Heard() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,6 +72,7 @@
 	return b.rung
 }
 
+// Ring wakes all that hold a channel from Heard.
 func (b *Bell) Ring() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -74,12 +82,16 @@
 	}
 }
 
+// Crew is a group of goroutines to wait for.
 type Crew struct{ wg sync.WaitGroup }
 
+// Go runs do in a goroutine of the group.
 func (c *Crew) Go(do func()) { c.wg.Go(do) }
 
+// Wait blocks until all goroutines of the group have ended.
 func (c *Crew) Wait() { c.wg.Wait() }
 
+// All calls do for all items concurrently and returns when every call has.
 func All[T any](items []T, do func(T)) {
 	var crew Crew
 	for _, item := range items {
--- a/base/metrics.go
+++ b/base/metrics.go
@@ -8,18 +8,21 @@
 	"time"
 )
 
+// steps are the upper bounds of a histogram's buckets: Prometheus' usual ones
+// in the range that calls between machines and their deadlines span.
 var steps = [...]time.Duration{
 	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
 	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second,
 }
 
-// Histogram counts spells in fixed steps, without a lock.
+// Histogram counts durations in fixed buckets without a lock. The zero value is
+// empty.
 type Histogram struct {
 	counts [len(steps) + 1]atomic.Uint64
 	sum    atomic.Int64
 }
 
-// Add counts one spell.
+// Add counts one duration.
 func (h *Histogram) Add(d time.Duration) {
 	at := 0
 	for at < len(steps) && d > steps[at] {
@@ -29,15 +32,16 @@
 	h.sum.Add(int64(d))
 }
 
-// Metrics is a page in Prometheus' text format.
+// Metrics is a page of samples in Prometheus' text format.
 type Metrics struct{ page bytes.Buffer }
 
-// Kind begins a metric; its samples follow.
+// Kind writes a metric's header: its name, kind ("counter", "gauge" or
+// "histogram") and help text. Its samples follow by Add.
 func (m *Metrics) Kind(name, kind, help string) {
 	m.page.WriteString("# HELP " + name + " " + help + "\n# TYPE " + name + " " + kind + "\n")
 }
 
-// Add writes a sample; labels are names and values by turns.
+// Add writes a sample. Labels are names and values by turns.
 func (m *Metrics) Add(name string, value float64, labels ...string) {
 	m.page.WriteString(name)
 	for i := 0; i+1 < len(labels); i += 2 {
@@ -53,13 +57,13 @@
 	m.page.WriteString(" " + strconv.FormatFloat(value, 'g', -1, 64) + "\n")
 }
 
-// One writes a metric of a single sample.
+// One writes a metric of a single sample without labels.
 func (m *Metrics) One(name, kind, help string, value float64) {
 	m.Kind(name, kind, help)
 	m.Add(name, value)
 }
 
-// Spread writes a histogram's samples.
+// Spread writes a histogram's samples, with durations in seconds.
 func (m *Metrics) Spread(name string, h *Histogram, labels ...string) {
 	sum, all := h.sum.Load(), uint64(0)
 	labels = labels[:len(labels):len(labels)]
@@ -77,7 +81,7 @@
 
 var escaped = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
-// Truth is 1 or 0.
+// Truth returns a flag as a sample: 1 for true, 0 for false.
 func Truth(on bool) float64 {
 	if on {
 		return 1
--- a/base/mishap.go
+++ b/base/mishap.go
@@ -8,43 +8,82 @@
 	"github.com/pkg/errors"
 )
 
+// Kind is the kind of an error that reaches a caller or an operator. The list
+// is closed; callers decide by it and never by the text.
 type Kind string
 
+// The kinds of error. Answers holds the HTTP status of each.
 const (
-	Malformed   Kind = "malformed"
-	Unsigned    Kind = "unsigned"
-	Untrusted   Kind = "untrusted"
-	Alive       Kind = "still-alive"
-	Dangling    Kind = "dangling"
-	Duplicate   Kind = "duplicate"
+	// Malformed is input that can't be decoded.
+	Malformed Kind = "malformed"
+	// Unsigned is a configuration without a signature.
+	Unsigned Kind = "unsigned"
+	// Untrusted is a signature by a key that isn't trusted, or one that doesn't
+	// match.
+	Untrusted Kind = "untrusted"
+	// Alive refuses to drop a machine as lost that may still serve.
+	Alive Kind = "still-alive"
+	// Dangling is a reference to something that doesn't exist.
+	Dangling Kind = "dangling"
+	// Duplicate is a name used twice.
+	Duplicate Kind = "duplicate"
+	// Overlapping is a pair of routes that one path could match.
 	Overlapping Kind = "overlapping"
-	TooLarge    Kind = "too-large"
-	OutOfRange  Kind = "out-of-range"
-	StaleBase   Kind = "stale-base"
-	NoRoute     Kind = "no-route"
-	Stale       Kind = "stale-serial"
-	NoSeat      Kind = "no-seat"
-	Crowded     Kind = "crowded"
-	Apart       Kind = "kept-apart"
-	Stopping    Kind = "stopping"
-	Fenced      Kind = "fenced"
-	Expired     Kind = "expired"
-	Uncertain   Kind = "uncertain"
-	Garbled     Kind = "garbled"
-	Lost        Kind = "lost"
+	// TooLarge is input over a limit of size.
+	TooLarge Kind = "too-large"
+	// OutOfRange is a value outside its limits.
+	OutOfRange Kind = "out-of-range"
+	// StaleBase is a change made against a configuration that is no longer the
+	// newest.
+	StaleBase Kind = "stale-base"
+	// NoRoute is a request that no route matches.
+	NoRoute Kind = "no-route"
+	// Stale is a request judged by another configuration than the one in force
+	// at the receiver.
+	Stale Kind = "stale-serial"
+	// NoSeat means that no instance of the service can take the request.
+	NoSeat Kind = "no-seat"
+	// Crowded means that the admission queue is full.
+	Crowded Kind = "crowded"
+	// Apart means that requests which mustn't overlap are kept apart, and the
+	// turn of this one would come too late.
+	Apart Kind = "kept-apart"
+	// Stopping means that the process is shutting down.
+	Stopping Kind = "stopping"
+	// Fenced is a request addressed to an earlier process, or one that came
+	// twice.
+	Fenced Kind = "fenced"
+	// Expired means that the deadline passed.
+	Expired Kind = "expired"
+	// Uncertain means that the outcome isn't known, or that no majority could
+	// be reached.
+	Uncertain Kind = "uncertain"
+	// Garbled is an answer that is incomplete or fails its check.
+	Garbled Kind = "garbled"
+	// Lost means that the connection broke after the request may have run.
+	Lost Kind = "lost"
+	// Unreachable means that the other side could not be reached.
 	Unreachable Kind = "unreachable"
-	Outranked   Kind = "outranked"
-	Amnesiac    Kind = "amnesiac"
+	// Outranked means that a proposal with a higher epoch goes first.
+	Outranked Kind = "outranked"
+	// Amnesiac means that the process has no state yet to answer from.
+	Amnesiac Kind = "amnesiac"
+	// DiskTrouble is a disk that fails or lags.
 	DiskTrouble Kind = "disk-trouble"
-	Missing     Kind = "missing"
-	Internal    Kind = "internal"
+	// Missing is a name that isn't known here.
+	Missing Kind = "missing"
+	// Internal is a fault of ours: any error without a kind.
+	Internal Kind = "internal"
 )
 
+// Answer is how an error kind is told over HTTP.
 type Answer struct {
 	Status int
-	Again  bool
+	// Again lets the answer carry Retry-After, as a later try may succeed.
+	Again bool
 }
 
+// Answers holds the HTTP answer of each kind.
 var Answers = map[Kind]Answer{
 	Malformed:   {http.StatusBadRequest, false},
 	Unsigned:    {http.StatusForbidden, false},
@@ -75,19 +114,27 @@
 	Internal:    {http.StatusInternalServerError, false},
 }
 
+// Mishap is an error with a kind. It is the one type of error that crosses the
+// network.
 type Mishap struct {
-	Kind   Kind          `json:"kind"`
-	Path   string        `json:"path,omitempty"`
-	Reason string        `json:"reason"`
-	Run    bool          `json:"-"`
-	After  time.Duration `json:"-"`
+	Kind Kind `json:"kind"`
+	// Path is the field that the error is about, if any.
+	Path   string `json:"path,omitempty"`
+	Reason string `json:"reason"`
+	// Run is set if the request may have run at the upstream.
+	Run bool `json:"-"`
+	// After is how long the caller should wait before it tries again; 0 says
+	// nothing.
+	After time.Duration `json:"-"`
 }
 
+// Later sets the wait before the caller's next try and returns m.
 func (m *Mishap) Later(after time.Duration) *Mishap {
 	m.After = after
 	return m
 }
 
+// Error returns kind, path and reason as one line.
 func (m *Mishap) Error() string {
 	if m.Path == "" {
 		return fmt.Sprintf("%s: %s", m.Kind, m.Reason)
@@ -95,10 +142,14 @@
 	return fmt.Sprintf("%s: %s: %s", m.Kind, m.Path, m.Reason)
 }
 
+// Bounce returns an error of a kind about a field (or "" for none), with a
+// formatted reason.
 func Bounce(kind Kind, path, format string, args ...any) *Mishap {
 	return &Mishap{Kind: kind, Path: path, Reason: fmt.Sprintf(format, args...)}
 }
 
+// MishapOf returns the Mishap in the error's chain, or one of kind Internal
+// with the error's text.
 func MishapOf(err error) *Mishap {
 	var mishap *Mishap
 	if errors.As(err, &mishap) {
--- a/base/net.go
+++ b/base/net.go
@@ -12,14 +12,21 @@
 	"strings"
 )
 
+// Net is the network as one machine sees it.
 type Net interface {
+	// Listen opens a TCP listener.
 	Listen(address string) (net.Listener, error)
+	// Dial opens a connection, as net.Dialer.DialContext does.
 	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	// Holder identifies the sockets that listen at an IPv4 address, so that a
+	// successor at the same address can be told from its predecessor. It
+	// returns "" if that can't be learned.
 	Holder(address string) string
 }
 
 type realNet struct{ dialer net.Dialer }
 
+// RealNet returns the machine's network.
 func RealNet() Net { return &realNet{} }
 
 func (n *realNet) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
@@ -28,6 +35,7 @@
 	return n.dialer.DialContext(ctx, network, address)
 }
 
+// listening is the state TCP_LISTEN in /proc/net/tcp.
 const listening = "0A"
 
 func (n *realNet) Holder(address string) string {
--- a/base/params.go
+++ b/base/params.go
@@ -16,6 +16,8 @@
 	"curlewreach/proto/wire"
 )
 
+// LoadParams reads params from a JSON file into a message. No file name means
+// nothing to read.
 func LoadParams(file string, into proto.Message) error {
 	if file == "" {
 		return nil
@@ -27,6 +29,8 @@
 	return errors.Wrap(protojson.Unmarshal(body, into), "params")
 }
 
+// UsualBounds sets each bound that isn't set to its default, in b itself, and
+// returns it. A nil b gives the defaults.
 func UsualBounds(b *wire.Bounds) *wire.Bounds {
 	if b == nil {
 		b = &wire.Bounds{}
@@ -45,6 +49,7 @@
 	return b
 }
 
+// CheckBounds returns an error that names each bound outside its limits.
 func CheckBounds(b *wire.Bounds) error {
 	within := func(low, high time.Duration) validation.Rule {
 		return validation.By(func(value any) error {
@@ -62,6 +67,7 @@
 	)
 }
 
+// Mishaps returns a validation error as sorted lines "field: reason".
 func Mishaps(err error) []string {
 	var many validation.Errors
 	if !errors.As(err, &many) {
@@ -77,6 +83,7 @@
 	return lines
 }
 
+// Complain prints a program's bad params and exits with code 2.
 func Complain(program string, err error) {
 	fmt.Fprintf(os.Stderr, "%s: bad params\n  %s\n", program, strings.Join(Mishaps(err), "\n  "))
 	os.Exit(2)
--- a/base/program.go
+++ b/base/program.go
@@ -9,10 +9,16 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// Version is the release that all programs tell by --version.
 const Version = "0.1.0"
 
+// journalBound is the number of events kept in memory, a few MB: minutes of a
+// busy process.
 const journalBound = 20000
 
+// NewScope returns the surroundings of a real process: the machine's clock,
+// network and randomness, its data folder (none if empty), a log in JSON lines
+// at the level on standard error, and a journal that is logged at debug level.
 func NewScope(program, node, folder, level string) (Scope, error) {
 	disk := NoDisk()
 	if folder != "" {
@@ -34,6 +40,8 @@
 	v.log.Debug(event.Topic, "subject", event.Subject, "detail", event.Detail)
 }
 
+// Signals calls reload at each SIGHUP, and stop at the first SIGTERM or SIGINT,
+// after which it returns.
 func Signals(stop func(), reload func()) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/base/scope.go
+++ b/base/scope.go
@@ -1,3 +1,8 @@
+// Package base holds what every program of the project runs on: the process's
+// surroundings (clock, network, disk, randomness, log and journal, together a
+// Scope), loops and locks written once, HTTP servers and clients, params,
+// metrics, and the closed list of error kinds. Production and simulation differ
+// only in the surroundings that the Scope carries.
 package base
 
 import (
@@ -7,6 +12,9 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// Scope is the surroundings that a part of a process runs in: its lifetime, as
+// a context, and the machine's clock, network, disk, randomness, log and
+// journal. It is passed by value.
 type Scope struct {
 	context.Context
 	Node    string
@@ -18,21 +26,25 @@
 	Journal *Journal
 }
 
+// Under returns the scope with another context.
 func (s Scope) Under(ctx context.Context) Scope {
 	s.Context = ctx
 	return s
 }
 
+// Within returns the scope with a time limit.
 func (s Scope) Within(d time.Duration) (Scope, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(s.Context, d)
 	return s.Under(ctx), cancel
 }
 
+// Child returns the scope with a lifetime that cancel ends early.
 func (s Scope) Child() (Scope, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(s.Context)
 	return s.Under(ctx), cancel
 }
 
+// Note appends an event to the journal, stamped with the scope's clock.
 func (s Scope) Note(topic, subject, detail string) {
 	s.Journal.Append(Event{At: s.Clock.Wall(), Mono: s.Clock.Mono(), Topic: topic, Subject: subject, Detail: detail})
 }
--- a/base/table.go
+++ b/base/table.go
@@ -8,11 +8,14 @@
 	"sync/atomic"
 )
 
+// Table is a map that is read without locks and replaced as a whole by each
+// change. It suits tables that change rarely. The zero value is empty.
 type Table[V any] struct {
 	mu   sync.Mutex
 	rows atomic.Pointer[map[string]V]
 }
 
+// Snapshot returns the present rows. Nobody may change them.
 func (t *Table[V]) Snapshot() map[string]V {
 	if rows := t.rows.Load(); rows != nil {
 		return *rows
@@ -20,11 +23,14 @@
 	return nil
 }
 
+// Get returns a row and whether there is one.
 func (t *Table[V]) Get(key string) (V, bool) {
 	row, ok := t.Snapshot()[key]
 	return row, ok
 }
 
+// All iterates over the rows in the order of their keys, as they were at the
+// call.
 func (t *Table[V]) All() iter.Seq2[string, V] {
 	rows := t.Snapshot()
 	return func(yield func(string, V) bool) {
@@ -36,6 +42,8 @@
 	}
 }
 
+// Change calls change with a copy of the rows, which then takes their place.
+// Changes follow each other; change must not change the table again.
 func (t *Table[V]) Change(change func(rows map[string]V)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -47,6 +55,7 @@
 	t.rows.Store(&rows)
 }
 
+// Put sets one row.
 func (t *Table[V]) Put(key string, row V) {
 	t.Change(func(rows map[string]V) { rows[key] = row })
 }
--- a/base/views.go
+++ b/base/views.go
@@ -15,11 +15,16 @@
 )
 
 const (
+	// usualEvents is how many events /journal returns if not told.
 	usualEvents = 100
-	mostEvents  = 2000
+	// mostEvents is the most events that /journal returns at once.
+	mostEvents = 2000
 )
 
-// Views lets operators look: GET /view, /journal?subject=&last= and /metrics, one page at a time.
+// Views serves the operators' read-only pages: GET /view (the process's state),
+// GET /journal?subject=&last= (its newest events) and GET /metrics
+// (Prometheus). One view or metrics page is made at a time, to bound what
+// looking costs.
 func Views(mux *http.ServeMux, s Scope, view func() proto.Message, metrics func(*Metrics)) {
 	var turn sync.Mutex
 	mux.HandleFunc("GET /view", func(w http.ResponseWriter, _ *http.Request) {
--- a/base/web.go
+++ b/base/web.go
@@ -11,17 +11,32 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	// headerWait is how long a client may take over a request's header, so
+	// that silent connections don't pile up.
+	headerWait = 10 * time.Second
+	// idleConns is how many idle connections a client keeps to one process, so
+	// that calls made at a time find one open.
+	idleConns = 64
+	// idleWait is how long an idle connection is kept, so that calls made every
+	// few seconds find it open.
+	idleWait = 30 * time.Second
+)
+
+// Door is an HTTP server and its listener.
 type Door struct {
 	server   *http.Server
 	listener net.Listener
 	crew     Crew
 }
 
+// Open listens at the address and serves it. Requests outlive the scope: a
+// server ends by Drain or Slam.
 func Open(s Scope, address string, handler http.Handler) (*Door, error) {
 	return OpenWith(s, address, handler, func(*http.Server) {})
 }
 
-// OpenWith opens a door whose server is set further before it serves.
+// OpenWith is Open with a server that set changes before it serves.
 func OpenWith(s Scope, address string, handler http.Handler, set func(*http.Server)) (*Door, error) {
 	listener, err := s.Net.Listen(address)
 	if err != nil {
@@ -31,7 +46,7 @@
 	door := &Door{listener: listener, server: &http.Server{
 		Handler:           handler,
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(base) },
-		ReadHeaderTimeout: 10 * time.Second,
+		ReadHeaderTimeout: headerWait,
 		ErrorLog:          s.Log.StandardLogger(nil),
 	}}
 	set(door.server)
@@ -39,37 +54,52 @@
 	return door, nil
 }
 
+// Address returns the address that the server listens at, with the port that
+// was chosen if port 0 was asked for.
 func (d *Door) Address() string { return d.listener.Addr().String() }
 
+// Drain stops listening and waits for the requests in flight until ctx ends,
+// then breaks what is left.
 func (d *Door) Drain(ctx context.Context) {
 	_ = d.server.Shutdown(ctx)
 	d.Slam()
 }
 
+// Wind makes the server close each connection after the answer in flight. New
+// connections are still taken.
 func (d *Door) Wind() { d.server.SetKeepAlivesEnabled(false) }
 
+// Fold closes the listener and leaves the open connections.
 func (d *Door) Fold() { _ = d.listener.Close() }
 
+// Slam closes the listener and all connections at once.
 func (d *Door) Slam() {
 	_ = d.server.Close()
 	d.crew.Wait()
 }
 
+// Wire returns an HTTP client for calls between the project's own processes
+// over the scope's network.
 func Wire(s Scope) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         s.Net.Dial,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleWait,
 		DisableCompression:  true,
 	}}
 }
 
+// Reply answers with a status and a value as JSON.
 func Reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// Plain returns the connect option of our servers: answers under compressFrom
+// are sent as they are.
 func Plain() connect.Option { return connect.WithOptions(connect.WithCompressMinBytes(compressFrom)) }
 
+// compressFrom is the size in bytes from which answers are compressed: below,
+// the bytes saved are worth less than the time.
 const compressFrom = 64 << 10
