--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -1,3 +1,6 @@
+// Package config holds the configuration of an open fleet: routes, services and
+// limits, called a chart on the wire. It checks one, applies a change to one,
+// and looks requests up in it.
 package config
 
 import (
@@ -8,7 +11,8 @@
 	"curlewreach/proto/wire"
 )
 
-// Apply makes the chart that a change leads to; the old one stays as it is.
+// Apply returns the configuration that a change leads to. The old one, which
+// may be nil, is left as it is.
 func Apply(old *wire.Chart, change *wire.ChartChange) *wire.Chart {
 	next := &wire.Chart{
 		Serial: change.GetSerial(), Base: change.GetBase(), Limits: old.GetLimits(),
@@ -45,7 +49,8 @@
 	return merged
 }
 
-// Digest is the same for equal messages.
+// Digest returns the SHA-256 of a message's deterministic encoding: equal
+// messages have equal digests.
 func Digest(message proto.Message) []byte {
 	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	if err != nil {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -15,7 +15,7 @@
 	*f = append(*f, base.Bounce(kind, path, format, args...))
 }
 
-// Check tells every fault of a chart.
+// Check returns every fault of a configuration, none if it may be served.
 func Check(c *wire.Chart) []*base.Mishap {
 	var found faults
 	if c.GetSerial() == 0 {
--- a/internal/config/route.go
+++ b/internal/config/route.go
@@ -7,9 +7,11 @@
 	"curlewreach/proto/wire"
 )
 
+// longest bounds the durations of a route, so that a number of milliseconds
+// from outside can't overflow a time.Duration.
 const longest = 24 * time.Hour
 
-// Route is one route of a table, ready to use.
+// Route is one route of a table, prepared for requests. It doesn't change.
 type Route struct {
 	Raw         *wire.ChartRoute
 	cutoff, aim time.Duration
@@ -21,7 +23,7 @@
 	service string
 }
 
-// NewRoute prepares a route.
+// NewRoute prepares a route. Services with a weight of 0 are left out.
 func NewRoute(raw *wire.ChartRoute) *Route {
 	r := &Route{Raw: raw, cutoff: span(raw.GetCutoffMs()), aim: span(raw.GetAimMs())}
 	total := 0.0
@@ -47,19 +49,28 @@
 	return time.Duration(math.Min(ms*float64(time.Millisecond), float64(longest)))
 }
 
+// Name returns the route's name, unique in its configuration.
 func (r *Route) Name() string { return r.Raw.GetName() }
 
+// Repeatable reports whether an attempt may be sent again when it is not known
+// whether it ran.
 func (r *Route) Repeatable() bool { return r.Raw.GetRepeat() == wire.Repeat_REPEATABLE || r.Bulk() }
 
+// Bulk reports whether the route's requests are bulk work: they may be
+// repeated, but a slow one is not hedged.
 func (r *Route) Bulk() bool { return r.Raw.GetRepeat() == wire.Repeat_BULK }
 
+// Cutoff returns the time after which a request is given up.
 func (r *Route) Cutoff() time.Duration { return r.cutoff }
 
+// Aim returns the latency to serve requests of the route within.
 func (r *Route) Aim() time.Duration { return r.aim }
 
+// Tries returns the most attempts for one request.
 func (r *Route) Tries() int { return int(r.Raw.GetTries()) }
 
-// Pick takes u from [0,1) and names a service by the weights.
+// Pick returns a service chosen by the weights, given u drawn evenly from [0,
+// 1), or "" if there is none.
 func (r *Route) Pick(u float64) string {
 	for _, each := range r.steps {
 		if u < each.upTo {
@@ -72,7 +83,7 @@
 	return r.steps[len(r.steps)-1].service
 }
 
-// Names tells whether the route may lead to the service.
+// Names reports whether the route may lead to the service.
 func (r *Route) Names(service string) bool {
 	for _, each := range r.steps {
 		if each.service == service {
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -6,7 +6,8 @@
 	"curlewreach/proto/wire"
 )
 
-// Table looks routes and services up; it never changes.
+// Table looks up the routes and services of one configuration. It doesn't
+// change.
 type Table struct {
 	chart    *wire.Chart
 	hosts    map[string]*host
@@ -18,7 +19,7 @@
 	longest  int
 }
 
-// NewTable prepares a chart, which must not be changed afterwards.
+// NewTable prepares a configuration, which must not be changed afterwards.
 func NewTable(c *wire.Chart) *Table {
 	t := &Table{chart: c, hosts: map[string]*host{}, services: make(map[string]*wire.ChartService, len(c.GetServices()))}
 	for _, service := range c.GetServices() {
@@ -37,11 +38,15 @@
 	return t
 }
 
+// Serial returns the number of the configuration.
 func (t *Table) Serial() uint64 { return t.chart.GetSerial() }
 
+// Chart returns the configuration that the table was made from. It must not be
+// changed.
 func (t *Table) Chart() *wire.Chart { return t.chart }
 
-// Find gives the route of the host with the longest prefix that begins the path.
+// Find returns the route of the host whose prefix is the longest that begins
+// the path.
 func (t *Table) Find(host, path string) (*Route, bool) {
 	at := t.hosts[hostOf(host)]
 	if at == nil {
@@ -60,7 +65,7 @@
 	}
 }
 
-// Service gives a service by its name.
+// Service returns a service by its name.
 func (t *Table) Service(name string) (*wire.ChartService, bool) {
 	service, known := t.services[name]
 	return service, known
