--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,3 +1,6 @@
+// Package membership tells which machines of a listed fleet are up. Each
+// machine sends heartbeats to the next machines on a hash ring and to a core
+// machine; what is heard of them is kept in a View.
 package membership
 
 import (
@@ -16,8 +19,12 @@
 	"curlewreach/proto/wire/wireconnect"
 )
 
+// watchersEach is the number of machines that each machine sends its heartbeats
+// to, beside the core: two may be down at a time.
 const watchersEach = 3
 
+// Member is this machine's part in the membership: it sends heartbeats and
+// takes those of others.
 type Member struct {
 	scope   base.Scope
 	web     *http.Client
@@ -31,19 +38,28 @@
 	relays  []string
 	nudge   base.Bell
 	callees base.Table[wireconnect.KinClient]
-	Enrich  func(*wire.TellReply)
+	// Enrich, if set, adds to what the machine tells of itself when asked.
+	Enrich func(*wire.TellReply)
 }
 
+// NewMember returns a member that describes itself by self, to which it adds a
+// fresh incarnation. Seeds are the addresses of core machines, relays those
+// that a core machine passes its view on to, and beat is the interval between
+// heartbeats.
 func NewMember(s base.Scope, web *http.Client, self *wire.Roster, seeds, relays []string, beat time.Duration) *Member {
 	self.Incarnation = s.Rand.Name(8)
 	self.Serial = 1
 	return &Member{scope: s, web: web, seeds: seeds, relays: relays, beat: beat, view: NewView(s, beat), self: self, places: map[string]string{}}
 }
 
+// View returns what is known of the others.
 func (m *Member) View() *View { return m.view }
 
+// Incarnation returns the random name of this process, new at each start.
 func (m *Member) Incarnation() string { return m.self.Incarnation }
 
+// Roster returns a copy of what this machine tells of itself, with its clock's
+// reading.
 func (m *Member) Roster() *wire.Roster {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -52,6 +68,8 @@
 	return roster
 }
 
+// Change alters what this machine tells of itself. If it differs afterwards, it
+// gets a new serial number and is sent at once.
 func (m *Member) Change(change func(*wire.Roster)) {
 	m.mu.Lock()
 	before := proto.Clone(m.self).(*wire.Roster)
@@ -63,6 +81,7 @@
 	m.mu.Unlock()
 }
 
+// Place sets the machines that are on the ring.
 func (m *Member) Place(machines func(yield func(*wire.Machine) bool)) {
 	places := map[string]string{}
 	for machine := range machines {
@@ -103,6 +122,7 @@
 	return callee
 }
 
+// Run sends heartbeats and judges the others until the scope ends.
 func (m *Member) Run(s base.Scope) {
 	var crew base.Crew
 	crew.Go(func() {
@@ -148,6 +168,8 @@
 	}
 }
 
+// Tell returns what this machine has in its journal about the subject asked
+// for, if any, and its event counts.
 func (m *Member) Tell(ask *wire.TellRequest) *wire.TellReply {
 	reply := &wire.TellReply{Node: m.self.Node, Counts: m.scope.Journal.Counts()}
 	if ask.Subject != "" {
@@ -161,6 +183,8 @@
 	return reply
 }
 
+// Ask sends a question to all machines in view and returns their answers, and
+// the names of those that gave none.
 func (m *Member) Ask(s base.Scope, ask *wire.TellRequest) *wire.ToldReply {
 	reply := &wire.ToldReply{}
 	var mu sync.Mutex
@@ -179,6 +203,7 @@
 	return reply
 }
 
+// Reaches reports whether a member answers at the address.
 func (m *Member) Reaches(s base.Scope, address string) bool {
 	_, err := m.callee(address).Tell(s, connect.NewRequest(&wire.TellRequest{}))
 	return err == nil
@@ -190,6 +215,7 @@
 	return connect.NewResponse(v.member.Tell(request.Msg)), nil
 }
 
+// Handler returns the path and handler that other members call.
 func Handler(m *Member) (string, http.Handler) {
 	return wireconnect.NewKinHandler(server{m}, base.Plain())
 }
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -7,8 +7,10 @@
 	"slices"
 )
 
+// Ring orders machines by the hash of their names. It doesn't change.
 type Ring struct{ names []string }
 
+// NewRing returns the ring of the names.
 func NewRing(names iter.Seq[string]) Ring {
 	ordered := slices.SortedFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a, b)) })
 	return Ring{ordered}
@@ -22,8 +24,11 @@
 	return z ^ (z >> 33)
 }
 
+// Turn maps a name evenly to a number in [0, among), always the same.
 func Turn(name string, among int) int { return int(place(name) % uint64(max(among, 1))) }
 
+// Watchers returns the next machines after name, at most count, or none if it
+// isn't on the ring.
 func (r Ring) Watchers(name string, count int) []string {
 	at := slices.Index(r.names, name)
 	if at < 0 {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -13,17 +13,32 @@
 	"curlewreach/proto/wire"
 )
 
+// The standings of a machine, by how long it was silent.
 const (
-	Well   = "well"
-	Late   = "late"
+	// Well is a machine that was heard within lateBeats heartbeats.
+	Well = "well"
+	// Late is a machine silent for more than lateBeats.
+	Late = "late"
+	// Absent is a machine silent for more than absentBeats, or never heard.
 	Absent = "absent"
 )
 
 const (
+	// lateBeats and absentBeats are the silences, in heartbeats, after which a
+	// machine is Late and Absent. A single heartbeat lost in between changes
+	// nothing.
+	lateBeats   = 3
+	absentBeats = 5
+	// lastBorn is the number of ended incarnations remembered for each machine,
+	// so that messages of theirs that come late are ignored.
 	lastBorn = 16
-	drift    = 0.0002
-
+	// drift is how much faster or slower one clock may run than another, as a
+	// ratio (200 parts per million).
+	drift = 0.0002
+	// mostMates bounds the machines in view, against names made up.
 	mostMates = 4096
+	// forgotten is after how many times the Absent silence a machine is dropped
+	// from the view.
 	forgotten = 60
 )
 
@@ -36,6 +51,8 @@
 	risen  uint64
 }
 
+// View is what a machine knows of all, by what it heard of them directly or
+// through others. It is safe for concurrent use.
 type View struct {
 	scope  base.Scope
 	late   time.Duration
@@ -47,12 +64,16 @@
 	last   map[string]string
 }
 
+// NewView returns an empty view, whose standings follow from the interval
+// between heartbeats.
 func NewView(s base.Scope, beat time.Duration) *View {
-	return &View{scope: s, late: 3 * beat, absent: 5 * beat, mates: map[string]*mate{}, last: map[string]string{}}
+	return &View{scope: s, late: lateBeats * beat, absent: absentBeats * beat, mates: map[string]*mate{}, last: map[string]string{}}
 }
 
+// News returns a channel that closes at the next change.
 func (v *View) News() <-chan struct{} { return v.bell.Heard() }
 
+// Heard takes in what a machine told of itself so long ago.
 func (v *View) Heard(roster *wire.Roster, silence time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -113,6 +134,8 @@
 	return Well
 }
 
+// Judge renews the standings and forgets machines long silent. It is called
+// regularly.
 func (v *View) Judge() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -130,20 +153,25 @@
 	}
 }
 
+// Len returns the number of machines in view.
 func (v *View) Len() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return len(v.mates)
 }
 
+// Serial returns the number of the newest change.
 func (v *View) Serial() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.serial
 }
 
+// All iterates over copies of all that is known, in the order of names.
 func (v *View) All() iter.Seq[*wire.Sighting] { return v.Since(0) }
 
+// Since iterates over copies of what changed after the serial number, in the
+// order of names. The clock readings are reckoned on to now.
 func (v *View) Since(serial uint64) iter.Seq[*wire.Sighting] {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -161,6 +189,7 @@
 	return slices.Values(sightings)
 }
 
+// Standing returns a machine's standing: Well, Late or Absent.
 func (v *View) Standing(node string) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -170,6 +199,8 @@
 	return Absent
 }
 
+// Narrow returns a copy of a sighting that has only the instances of the
+// services of concern.
 func Narrow(sighting *wire.Sighting, concerns func(service string) bool) *wire.Sighting {
 	narrowed := proto.Clone(sighting).(*wire.Sighting)
 	narrowed.Roster.Seats = slices.DeleteFunc(narrowed.Roster.Seats, func(seat *wire.Seat) bool { return !concerns(seat.Service) })
