--- a/internal/tracing/learner.go
+++ b/internal/tracing/learner.go
@@ -1,7 +1,13 @@
+// Package tracing decides which calls are recorded in detail. Nodes record
+// spans, core machines store them, a learner estimates which spans tell most
+// about latency, and nodes draw from its odds. The learner follows "An Online
+// Probabilistic Distributed Tracing System" (arXiv 2405.15645), below the
+// paper; docs/design.md tells what was changed.
 package tracing
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -12,30 +18,46 @@
 	"curlewreach/proto/wire"
 )
 
+// Measure computes a span's utility from its self times in microseconds (the
+// paper, III-A).
 type Measure func(selves []float64) float64
 
+// Measures are the utilities that a configuration may name. The paper's choice
+// is the variance.
 var Measures = map[string]Measure{
 	"variance":  func(selves []float64) float64 { return stat.Variance(selves, nil) },
 	"deviation": func(selves []float64) float64 { return stat.StdDev(selves, nil) },
 	"mean":      func(selves []float64) float64 { return stat.Mean(selves, nil) },
 }
 
+// fewestSelves is the least number of self times that has a variance.
 const fewestSelves = 2
 
+// UncertainTag marks a span whose self time can't be told, as its further calls
+// couldn't be tied to it. Such spans count, but nothing is learned from their
+// self time.
 const UncertainTag = "uncertain"
 
+// The sides of a call that record a span.
 const (
-	FarSide     = ""
-	NearSide    = "near"
+	// FarSide is the node beside the upstream. Only its spans are learned from.
+	FarSide = ""
+	// NearSide is the node beside the caller: one span a request.
+	NearSide = "near"
+	// AttemptSide is the node beside the caller: one span an attempt.
 	AttemptSide = "attempt"
 )
 
+// Identifier returns what a belief is about: the span's service and route.
 func Identifier(span *wire.Span) string { return span.Service + "/" + span.Route }
 
 type source struct{ rand *base.Rand }
 
 func (s source) Uint64() uint64 { return s.rand.Uint64() }
 
+// Utilities returns the utility of each identifier by its spans' self times,
+// and how many spans it has. Identifiers with too few self times have no
+// utility.
 func Utilities(spans []*wire.Span, measure Measure) (utilities map[string]float64, counts map[string]uint64) {
 	selves := map[string][]float64{}
 	counts = map[string]uint64{}
@@ -58,58 +80,84 @@
 	return utilities, counts
 }
 
+// Learn makes one cycle of learning (the paper, III-B): it updates the prior's
+// beliefs by a batch of spans and draws new odds from them. Only identifiers
+// that named accepts are kept. The prior is not changed.
 func Learn(prior *wire.Learning, spans []*wire.Span, tracing *wire.Tracing, rand *base.Rand, named func(identifier string) bool) *wire.Learning {
 	spans = slices.DeleteFunc(slices.Clone(spans), func(span *wire.Span) bool { return span.Side != FarSide || !named(Identifier(span)) })
 	utilities, counts := Utilities(spans, Measures[tracing.GetUtility()])
+	beliefs := carryOver(prior, counts, named)
+	updateAll(beliefs, utilities, tracing)
+	learning := &wire.Learning{
+		Holder: prior.GetHolder(), Cycle: prior.GetCycle() + 1, Correlations: Correlate(spans),
+		Beliefs: slices.SortedFunc(maps.Values(beliefs), func(a, b *wire.Belief) int { return cmp.Compare(a.Identifier, b.Identifier) }),
+	}
+	if len(learning.Correlations) == 0 {
+		learning.Correlations = prior.GetCorrelations()
+	}
+	odds := Odds(learning.Beliefs, tracing, rand)
+	learning.Odds = &wire.Odds{Serial: prior.GetOdds().GetSerial() + 1, Epsilon: tracing.GetEpsilon(), Table: odds}
+	for _, belief := range learning.Beliefs {
+		belief.Odds = odds[belief.Identifier]
+	}
+	return learning
+}
+
+// carryOver returns copies of the prior's beliefs in named identifiers, and
+// new ones for identifiers seen for the first time, with the spans counted.
+func carryOver(prior *wire.Learning, counts map[string]uint64, named func(identifier string) bool) map[string]*wire.Belief {
 	beliefs := map[string]*wire.Belief{}
-	for _, belief := range prior.GetBeliefs() {
-		if !named(belief.Identifier) {
+	for _, old := range prior.GetBeliefs() {
+		if !named(old.Identifier) {
 			continue
 		}
-		if !lawful(belief) {
-			belief = &wire.Belief{Identifier: belief.Identifier, Alpha: 1, Beta: 1, Mean: math.NaN(), Samples: belief.Samples}
-		}
-		beliefs[belief.Identifier] = &wire.Belief{
-			Identifier: belief.Identifier, Alpha: belief.Alpha, Beta: belief.Beta,
-			Mean: belief.Mean, Utility: belief.Utility, Samples: belief.Samples + counts[belief.Identifier],
+		belief := newBelief(old.Identifier, old.Samples)
+		if lawful(old) {
+			belief.Alpha, belief.Beta, belief.Mean, belief.Utility = old.Alpha, old.Beta, old.Mean, old.Utility
 		}
+		belief.Samples += counts[old.Identifier]
+		beliefs[old.Identifier] = belief
 	}
 	for identifier, count := range counts {
 		if beliefs[identifier] == nil {
-			beliefs[identifier] = &wire.Belief{Identifier: identifier, Alpha: 1, Beta: 1, Mean: math.NaN(), Samples: count}
+			beliefs[identifier] = newBelief(identifier, count)
 		}
 	}
+	return beliefs
+}
+
+// newBelief returns the uniform prior Beta(1, 1) without a moving average yet.
+func newBelief(identifier string, samples uint64) *wire.Belief {
+	return &wire.Belief{Identifier: identifier, Alpha: 1, Beta: 1, Mean: math.NaN(), Samples: samples}
+}
+
+// updateAll updates the beliefs by utilities normalised by the largest of the
+// batch. If that is 0 nothing is learned.
+func updateAll(beliefs map[string]*wire.Belief, utilities map[string]float64, tracing *wire.Tracing) {
 	largest := 0.0
 	for _, utility := range utilities {
 		largest = max(largest, utility)
 	}
-	if largest > 0 {
-		for identifier, utility := range utilities {
-			update(beliefs[identifier], utility/largest, tracing.GetMemory(), tracing.GetEvidence())
-			beliefs[identifier].Utility = utility
-		}
-	}
-	learning := &wire.Learning{Holder: prior.GetHolder(), Cycle: prior.GetCycle() + 1, Correlations: Correlate(spans)}
-	if len(learning.Correlations) == 0 {
-		learning.Correlations = prior.GetCorrelations()
+	if largest <= 0 {
+		return
 	}
-	for _, belief := range beliefs {
-		learning.Beliefs = append(learning.Beliefs, belief)
+	for identifier, utility := range utilities {
+		update(beliefs[identifier], utility/largest, tracing.GetMemory(), tracing.GetEvidence())
+		beliefs[identifier].Utility = utility
 	}
-	slices.SortFunc(learning.Beliefs, func(a, b *wire.Belief) int { return cmp.Compare(a.Identifier, b.Identifier) })
-	odds := Odds(learning.Beliefs, tracing, rand)
-	learning.Odds = &wire.Odds{Serial: prior.GetOdds().GetSerial() + 1, Epsilon: tracing.GetEpsilon(), Table: odds}
-	for _, belief := range learning.Beliefs {
-		belief.Odds = odds[belief.Identifier]
-	}
-	return learning
 }
 
+// lawful reports whether a belief can have come from learning; the sampler
+// fails on others.
 func lawful(belief *wire.Belief) bool {
 	shaped := belief.Alpha >= 1 && belief.Beta >= 1 && belief.Alpha+belief.Beta < math.MaxFloat32
 	return shaped && !(belief.Mean < 0) && !(belief.Mean > 1)
 }
 
+// update adds a normalised utility to a belief (the paper, equations 1 and 2):
+// alpha grows by the moving average, in which the newest batch has the weight
+// memory, and beta by its complement. Evidence over the prior is scaled back
+// to most, if that is above 0, so that a change is still learned later on.
 func update(belief *wire.Belief, normal, memory, most float64) {
 	if math.IsNaN(belief.Mean) {
 		belief.Mean = normal
@@ -124,6 +172,9 @@
 	}
 }
 
+// Odds approximates for each belief the probability that its utility is at or
+// above the configured percentile of all, by Monte Carlo draws (the paper's
+// ABS, III-B), and raises it to the floor epsilon.
 func Odds(beliefs []*wire.Belief, tracing *wire.Tracing, rand *base.Rand) map[string]float64 {
 	draws := int(tracing.GetDraws())
 	picked := make([]int, len(beliefs))
@@ -149,6 +200,7 @@
 	return odds
 }
 
+// percentile interpolates linearly between the two nearest ranks.
 func percentile(ordered []float64, p float64) float64 {
 	if len(ordered) == 0 {
 		return 0
--- a/internal/tracing/odds.go
+++ b/internal/tracing/odds.go
@@ -7,17 +7,24 @@
 	"curlewreach/proto/wire"
 )
 
+// Keeper holds the odds in force on a node and draws by them. It is safe for
+// concurrent use and takes no lock.
 type Keeper struct {
 	rand *base.Rand
 	odds atomic.Pointer[wire.Odds]
 }
 
+// NewKeeper returns a keeper without odds, which records everything.
 func NewKeeper(rand *base.Rand) *Keeper { return &Keeper{rand: rand} }
 
+// Odds returns the odds in force, nil if there are none yet.
 func (k *Keeper) Odds() *wire.Odds { return k.odds.Load() }
 
+// Serial returns the number of the odds in force, 0 if there are none yet.
 func (k *Keeper) Serial() uint64 { return k.odds.Load().GetSerial() }
 
+// Load puts odds in force. It returns an error of kind OutOfRange, and keeps
+// the old ones, if a probability is outside [epsilon, 1].
 func (k *Keeper) Load(odds *wire.Odds) *base.Mishap {
 	if odds.GetEpsilon() <= 0 || odds.GetEpsilon() > 1 {
 		return base.Bounce(base.OutOfRange, "odds.epsilon", "%v", odds.GetEpsilon())
@@ -31,6 +38,8 @@
 	return nil
 }
 
+// Chance returns the probability that a call of the identifier is recorded: 1
+// if the odds don't name it.
 func (k *Keeper) Chance(identifier string) float64 {
 	odds := k.odds.Load()
 	if odds == nil {
@@ -43,6 +52,7 @@
 	return chance
 }
 
+// Keep draws whether to record a call of the identifier.
 func (k *Keeper) Keep(identifier string) bool {
 	chance := k.Chance(identifier)
 	return chance >= 1 || k.rand.Float64() < chance
--- a/internal/tracing/sink.go
+++ b/internal/tracing/sink.go
@@ -13,12 +13,19 @@
 	"curlewreach/proto/wire/wireconnect"
 )
 
+// Bounds of the way from nodes to the store.
 const (
+	// copiesEach is the number of core machines that store each batch.
 	copiesEach = 2
-	batchMost  = 512
-	owedMost   = 64
+	// batchMost is the most spans in one batch.
+	batchMost = 512
+	// owedMost is the most batches that wait to be delivered; the oldest are
+	// dropped beyond it.
+	owedMost = 64
 )
 
+// Sink sends a node's spans to the core machines in batches, off the requests'
+// way. Spans and batches beyond its bounds are dropped and noted.
 type Sink struct {
 	scope base.Scope
 	spans chan *wire.Span
@@ -27,6 +34,8 @@
 	owed  deque.Deque[*wire.Batch]
 }
 
+// NewSink returns a sink that holds at most bound spans and sends to the core
+// machines at the addresses seeds.
 func NewSink(s base.Scope, web *http.Client, seeds []string, bound int) *Sink {
 	sink := &Sink{scope: s, spans: make(chan *wire.Span, bound)}
 	for _, seed := range seeds {
@@ -35,8 +44,10 @@
 	return sink
 }
 
+// Waiting returns the queue of spans not yet in a batch.
 func (k *Sink) Waiting() <-chan *wire.Span { return k.spans }
 
+// Push queues a span, or drops it if the queue is full. It never blocks.
 func (k *Sink) Push(span *wire.Span) {
 	select {
 	case k.spans <- span:
@@ -45,6 +56,8 @@
 	}
 }
 
+// Run sends what is queued at each interval until the scope ends. A call to a
+// core machine is given up after the interval.
 func (k *Sink) Run(s base.Scope, every time.Duration) {
 	base.Tick(s, every, func(s base.Scope) {
 		k.flush()
--- a/internal/tracing/store.go
+++ b/internal/tracing/store.go
@@ -17,12 +17,18 @@
 	"curlewreach/proto/wire/wireconnect"
 )
 
+// traceFolder is the folder, in the process's data folder, of the store's
+// files.
 const traceFolder = "traces"
 
+// mostFiles is the most files that the store keeps, one for each interval in
+// which spans came.
+const mostFiles = 64
+
+// Store keeps the newest spans on a core machine, in memory and in files.
 type Store struct {
 	scope       base.Scope
 	bound       int
-	files       int
 	incarnation string
 	mu          sync.Mutex
 	spans       deque.Deque[*wire.Span]
@@ -33,8 +39,10 @@
 	mates       func() []wireconnect.LensClient
 }
 
+// OpenStore returns a store of at most bound spans, with those that the disk
+// still holds. Files that can't be read are deleted.
 func OpenStore(s base.Scope, bound int) *Store {
-	store := &Store{scope: s, bound: bound, files: 64, incarnation: s.Rand.Name(6)}
+	store := &Store{scope: s, bound: bound, incarnation: s.Rand.Name(6)}
 	_ = s.Disk.MakeFolder(traceFolder)
 	names, _ := s.Disk.List(traceFolder)
 	slices.Sort(names)
@@ -61,6 +69,7 @@
 	}
 }
 
+// Add stores spans. They are on disk after the next Flush.
 func (t *Store) Add(spans []*wire.Span) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,7 +82,8 @@
 	}
 }
 
-// Mates names the other stores, which keep copies of what this one holds.
+// Mates sets the other core machines, which get the copies that this one keeps
+// for them. It is called once, before Run.
 func (t *Store) Mates(web *http.Client, addresses []string) {
 	var clients []wireconnect.LensClient
 	for _, address := range addresses {
@@ -93,6 +103,7 @@
 	return t.mates()
 }
 
+// Run writes files and delivers copies at each interval until the scope ends.
 func (t *Store) Run(s base.Scope, every time.Duration) {
 	base.Tick(s, every, func(base.Scope) {
 		t.Flush()
@@ -110,12 +121,14 @@
 	}
 }
 
+// Len returns how many spans are held in memory.
 func (t *Store) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.spans.Len() + len(t.fresh)
 }
 
+// Owed returns how many batches are held for other core machines.
 func (t *Store) Owed() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,6 +154,9 @@
 	}
 }
 
+// Flush writes the spans that came since the last call to a file, and removes
+// the oldest files beyond mostFiles. A failure is noted and the spans stay in
+// memory only.
 func (t *Store) Flush() {
 	t.mu.Lock()
 	fresh := t.fresh
@@ -161,12 +177,14 @@
 	}
 	names, _ := t.scope.Disk.List(traceFolder)
 	slices.Sort(names)
-	for len(names) > t.files {
+	for len(names) > mostFiles {
 		_ = t.scope.Disk.Remove(traceFolder + "/" + names[0])
 		names = names[1:]
 	}
 }
 
+// Recent returns at most limit spans that came after the number given, and the
+// number of the last of them.
 func (t *Store) Recent(after uint64, limit int) ([]*wire.Span, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -179,6 +197,7 @@
 	return spans, after
 }
 
+// Trace returns all spans held of a trace.
 func (t *Store) Trace(trace string) []*wire.Span {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -193,6 +212,7 @@
 
 type server struct{ store *Store }
 
+// Handler returns the path and handler of the store's service.
 func Handler(t *Store) (string, http.Handler) {
 	return wireconnect.NewLensHandler(server{t}, base.Plain())
 }
