--- a/internal/placement/solve.go
+++ b/internal/placement/solve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/crillab/gophersat/solver"
@@ -9,20 +10,43 @@
 	"curlewreach/proto/wire"
 )
 
+// Seat is one replica's place. A machine holds at most one replica of a
+// service.
 type Seat struct{ Service, Machine, Zone string }
 
+// demand is one requirement of a plan, by a name for people. A barred one can't
+// be met whatever the others are.
 type demand struct {
 	name   string
 	lines  []solver.PBConstr
 	barred bool
 }
 
+// board numbers the solver's variables: whether a service has a replica on a
+// machine.
 type board struct {
 	plan *wire.PerchPlan
 	seat map[string]map[string]int
 }
 
+// Solve returns a placement that meets the whole plan, or else a minimal set of
+// demands that clash: dropping any one of them resolves it. The plan must have
+// passed Check.
 func Solve(plan *wire.PerchPlan) (seats []Seat, clash []string) {
+	b := newBoard(plan)
+	demands := b.demands()
+	needed := map[int]bool{}
+	for i := range demands {
+		needed[i] = true
+	}
+	if model := b.solve(needed); model != nil {
+		return b.seats(model), nil
+	}
+	return nil, b.clash(demands, needed)
+}
+
+// newBoard numbers the variables from 1, as the solver's literals are.
+func newBoard(plan *wire.PerchPlan) *board {
 	b := &board{plan: plan, seat: map[string]map[string]int{}}
 	next := 0
 	for _, service := range plan.Services {
@@ -32,31 +56,36 @@
 			b.seat[service.Name][machine.Name] = next
 		}
 	}
-	needed := map[int]bool{}
-	demands := b.demands()
-	for i := range demands {
-		needed[i] = true
-	}
-	if model := b.solve(needed); model != nil {
-		for _, service := range plan.Services {
-			for _, machine := range plan.Machines {
-				if model[b.seat[service.Name][machine.Name]-1] {
-					seats = append(seats, Seat{service.Name, machine.Name, machine.Zone})
-				}
+	return b
+}
+
+// seats returns the placements that are true in a model.
+func (b *board) seats(model []bool) []Seat {
+	var seats []Seat
+	for _, service := range b.plan.Services {
+		for _, machine := range b.plan.Machines {
+			if model[b.seat[service.Name][machine.Name]-1] {
+				seats = append(seats, Seat{service.Name, machine.Name, machine.Zone})
 			}
 		}
-		return seats, nil
 	}
+	return seats
+}
+
+// clash leaves out each demand in turn, for good if the others still can't be
+// met, and returns the names of those that remain.
+func (b *board) clash(demands []demand, needed map[int]bool) []string {
 	for i := len(demands) - 1; i >= 0; i-- {
 		needed[i] = false
 		needed[i] = b.solve(needed) != nil
 	}
+	var names []string
 	for i, each := range demands {
 		if needed[i] {
-			clash = append(clash, each.name)
+			names = append(names, each.name)
 		}
 	}
-	return nil, clash
+	return names
 }
 
 func (b *board) solve(needed map[int]bool) []bool {
@@ -136,57 +165,77 @@
 	return solver.LtEq(append([]int{}, seats...), weights, count)
 }
 
-func (b *board) rule(rule *wire.PerchRule, replicas map[string]int) (lines []solver.PBConstr) {
-	each := func(do func(machine *wire.PerchMachine, seats []int)) {
-		for _, machine := range b.plan.Machines {
-			var seats []int
-			for _, service := range rule.Services {
-				seats = append(seats, b.seat[service][machine.Name])
-			}
-			do(machine, seats)
-		}
-	}
+// rule returns the constraints of a rule.
+func (b *board) rule(rule *wire.PerchRule, replicas map[string]int) []solver.PBConstr {
 	switch rule.Kind {
 	case Spread:
-		zones := map[string]bool{}
-		for _, machine := range b.plan.Machines {
-			zones[machine.Zone] = true
-		}
-		for _, service := range rule.Services {
-			for zone := range zones {
-				within := b.on(service, func(m *wire.PerchMachine) bool { return m.Zone == zone })
-				lines = append(lines, atMost(within, (replicas[service]+len(zones)-1)/len(zones)))
-			}
-		}
+		return b.spread(rule, replicas)
 	case Apart:
-		each(func(_ *wire.PerchMachine, seats []int) { lines = append(lines, atMost(seats, 1)) })
+		return b.most(rule, 1)
 	case Together:
-		each(func(_ *wire.PerchMachine, seats []int) {
-			for i := range seats {
-				lines = append(lines, solver.PropClause(-seats[i], seats[(i+1)%len(seats)]))
-			}
-		})
+		return b.together(rule)
 	case Pinned:
-		for _, service := range rule.Services {
-			for _, seat := range b.on(service, func(m *wire.PerchMachine) bool { return !contains(rule.Machines, m.Name) }) {
-				lines = append(lines, solver.PropClause(-seat))
-			}
-		}
+		return b.pinned(rule)
 	case Most:
-		each(func(machine *wire.PerchMachine, seats []int) {
-			if len(rule.Machines) == 0 || contains(rule.Machines, machine.Name) {
-				lines = append(lines, atMost(seats, int(rule.Most)))
-			}
-		})
+		return b.most(rule, int(rule.Most))
+	}
+	return nil
+}
+
+// spread bounds a service's replicas in each zone by its even part, rounded up.
+func (b *board) spread(rule *wire.PerchRule, replicas map[string]int) (lines []solver.PBConstr) {
+	zones := map[string]bool{}
+	for _, machine := range b.plan.Machines {
+		zones[machine.Zone] = true
+	}
+	for _, service := range rule.Services {
+		for zone := range zones {
+			within := b.on(service, func(m *wire.PerchMachine) bool { return m.Zone == zone })
+			lines = append(lines, atMost(within, (replicas[service]+len(zones)-1)/len(zones)))
+		}
 	}
 	return lines
 }
 
-func contains(names []string, name string) bool {
-	for _, each := range names {
-		if each == name {
-			return true
+// most bounds the rule's services on each machine. Only a rule of kind Most
+// may be limited to some machines.
+func (b *board) most(rule *wire.PerchRule, count int) (lines []solver.PBConstr) {
+	everywhere := rule.Kind != Most || len(rule.Machines) == 0
+	for _, machine := range b.plan.Machines {
+		if everywhere || slices.Contains(rule.Machines, machine.Name) {
+			lines = append(lines, atMost(b.of(rule.Services, machine), count))
 		}
 	}
-	return false
+	return lines
+}
+
+// together lets each service on a machine imply the next one of the rule, and
+// the last the first.
+func (b *board) together(rule *wire.PerchRule) (lines []solver.PBConstr) {
+	for _, machine := range b.plan.Machines {
+		seats := b.of(rule.Services, machine)
+		for i := range seats {
+			lines = append(lines, solver.PropClause(-seats[i], seats[(i+1)%len(seats)]))
+		}
+	}
+	return lines
+}
+
+// pinned excludes all machines but those of the rule.
+func (b *board) pinned(rule *wire.PerchRule) (lines []solver.PBConstr) {
+	for _, service := range rule.Services {
+		for _, seat := range b.on(service, func(m *wire.PerchMachine) bool { return !slices.Contains(rule.Machines, m.Name) }) {
+			lines = append(lines, solver.PropClause(-seat))
+		}
+	}
+	return lines
+}
+
+// of returns the variables of the services on a machine.
+func (b *board) of(services []string, machine *wire.PerchMachine) []int {
+	var seats []int
+	for _, service := range services {
+		seats = append(seats, b.seat[service][machine.Name])
+	}
+	return seats
 }
