--- a/cmd/keel/main.go
+++ b/cmd/keel/main.go
@@ -1,3 +1,5 @@
+// Command keel runs a core machine of a fleet of listed machines: it keeps
+// the signed configuration and what was learned, and hands them out.
 package main
 
 import (
--- a/cmd/mime/main.go
+++ b/cmd/mime/main.go
@@ -1,3 +1,4 @@
+// Command mime stands in for an upstream or for visitors, to try a fleet.
 package main
 
 import (
--- a/cmd/vane/main.go
+++ b/cmd/vane/main.go
@@ -1,3 +1,6 @@
+// Command vane runs an application machine of a fleet of listed machines: it
+// carries requests between the instances beside it and its peers, and
+// records spans.
 package main
 
 import (
--- a/proto/mint/main.go
+++ b/proto/mint/main.go
@@ -1,3 +1,6 @@
+// Command mint generates the Go code of proto/*.proto into proto/wire, with
+// the generators declared as tools in go.mod. It is run at the project's
+// root and needs no protoc.
 package main
 
 import (
