--- a/assay/check_test.go
+++ b/assay/check_test.go
@@ -8,7 +8,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -46,7 +46,7 @@
 	for _, name := range services {
 		b.Services = append(b.Services, &wire.Service{Name: name, Allowance: 2, Routes: []*wire.Route{{Name: "hold", Method: "POST", Path: "/" + name + "/hold/{n}"}, {Name: "search", Method: "GET", Path: "/" + name + "/search/{n}"}}})
 	}
-	sealed, err := pact.Pack(b)
+	sealed, err := bundle.Pack(b)
 	Expect(err).NotTo(HaveOccurred())
 	return sealed
 }
@@ -194,14 +194,14 @@
 		ginkgo.Entry("a bounced bundle held by a node", BouncedOut, true, func(p planting) {
 			p.Signed("a", packed(2, "lending"))
 			p.acked("a", bounced, 0)
-			p.Read(Reading{At: p.Now(), Node: "n", Serial: 2, Digest: pact.Digest(packed(2, "lending"))})
+			p.Read(Reading{At: p.Now(), Node: "n", Serial: 2, Digest: bundle.Digest(packed(2, "lending"))})
 		}),
 		ginkgo.Entry("the winner held beside a bounced one", BouncedOut, false, func(p planting) {
 			p.Signed("a", packed(2, "lending"))
 			p.Signed("b", packed(2, "catalogue"))
 			p.acked("a", bounced, 0)
 			p.acked("b", taken, 2)
-			p.Read(Reading{At: p.Now(), Node: "n", Serial: 2, Digest: pact.Digest(packed(2, "catalogue"))})
+			p.Read(Reading{At: p.Now(), Node: "n", Serial: 2, Digest: bundle.Digest(packed(2, "catalogue"))})
 		}),
 		ginkgo.Entry("a serial in force that nobody acked", BouncedOut, true, func(p planting) {
 			p.acked("a", bounced, 0)
--- a/assay/history.go
+++ b/assay/history.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -19,7 +19,7 @@
 	digest string
 	base   uint64
 	body   []byte
-	bundle *pact.Bundle
+	bundle *bundle.Bundle
 }
 
 type History struct {
@@ -120,9 +120,9 @@
 }
 
 func (h *History) Signed(submission string, sealed *wire.Sealed) {
-	row := signed{digest: pact.Digest(sealed), body: whole(sealed)}
-	if raw, mishap := pact.Open(sealed); mishap == nil {
-		row.base, row.bundle = raw.Base, pact.Index(sealed, raw)
+	row := signed{digest: bundle.Digest(sealed), body: whole(sealed)}
+	if raw, mishap := bundle.Open(sealed); mishap == nil {
+		row.base, row.bundle = raw.Base, bundle.Index(sealed, raw)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/cmd/quiz/main.go
+++ b/cmd/quiz/main.go
@@ -21,7 +21,7 @@
 
 	"curlewreach/base"
 	"curlewreach/helm"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -215,7 +215,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Println(strings.Join(pact.Difference(before.Bundle, after.Bundle), "\n"))
+		fmt.Println(strings.Join(bundle.Difference(before.Bundle, after.Bundle), "\n"))
 		return nil
 	case a.Holdings != nil:
 		reply, err := clerk.Holdings(ctx)
@@ -373,7 +373,7 @@
 	if err := readProto(s.Draft, reply); err != nil {
 		return err
 	}
-	shown, mishap := pact.Open(reply.Sealed)
+	shown, mishap := bundle.Open(reply.Sealed)
 	if mishap != nil {
 		return mishap
 	}
@@ -384,7 +384,7 @@
 	if err != nil {
 		return err
 	}
-	pact.Sign(reply.Sealed, key)
+	bundle.Sign(reply.Sealed, key)
 	body, err := protojson.Marshal(reply.Sealed)
 	if err != nil {
 		return err
@@ -392,15 +392,15 @@
 	return os.WriteFile(s.Out, body, 0o644)
 }
 
-func request(serial uint64, bundle, change string, forsaken []string) (*wire.DraftRequest, error) {
+func request(serial uint64, signed, change string, forsaken []string) (*wire.DraftRequest, error) {
 	ask := &wire.DraftRequest{Base: serial, Forsaken: forsaken}
-	if bundle != "" {
+	if signed != "" {
 		ask.Bundle = &wire.Bundle{}
-		if err := readProto(bundle, ask.Bundle); err != nil {
+		if err := readProto(signed, ask.Bundle); err != nil {
 			return nil, err
 		}
 	}
-	if change == "" && bundle == "" && len(forsaken) > 0 {
+	if change == "" && signed == "" && len(forsaken) > 0 {
 		ask.Change = &wire.Change{DropMachines: forsaken}
 	}
 	if change != "" {
--- a/fleet/desk_test.go
+++ b/fleet/desk_test.go
@@ -16,9 +16,9 @@
 	"curlewreach/base"
 	"curlewreach/flow"
 	"curlewreach/helm"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/tracing"
 	"curlewreach/mime"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -79,29 +79,29 @@
 		status, mishap = f.handIn("unsigned", f.drafted(nudge(2)))
 		expect(status, mishap, base.Unsigned)
 		forged := f.drafted(nudge(2))
-		pact.Sign(forged, f.Key)
+		bundle.Sign(forged, f.Key)
 		forged.Signature[0] ^= 1
 		status, mishap = f.handIn("forged", forged)
 		expect(status, mishap, base.Untrusted)
 		short := f.drafted(nudge(2))
-		pact.Sign(short, f.Key)
+		bundle.Sign(short, f.Key)
 		short.Parts = short.Parts[:1]
 		status, mishap = f.handIn("short", short)
 		expect(status, mishap, base.Malformed)
 		spoiled := proto.Clone(f.Shape).(*wire.Bundle)
 		spoiled.Serial, spoiled.Base = 2, 1
 		spoiled.Services[0].Routes[0].Path = "no slash"
-		sealed, err := pact.Pack(spoiled)
+		sealed, err := bundle.Pack(spoiled)
 		Expect(err).NotTo(HaveOccurred())
-		pact.Sign(sealed, f.Key)
+		bundle.Sign(sealed, f.Key)
 		status, mishap = f.handIn("signed but broken", sealed)
 		expect(status, mishap, base.OutOfRange)
 		stale := proto.Clone(f.Shape).(*wire.Bundle)
-		pact.Normalise(stale, pact.UsualLimits(6*time.Second))
+		bundle.Normalise(stale, bundle.UsualLimits(6*time.Second))
 		stale.Serial, stale.Base = 6, 5
-		sealed, err = pact.Pack(stale)
+		sealed, err = bundle.Pack(stale)
 		Expect(err).NotTo(HaveOccurred())
-		pact.Sign(sealed, f.Key)
+		bundle.Sign(sealed, f.Key)
 		status, mishap = f.handIn("wrong base", sealed)
 		expect(status, mishap, base.StaleBase)
 		for i, m := range f.Keels {
@@ -112,7 +112,7 @@
 	story("given a submission handed in twice at different keels, when the second comes, then it is decided once", []uint64{1, 2}, func(f *Fleet) {
 		raised(f)
 		sealed := f.drafted(nudge(2))
-		pact.Sign(sealed, f.Key)
+		bundle.Sign(sealed, f.Key)
 		for _, one := range f.Clerk.Each() {
 			outcome, err := one.Sign(f.Scope, "once", sealed)
 			Expect(err).NotTo(HaveOccurred())
@@ -129,7 +129,7 @@
 		for serial := uint64(1); serial < 4; serial++ {
 			Expect(f.push(fmt.Sprint("s", serial), serial, nudge(float64(serial+1))).Verdict).To(Equal(wire.Verdict_TAKEN))
 		}
-		trust, err := pact.NewTrust(f.trusted)
+		trust, err := bundle.NewTrust(f.trusted)
 		Expect(err).NotTo(HaveOccurred())
 		for serial := uint64(1); serial <= 4; serial++ {
 			reply, err := f.Clerk.Show(f.Scope, serial)
@@ -137,7 +137,7 @@
 			manifest, mishap := trust.Verify(reply.Sealed)
 			Expect(mishap).To(BeNil())
 			Expect(manifest.Serial).To(Equal(serial))
-			Expect(pact.Whole(reply.Sealed, manifest)).To(BeTrue())
+			Expect(bundle.Whole(reply.Sealed, manifest)).To(BeTrue())
 		}
 		_, err = f.Clerk.Show(f.Scope, 9)
 		Expect(err).To(HaveOccurred())
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -9,8 +9,8 @@
 
 	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/mime"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -262,11 +262,11 @@
 			reply = got
 			return err == nil
 		})).To(BeTrue())
-		trust, err := pact.NewTrust(f.trusted)
+		trust, err := bundle.NewTrust(f.trusted)
 		Expect(err).NotTo(HaveOccurred())
 		manifest, mishap := trust.Verify(reply.Sealed)
 		Expect(mishap).To(BeNil())
-		Expect(pact.Whole(reply.Sealed, manifest)).To(BeTrue())
+		Expect(bundle.Whole(reply.Sealed, manifest)).To(BeTrue())
 	})
 
 	story("given a staged bundle on one disk only, when every machine loses power, then the core settles it and serves without being asked", []uint64{1, 2, 3}, func(f *Fleet) {
--- a/fleet/scale/measure_test.go
+++ b/fleet/scale/measure_test.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/config"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -45,7 +45,7 @@
 
 func BenchmarkLearn(b *testing.B) {
 	usual := &wire.Bundle{Common: &wire.Common{Tracing: &wire.Tracing{Cycle: durationpb.New(5 * time.Second)}}}
-	pact.Normalise(usual, pact.UsualLimits(6*time.Second))
+	bundle.Normalise(usual, bundle.UsualLimits(6*time.Second))
 	for _, size := range []struct{ routes, spans int }{{40, 5000}, {300, 5000}, {1000, 5000}, {3000, 5000}, {300, 15000}, {300, 45000}} {
 		_, c, m := measured(20, size.routes)
 		var spans []*wire.Span
--- a/flow/budget.go
+++ b/flow/budget.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 )
 
 type meter struct{ seconds [2]atomic.Uint64 }
@@ -49,15 +49,15 @@
 
 func NewBudget(clock base.Clock) *Budget { return &Budget{clock: clock} }
 
-func (b *Budget) Set(bundle *pact.Bundle) {
+func (b *Budget) Set(signed *bundle.Bundle) {
 	total := 0.0
-	shares := bundle.Raw.GetCommon().GetShares()
+	shares := signed.Raw.GetCommon().GetShares()
 	for _, share := range shares {
 		total += share.Watched
 	}
 	rows := map[string]allowance{}
 	for _, share := range shares {
-		row := allowance{meter: &meter{}, spent: &atomic.Uint64{}, most: max(uint32(bundle.Tracing().GetBudget()*share.Watched/total), 1)}
+		row := allowance{meter: &meter{}, spent: &atomic.Uint64{}, most: max(uint32(signed.Tracing().GetBudget()*share.Watched/total), 1)}
 		if prior := b.rows.Load(); prior != nil {
 			if kept, ok := (*prior)[share.Group]; ok {
 				row.meter, row.spent = kept.meter, kept.spent
--- a/flow/budget_test.go
+++ b/flow/budget_test.go
@@ -9,17 +9,17 @@
 	. "github.com/onsi/gomega"
 
 	"curlewreach/fleet/rig"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
 var _ = ginkgo.Describe("close watching", func() {
-	shares := func(weights ...float64) *pact.Bundle {
+	shares := func(weights ...float64) *bundle.Bundle {
 		b := &wire.Bundle{Common: &wire.Common{Tracing: &wire.Tracing{Budget: 90}}}
 		for i, weight := range weights {
 			b.Common.Shares = append(b.Common.Shares, &wire.Share{Group: string(rune('a' + i)), Watched: weight})
 		}
-		return pact.Index(nil, b)
+		return bundle.Index(nil, b)
 	}
 	play := func(budget *Budget, clock *rig.Clock, seconds int, asks map[string]int) (got map[string]int) {
 		got = map[string]int{}
--- a/flow/claims.go
+++ b/flow/claims.go
@@ -8,8 +8,8 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/quorum"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -35,9 +35,9 @@
 	mu       sync.Mutex
 	keels    []word
 	mates    map[string]word
-	held     *pact.Bundle
-	staged   *pact.Bundle
-	recalled *pact.Bundle
+	held     *bundle.Bundle
+	staged   *bundle.Bundle
+	recalled *bundle.Bundle
 	ballot   *wire.Ballot
 	wanted   uint64
 	definite bool
@@ -50,7 +50,7 @@
 	return &Claims{alone: alone, cored: clock.Mono(), clock: clock, since: clock.Mono() + settling, self: self, keels: make([]word, keels), mates: map[string]word{}, length: length}
 }
 
-func (c *Claims) Held() (held, staged *pact.Bundle, ballot *wire.Ballot) {
+func (c *Claims) Held() (held, staged *bundle.Bundle, ballot *wire.Ballot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.held, c.staged, c.ballot
@@ -79,12 +79,12 @@
 
 func (c *Claims) tooLong() bool { return c.alone > 0 && c.clock.Mono()-c.cored > c.alone }
 
-func (c *Claims) byMates(bundle *pact.Bundle, ahead time.Duration, own int) bool {
+func (c *Claims) byMates(signed *bundle.Bundle, ahead time.Duration, own int) bool {
 	if c.tooLong() {
 		return false
 	}
 	oldest, good := c.clock.Mono()+ahead-c.length, 0
-	for machine := range bundle.Machines() {
+	for machine := range signed.Machines() {
 		if machine.Core {
 			continue
 		}
@@ -92,14 +92,14 @@
 			good += own
 			continue
 		}
-		if each := c.mates[machine.Name]; each.definite && each.at >= oldest && each.serial <= bundle.Serial {
+		if each := c.mates[machine.Name]; each.definite && each.at >= oldest && each.serial <= signed.Serial {
 			good++
 		}
 	}
-	return good >= bundle.Vanes()/2+1
+	return good >= signed.Vanes()/2+1
 }
 
-func (c *Claims) Heard(keel int, asked time.Duration, news *wire.NewsReply, open func(*wire.Sealed) *pact.Bundle) (risen *pact.Bundle) {
+func (c *Claims) Heard(keel int, asked time.Duration, news *wire.NewsReply, open func(*wire.Sealed) *bundle.Bundle) (risen *bundle.Bundle) {
 	slice, staged := open(news.Slice), open(news.Staged)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,7 +121,7 @@
 	return risen
 }
 
-func (c *Claims) rise(offered ...*pact.Bundle) (risen *pact.Bundle) {
+func (c *Claims) rise(offered ...*bundle.Bundle) (risen *bundle.Bundle) {
 	for _, each := range append(offered, c.staged, c.recalled) {
 		if each == nil || each.Serial != c.wanted {
 			continue
@@ -142,13 +142,13 @@
 	}
 }
 
-func (c *Claims) Recall(bundle *pact.Bundle) {
+func (c *Claims) Recall(signed *bundle.Bundle) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recalled = bundle
+	c.recalled = signed
 }
 
-func (c *Claims) Vouched(asked time.Duration, reply *wire.VouchReply, open func(*wire.Sealed) *pact.Bundle) (risen *pact.Bundle) {
+func (c *Claims) Vouched(asked time.Duration, reply *wire.VouchReply, open func(*wire.Sealed) *bundle.Bundle) (risen *bundle.Bundle) {
 	slice := open(reply.Slice)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,7 +179,7 @@
 	return reply
 }
 
-func (c *Claims) mostKnown() *pact.Bundle {
+func (c *Claims) mostKnown() *bundle.Bundle {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.held == nil {
@@ -218,7 +218,7 @@
 	})
 }
 
-func (c *Claims) backers(known *pact.Bundle, serial uint64) []*wire.Machine {
+func (c *Claims) backers(known *bundle.Bundle, serial uint64) []*wire.Machine {
 	good := c.Good(serial)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/flow/ledger.go
+++ b/flow/ledger.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 )
 
 type State int
@@ -43,7 +43,7 @@
 const mostAttempts = 4
 
 type Ledger struct {
-	Way      pact.Way
+	Way      bundle.Way
 	Until    time.Duration
 	Attempts []*Attempt
 	Patient  bool
--- a/flow/near.go
+++ b/flow/near.go
@@ -15,8 +15,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -65,17 +65,17 @@
 func (n *Node) answer(ctx context.Context, request any) (any, error) {
 	e := request.(*errand)
 	s := n.scope.Under(ctx)
-	bundle := n.slice.Load()
-	if bundle == nil {
+	signed := n.slice.Load()
+	if signed == nil {
 		return nil, base.Bounce(base.Uncertain, "", "no bundle is held here yet")
 	}
-	if !n.claims.Good(bundle.Serial) {
-		if mishap := n.abreast(s, bundle.Serial); mishap != nil && mishap.Kind != base.Stale {
+	if !n.claims.Good(signed.Serial) {
+		if mishap := n.abreast(s, signed.Serial); mishap != nil && mishap.Kind != base.Stale {
 			return nil, mishap
 		}
-		bundle = n.slice.Load()
+		signed = n.slice.Load()
 	}
-	way, known := bundle.Match(e.request.Method, e.request.URL.Path)
+	way, known := signed.Match(e.request.Method, e.request.URL.Path)
 	if !known {
 		return nil, base.Bounce(base.NoRoute, "", "no route for %s %s", e.request.Method, e.request.URL.Path)
 	}
@@ -85,7 +85,7 @@
 	}
 	s, cancel := s.Within(way.Deadline())
 	defer cancel()
-	leave, mishap := n.gate.Enter(s, way.Group, bundle.Share(way.Group).GetCarried(), until)
+	leave, mishap := n.gate.Enter(s, way.Group, signed.Share(way.Group).GetCarried(), until)
 	if mishap != nil {
 		return nil, mishap
 	}
@@ -108,12 +108,12 @@
 	if len(body) > longest {
 		return nil, base.Bounce(base.TooLarge, "", "%d bytes at most", longest)
 	}
-	trail, spent := n.trail(e, bundle, way)
+	trail, spent := n.trail(e, signed, way)
 	defer spent()
 	e.w.Header().Set(traceHeader, trail.Trace)
 	ledger := &Ledger{Way: way, Until: until}
 	if !trail.Sampled || !n.keeper.Keep(way.Identifier()) || !n.budget.Spend(way.Group) {
-		return n.settle(s, e, bundle, ledger, body, trail)
+		return n.settle(s, e, signed, ledger, body, trail)
 	}
 	span := &wire.Span{
 		Trace: trail.Trace, Id: n.scope.Rand.Name(8), Parent: trail.Parent, Service: way.Service.Name, Route: way.Route.Name,
@@ -122,7 +122,7 @@
 	began := s.Clock.Mono()
 	trail.Parent = span.Id
 	defer func() { n.watched(span, ledger, began) }()
-	return n.settle(s, e, bundle, ledger, body, trail)
+	return n.settle(s, e, signed, ledger, body, trail)
 }
 
 func (n *Node) watched(span *wire.Span, ledger *Ledger, began time.Duration) {
@@ -156,9 +156,9 @@
 	span.DurationUs, span.SelfUs = uint64((till - from).Microseconds()), uint64((till - from - others).Microseconds())
 }
 
-func (n *Node) trail(e *errand, bundle *pact.Bundle, way pact.Way) (*wire.Trail, func()) {
+func (n *Node) trail(e *errand, signed *bundle.Bundle, way bundle.Way) (*wire.Trail, func()) {
 	if e.inner {
-		tie := n.ties.Find(e.request, way, bundle.Holes(way, e.request.URL.Path), bundle.Tracing().GetHeader())
+		tie := n.ties.Find(e.request, way, signed.Holes(way, e.request.URL.Path), signed.Tracing().GetHeader())
 		if tie.Tied {
 			n.scope.Note("tied", way.Identifier(), tie.Parent.span)
 			from := n.scope.Clock.Mono()
@@ -171,11 +171,11 @@
 		}
 		n.scope.Note("untied", way.Identifier(), "")
 	}
-	sampled := n.scope.Rand.Float64() < bundle.Tracing().GetSample()
+	sampled := n.scope.Rand.Float64() < signed.Tracing().GetSample()
 	return &wire.Trail{Trace: n.scope.Rand.Name(16), Sampled: sampled}, func() {}
 }
 
-func (n *Node) settle(s base.Scope, e *errand, bundle *pact.Bundle, ledger *Ledger, body []byte, trail *wire.Trail) (any, error) {
+func (n *Node) settle(s base.Scope, e *errand, signed *bundle.Bundle, ledger *Ledger, body []byte, trail *wire.Trail) (any, error) {
 	way, until := ledger.Way, ledger.Until
 	defer func() {
 		if ledger.Last() != nil && !ledger.Arrived() {
@@ -192,20 +192,20 @@
 		}
 		if last := ledger.Last(); last != nil && last.Mishap.Kind == base.Stale {
 			base.Await(s, time.Duration(float64(n.claims.length)*behindRatio/4), n.risenBell.Heard())
-			bundle = n.slice.Load()
-			fresh, known := bundle.Way(way.Service.Name, way.Route.Name)
+			signed = n.slice.Load()
+			fresh, known := signed.Way(way.Service.Name, way.Route.Name)
 			if !known {
-				return nil, base.Bounce(base.NoRoute, "", "serial %d has no such route", bundle.Serial)
+				return nil, base.Bounce(base.NoRoute, "", "serial %d has no such route", signed.Serial)
 			}
 			way, ledger.Way = fresh, fresh
 		}
 		if ledger.Doubtful() && !n.repeats.Spend(way.Service.Name) {
 			return nil, ledger.Verdict(s.Clock.Mono())
 		}
-		picked, found := n.pick(bundle, way, ledger)
+		picked, found := n.pick(signed, way, ledger)
 		if !found && !ledger.Patient && ledger.Apart() {
 			ledger.Patient = true
-			picked, found = n.pick(bundle, way, ledger)
+			picked, found = n.pick(signed, way, ledger)
 		}
 		if !found {
 			return nil, ledger.Verdict(s.Clock.Mono())
@@ -215,7 +215,7 @@
 			n.repeats.Earn(way.Service.Name)
 		}
 		ledger.Add(attempt)
-		got = n.attempt(s, e, bundle, picked, attempt, way, until, body, trail, len(ledger.Attempts)-1, ledger.Patient)
+		got = n.attempt(s, e, signed, picked, attempt, way, until, body, trail, len(ledger.Attempts)-1, ledger.Patient)
 		attempt.Ended = s.Clock.Mono()
 		n.judge(picked, attempt)
 	}
@@ -325,11 +325,11 @@
 	return err
 }
 
-func (n *Node) attempt(s base.Scope, e *errand, bundle *pact.Bundle, picked place, attempt *Attempt, way pact.Way, until time.Duration, body []byte, trail *wire.Trail, ordinal int, patient bool) *answer {
+func (n *Node) attempt(s base.Scope, e *errand, signed *bundle.Bundle, picked place, attempt *Attempt, way bundle.Way, until time.Duration, body []byte, trail *wire.Trail, ordinal int, patient bool) *answer {
 	caught := &catch{node: n, errand: e, attempt: attempt}
 	defer func() { n.room.give(caught.roomy) }()
 	ask := &wire.CarryRequest{
-		Attempt: attempt.Name, Incarnation: picked.incarnation, Serial: bundle.Serial,
+		Attempt: attempt.Name, Incarnation: picked.incarnation, Serial: signed.Serial,
 		Service: way.Service.Name, Route: way.Route.Name, Seat: picked.seat.Address, Group: way.Group,
 		Method: e.request.Method, Target: e.request.URL.RequestURI(), Headers: headersOf(e.request.Header), Body: body,
 		NotAfterUs: (until + picked.offset).Microseconds(), Trail: trail, Ordinal: uint32(ordinal), Patient: patient,
--- a/flow/node.go
+++ b/flow/node.go
@@ -18,9 +18,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -46,10 +46,10 @@
 type Dials struct {
 	Held    int
 	Longest int
-	Trust   pact.Trust
+	Trust   bundle.Trust
 }
 
-func (n *Node) Turn(params *wire.VaneParams, trust pact.Trust) {
+func (n *Node) Turn(params *wire.VaneParams, trust bundle.Trust) {
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
 	n.gate.Resize(int(params.Flights))
 	n.scope.Note("params", "", "turned")
@@ -75,7 +75,7 @@
 	budget    *Budget
 	keeper    *tracing.Keeper
 	sink      *tracing.Sink
-	slice     atomic.Pointer[pact.Bundle]
+	slice     atomic.Pointer[bundle.Bundle]
 	stopping  atomic.Bool
 	ends      atomic.Int64
 	flying    atomic.Int64
@@ -93,7 +93,7 @@
 	records   map[string]*record
 }
 
-func NewNode(s base.Scope, web *http.Client, params *wire.VaneParams, trust pact.Trust) *Node {
+func NewNode(s base.Scope, web *http.Client, params *wire.VaneParams, trust bundle.Trust) *Node {
 	bounds := params.Bounds
 	leaving := bounds.Leaving.AsDuration()
 	n := &Node{
@@ -185,13 +185,13 @@
 	if err != nil || proto.Unmarshal(raw, sealed) != nil {
 		return
 	}
-	if bundle := n.open(sealed); bundle != nil {
-		n.claims.Recall(bundle)
+	if signed := n.open(sealed); signed != nil {
+		n.claims.Recall(signed)
 		n.scope.Note("recalled", "", "a slice from disk, in force once a majority confirms it")
 	}
 }
 
-func (n *Node) open(sealed *wire.Sealed) *pact.Bundle {
+func (n *Node) open(sealed *wire.Sealed) *bundle.Bundle {
 	if sealed == nil {
 		return nil
 	}
@@ -199,12 +199,12 @@
 		n.scope.Note("slice-bounced", "", mishap.Error())
 		return nil
 	}
-	raw, mishap := pact.Open(sealed)
+	raw, mishap := bundle.Open(sealed)
 	if mishap != nil {
 		n.scope.Note("slice-bounced", "", mishap.Error())
 		return nil
 	}
-	return pact.Index(sealed, raw)
+	return bundle.Index(sealed, raw)
 }
 
 func (n *Node) remember(s base.Scope) {
@@ -214,11 +214,11 @@
 	var crew base.Crew
 	crew.Go(func() {
 		n.keepEach(s, &n.kept, sliceFile, func() ([]byte, error) {
-			bundle := n.slice.Load()
-			if bundle == nil {
+			signed := n.slice.Load()
+			if signed == nil {
 				return nil, nil
 			}
-			return proto.Marshal(bundle.Sealed)
+			return proto.Marshal(signed.Sealed)
 		})
 	})
 	crew.Go(func() {
@@ -264,14 +264,14 @@
 }
 
 func (n *Node) Serving() (serial uint64, digest string, ready bool) {
-	bundle := n.slice.Load()
-	if bundle == nil {
+	signed := n.slice.Load()
+	if signed == nil {
 		return 0, "", false
 	}
-	return bundle.Serial, pact.Digest(bundle.Sealed), n.claims.Good(bundle.Serial) && !n.stopping.Load()
+	return signed.Serial, bundle.Digest(signed.Sealed), n.claims.Good(signed.Serial) && !n.stopping.Load()
 }
 
-func (n *Node) Bundle() *pact.Bundle { return n.slice.Load() }
+func (n *Node) Bundle() *bundle.Bundle { return n.slice.Load() }
 
 func (n *Node) Keeper() *tracing.Keeper { return n.keeper }
 
@@ -325,14 +325,14 @@
 func (n *Node) fill(ask *wire.NewsRequest) {
 	ask.Odds = n.keeper.Serial()
 	ask.Parts, ask.Seats, ask.Serial, ask.Staged = nil, nil, 0, 0
-	bundle, staged, ballot := n.claims.Held()
+	signed, staged, ballot := n.claims.Held()
 	ask.Ballot = ballot
 	if staged != nil {
 		ask.Staged = staged.Serial
 	}
-	if bundle != nil {
-		ask.Serial = bundle.Serial
-		for _, part := range bundle.Sealed.Parts {
+	if signed != nil {
+		ask.Serial = signed.Serial
+		for _, part := range signed.Sealed.Parts {
 			ask.Parts = append(ask.Parts, part.Name)
 		}
 	}
@@ -358,21 +358,21 @@
 	})
 }
 
-func (n *Node) risen(bundle *pact.Bundle) {
-	if bundle == nil {
+func (n *Node) risen(signed *bundle.Bundle) {
+	if signed == nil {
 		return
 	}
 	n.adopting.Lock()
 	defer n.adopting.Unlock()
-	if held := n.slice.Load(); held != nil && held.Serial > bundle.Serial {
+	if held := n.slice.Load(); held != nil && held.Serial > signed.Serial {
 		return
 	}
-	n.repeats.Set(bundle)
-	n.budget.Set(bundle)
-	n.member.Place(bundle.Machines())
-	n.slice.Store(bundle)
-	n.member.Change(func(roster *wire.Roster) { roster.Holding = bundle.Serial })
-	n.scope.Note("in-force", "", strconv.FormatUint(bundle.Serial, 10))
+	n.repeats.Set(signed)
+	n.budget.Set(signed)
+	n.member.Place(signed.Machines())
+	n.slice.Store(signed)
+	n.member.Change(func(roster *wire.Roster) { roster.Holding = signed.Serial })
+	n.scope.Note("in-force", "", strconv.FormatUint(signed.Serial, 10))
 	n.kept.Ring()
 	n.risenBell.Ring()
 }
--- a/flow/pick.go
+++ b/flow/pick.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -55,13 +55,13 @@
 	}
 }
 
-func (n *Node) pick(bundle *pact.Bundle, way pact.Way, ledger *Ledger) (place, bool) {
+func (n *Node) pick(signed *bundle.Bundle, way bundle.Way, ledger *Ledger) (place, bool) {
 	var best place
 	lowest, found := 0.0, false
 	n.picking.Lock()
 	defer n.picking.Unlock()
 	for each := range n.places(way.Service.Name) {
-		if ledger.Tried(each.seat.Address) || (each.node != n.self && bundle.Machine(each.node) == nil) {
+		if ledger.Tried(each.seat.Address) || (each.node != n.self && signed.Machine(each.node) == nil) {
 			continue
 		}
 		score := n.score(each) * (1 + 0.01*n.scope.Rand.Float64())
--- a/flow/repeats.go
+++ b/flow/repeats.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 )
 
 type purse struct {
@@ -19,17 +19,17 @@
 
 func NewRepeats() *Repeats { return &Repeats{purses: map[string]*purse{}} }
 
-func (r *Repeats) Set(bundle *pact.Bundle) {
+func (r *Repeats) Set(signed *bundle.Bundle) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, service := range bundle.Raw.Services {
+	for _, service := range signed.Raw.Services {
 		at := r.purses[service.Name]
 		if at == nil {
 			at = &purse{}
 			r.purses[service.Name] = at
 		}
 		at.ratio = service.Repeats
-		at.depth = float64(service.Allowance) / float64(max(bundle.Vanes(), 1))
+		at.depth = float64(service.Allowance) / float64(max(signed.Vanes(), 1))
 		at.tokens = min(at.tokens, at.depth)
 	}
 }
--- a/flow/repeats_test.go
+++ b/flow/repeats_test.go
@@ -5,20 +5,20 @@
 	. "github.com/onsi/gomega"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
 var _ = ginkgo.Describe("repeats", func() {
 	ginkgo.It("given any pattern of requests and repeats, when every window is checked, then none exceeds a fifth and the allowance", func() {
-		bundle := pact.Index(nil, &wire.Bundle{
+		signed := bundle.Index(nil, &wire.Bundle{
 			Common:   &wire.Common{Machines: []*wire.Machine{{Name: "a"}, {Name: "b"}}},
 			Services: []*wire.Service{{Name: "s", Repeats: 0.2, Allowance: 4}},
 		})
 		for seed := range uint64(20) {
 			rand := base.SeededRand(seed)
 			purse := NewRepeats()
-			purse.Set(bundle)
+			purse.Set(signed)
 			var events []bool
 			for range 2000 {
 				if rand.Float64() < 0.5 {
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -4,15 +4,15 @@
 	"maps"
 	"time"
 
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire/wireconnect"
 )
 
 const unusedRatio = 30
 
 func (n *Node) sweep() {
-	bundle := n.slice.Load()
-	if bundle == nil {
+	signed := n.slice.Load()
+	if signed == nil {
 		return
 	}
 	oldest := n.scope.Clock.Mono() - unusedRatio*n.force
@@ -20,7 +20,7 @@
 	maps.DeleteFunc(n.records, func(_ string, at *record) bool { return at.flying == 0 && at.used < oldest })
 	n.picking.Unlock()
 	known := map[string]bool{}
-	for machine := range bundle.Machines() {
+	for machine := range signed.Machines() {
 		known[machine.Address] = true
 	}
 	for _, each := range n.atlas.Snapshot() {
@@ -32,33 +32,33 @@
 		}
 	}
 	for name, each := range n.atlas.Snapshot() {
-		if bundle.Machine(name) == nil && each.heard < oldest {
+		if signed.Machine(name) == nil && each.heard < oldest {
 			n.atlas.Change(func(rows map[string]outlook) { delete(rows, name) })
 		}
 	}
-	n.gate.Forget(bundle)
-	n.repeats.Forget(bundle)
-	n.ties.Forget(bundle)
+	n.gate.Forget(signed)
+	n.repeats.Forget(signed)
+	n.ties.Forget(signed)
 }
 
-func (g *Gate) Forget(bundle *pact.Bundle) {
+func (g *Gate) Forget(signed *bundle.Bundle) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.lanes, func(group string, at *lane) bool { return at.waiting.Len() == 0 && bundle.Share(group) == nil })
+	maps.DeleteFunc(g.lanes, func(group string, at *lane) bool { return at.waiting.Len() == 0 && signed.Share(group) == nil })
 }
 
-func (r *Repeats) Forget(bundle *pact.Bundle) {
+func (r *Repeats) Forget(signed *bundle.Bundle) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.purses, func(service string, at *purse) bool {
-		return at.depth > 0 && at.tokens >= 0 && bundle.Service(service) == nil
+		return at.depth > 0 && at.tokens >= 0 && signed.Service(service) == nil
 	})
 }
 
-func (t *Ties) Forget(bundle *pact.Bundle) {
+func (t *Ties) Forget(signed *bundle.Bundle) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.turns, func(identifier string, _ time.Duration) bool { return !bundle.Names(identifier) })
+	maps.DeleteFunc(t.turns, func(identifier string, _ time.Duration) bool { return !signed.Names(identifier) })
 }
 
 func (n *Node) Sizes() map[string]int {
--- a/flow/tie.go
+++ b/flow/tie.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -20,7 +20,7 @@
 type flight struct {
 	span      string
 	trail     *wire.Trail
-	way       pact.Way
+	way       bundle.Way
 	seat      *seat
 	fields    func(name string) string
 	began     time.Duration
@@ -80,7 +80,7 @@
 	return f.self(t.clock.Mono()), f.uncertain
 }
 
-func (f *flight) awaits(way pact.Way, child func(string) string) (at int, awaits bool) {
+func (f *flight) awaits(way bundle.Way, child func(string) string) (at int, awaits bool) {
 	for at, further := range f.way.Route.Further {
 		if further.Service == way.Service.Name && further.Route == way.Route.Name && fits(further, f.fields, child) &&
 			(further.Most == 0 || f.arrived[at] < int(further.Most)) {
@@ -108,7 +108,7 @@
 	Tied       bool
 }
 
-func (t *Ties) Find(r *http.Request, way pact.Way, holes map[string]string, header string) Tie {
+func (t *Ties) Find(r *http.Request, way bundle.Way, holes map[string]string, header string) Tie {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if parent := t.flights[spanIn(r.Header.Get(header))]; parent != nil {
--- a/flow/tie_test.go
+++ b/flow/tie_test.go
@@ -10,7 +10,7 @@
 
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -23,13 +23,13 @@
 	})
 })
 
-func further(keys ...*wire.KeyMatch) pact.Way {
-	return pact.Way{Service: &wire.Service{Name: "lending"}, Route: &wire.Route{Name: "borrow", Further: []*wire.Further{{Service: "catalogue", Route: "count", Keys: keys}}}}
+func further(keys ...*wire.KeyMatch) bundle.Way {
+	return bundle.Way{Service: &wire.Service{Name: "lending"}, Route: &wire.Route{Name: "borrow", Further: []*wire.Further{{Service: "catalogue", Route: "count", Keys: keys}}}}
 }
 
 var _ = ginkgo.Describe("tying further calls to parents", func() {
-	child := pact.Way{Service: &wire.Service{Name: "catalogue"}, Route: &wire.Route{Name: "count"}}
-	aloft := func(t *Ties, span string, way pact.Way, book string) *flight {
+	child := bundle.Way{Service: &wire.Service{Name: "catalogue"}, Route: &wire.Route{Name: "count"}}
+	aloft := func(t *Ties, span string, way bundle.Way, book string) *flight {
 		f := &flight{span: span, way: way, seat: &seat{}, trail: &wire.Trail{Trace: "t" + span}, fields: func(string) string { return book }}
 		t.Board(f)
 		return f
--- a/flow/vane.go
+++ b/flow/vane.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -35,7 +35,7 @@
 	if err := Check(params); err != nil {
 		return nil, err
 	}
-	trust, err := pact.NewTrust(params.Trusted)
+	trust, err := bundle.NewTrust(params.Trusted)
 	if err != nil {
 		return nil, err
 	}
@@ -69,7 +69,7 @@
 		params.Upstreams != old.Upstreams || params.Ops != old.Ops || params.Folder != old.Folder {
 		return errors.New("names, addresses and the folder change only with a restart")
 	}
-	trust, err := pact.NewTrust(params.Trusted)
+	trust, err := bundle.NewTrust(params.Trusted)
 	if err != nil {
 		return err
 	}
--- a/helm/clerk.go
+++ b/helm/clerk.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -131,14 +131,14 @@
 	if err != nil {
 		return nil, err
 	}
-	shown, mishap := pact.Open(draft.Sealed)
+	shown, mishap := bundle.Open(draft.Sealed)
 	if mishap != nil {
 		return nil, mishap
 	}
 	if !proto.Equal(shown, draft.Bundle) {
 		return nil, errors.New("the manifest does not fit the bundle shown")
 	}
-	pact.Sign(draft.Sealed, key)
+	bundle.Sign(draft.Sealed, key)
 	if c.Signed != nil {
 		c.Signed(submission, draft.Sealed)
 	}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -9,10 +9,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
 	"curlewreach/internal/quorum"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -32,15 +32,15 @@
 	trove     *quorum.Trove
 	member    *membership.Member
 	traces    *tracing.Store
-	trust     atomic.Pointer[pact.Trust]
-	limits    pact.Limits
+	trust     atomic.Pointer[bundle.Trust]
+	limits    bundle.Limits
 	force     time.Duration
 	silence   time.Duration
 	born      time.Duration
 	mates     map[string]wireconnect.HelmClient
 	lenses    map[string]wireconnect.LensClient
 	news      base.Bell
-	index     base.Table[*pact.Bundle]
+	index     base.Table[*bundle.Bundle]
 	settled   atomic.Pointer[outline]
 	accepted  atomic.Pointer[outline]
 	confirms  base.Table[confirm]
@@ -55,8 +55,8 @@
 	Trove   *quorum.Trove
 	Member  *membership.Member
 	Traces  *tracing.Store
-	Trust   pact.Trust
-	Limits  pact.Limits
+	Trust   bundle.Trust
+	Limits  bundle.Limits
 	Force   time.Duration
 	Slide   time.Duration
 	Silence time.Duration
@@ -187,9 +187,9 @@
 	return seen
 }
 
-func (h *Helm) Current() *pact.Bundle { return h.bundleOf(h.Settled().head.Sealed) }
+func (h *Helm) Current() *bundle.Bundle { return h.bundleOf(h.Settled().head.Sealed) }
 
-func (h *Helm) bundleOf(sealed *wire.Sealed) *pact.Bundle {
+func (h *Helm) bundleOf(sealed *wire.Sealed) *bundle.Bundle {
 	if sealed == nil {
 		return nil
 	}
@@ -197,25 +197,25 @@
 	if indexed, ok := h.index.Get(key); ok {
 		return indexed
 	}
-	raw, mishap := pact.Open(sealed)
+	raw, mishap := bundle.Open(sealed)
 	if mishap != nil {
 		h.scope.Note("bundle-unreadable", "", mishap.Error())
 		return nil
 	}
-	bundle := pact.Index(sealed, raw)
-	h.index.Change(func(rows map[string]*pact.Bundle) {
+	signed := bundle.Index(sealed, raw)
+	h.index.Change(func(rows map[string]*bundle.Bundle) {
 		if len(rows) >= indexesKept {
 			clear(rows)
 		}
-		rows[key] = bundle
+		rows[key] = signed
 	})
-	return bundle
+	return signed
 }
 
 func (h *Helm) Draft(_ context.Context, request *wire.DraftRequest) (*wire.DraftReply, error) {
 	current := &wire.Bundle{}
-	if bundle := h.Current(); bundle != nil {
-		current = bundle.Raw
+	if signed := h.Current(); signed != nil {
+		current = signed.Raw
 	}
 	if request.Base != current.Serial {
 		return nil, base.Bounce(base.StaleBase, "base", "the newest serial is %d", current.Serial)
@@ -227,20 +227,20 @@
 	case request.Bundle != nil:
 		next = proto.Clone(request.Bundle).(*wire.Bundle)
 	case request.Change != nil:
-		next = pact.Apply(current, request.Change)
+		next = bundle.Apply(current, request.Change)
 	default:
 		return nil, base.Bounce(base.Malformed, "bundle", "give a bundle or a change")
 	}
 	next.Base, next.Serial, next.Forsaken = request.Base, request.Base+1, request.Forsaken
-	pact.Normalise(next, h.limits)
-	if mishap := pact.Check(next, h.limits); mishap != nil {
+	bundle.Normalise(next, h.limits)
+	if mishap := bundle.Check(next, h.limits); mishap != nil {
 		return nil, mishap
 	}
-	sealed, err := pact.Pack(next)
+	sealed, err := bundle.Pack(next)
 	if err != nil {
 		return nil, err
 	}
-	return &wire.DraftReply{Bundle: next, Sealed: sealed, Difference: pact.Difference(current, next)}, nil
+	return &wire.DraftReply{Bundle: next, Sealed: sealed, Difference: bundle.Difference(current, next)}, nil
 }
 
 func bounced(submission string, mishap *base.Mishap) *wire.Outcome {
@@ -258,17 +258,17 @@
 	if mishap != nil {
 		return nil, mishap
 	}
-	if !pact.Whole(request.Sealed, manifest) {
+	if !bundle.Whole(request.Sealed, manifest) {
 		return nil, base.Bounce(base.Malformed, "sealed.parts", "parts are missing")
 	}
-	raw, mishap := pact.Open(request.Sealed)
+	raw, mishap := bundle.Open(request.Sealed)
 	if mishap != nil {
 		return nil, mishap
 	}
 	if manifest.Serial != manifest.Base+1 {
 		return nil, base.Bounce(base.Malformed, "manifest.serial", "serial follows base by one")
 	}
-	return manifest, pact.Check(raw, h.limits)
+	return manifest, bundle.Check(raw, h.limits)
 }
 
 func (h *Helm) Read(_ context.Context, serial uint64) (*wire.BundleReply, error) {
@@ -284,7 +284,7 @@
 		if err != nil || head.Sealed == nil {
 			continue
 		}
-		raw, mishap := pact.Open(head.Sealed)
+		raw, mishap := bundle.Open(head.Sealed)
 		if mishap == nil && raw.Serial == serial && serial < current.Serial {
 			return &wire.BundleReply{Serial: serial, Bundle: raw, Sealed: head.Sealed}, nil
 		}
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -10,10 +10,10 @@
 	"github.com/pkg/errors"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
 	"curlewreach/internal/quorum"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -75,7 +75,7 @@
 	if err := Check(params); err != nil {
 		return nil, err
 	}
-	trust, err := pact.NewTrust(params.Trusted)
+	trust, err := bundle.NewTrust(params.Trusted)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 	traces.Mates(web, relays)
 	member := membership.NewMember(s, web, &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone, Core: true},
 		params.Seeds, relays, time.Duration(float64(params.Bounds.Leaving.AsDuration())*beatRatio))
-	limits := pact.UsualLimits(params.Bounds.Grace.AsDuration())
+	limits := bundle.UsualLimits(params.Bounds.Grace.AsDuration())
 	limits.Bytes = int(params.Bundle)
 	k.Helm = New(s, web, Parts{
 		Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force, Slide: params.Bounds.SlideBack.AsDuration(),
@@ -163,7 +163,7 @@
 	if params.Name != k.params.Name || params.Mates != k.params.Mates || params.Operators != k.params.Operators || params.Folder != k.params.Folder {
 		return errors.New("names, addresses and the folder change only with a restart")
 	}
-	trust, err := pact.NewTrust(params.Trusted)
+	trust, err := bundle.NewTrust(params.Trusted)
 	if err != nil {
 		return err
 	}
--- a/helm/learn.go
+++ b/helm/learn.go
@@ -8,9 +8,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -81,7 +81,7 @@
 	return true
 }
 
-func (h *Helm) cycle(s base.Scope, current *pact.Bundle, readers map[string]*reader, holder string) {
+func (h *Helm) cycle(s base.Scope, current *bundle.Bundle, readers map[string]*reader, holder string) {
 	settings := current.Tracing()
 	bounded, cancel := s.Within(settings.GetCycle().AsDuration())
 	defer cancel()
--- a/helm/news.go
+++ b/helm/news.go
@@ -9,9 +9,9 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
 	"curlewreach/internal/quorum"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -76,7 +76,7 @@
 	}
 	if current := h.Current(); current != nil {
 		concerns = current.Concerns(ask.Node, ask.Seats)
-		if slice := pact.Slice(current.Sealed, concerns); current.Serial > ask.Serial || (current.Serial == ask.Serial && lacking(slice, ask.Parts)) {
+		if slice := bundle.Slice(current.Sealed, concerns); current.Serial > ask.Serial || (current.Serial == ask.Serial && lacking(slice, ask.Parts)) {
 			fresh = true
 			if current.Serial != ask.Staged {
 				reply.Slice = slice
@@ -85,7 +85,7 @@
 	}
 	if settled.staged > 0 && settled.staged != ask.Staged {
 		if next := h.bundleOf(settled.head.Staged); next != nil {
-			reply.Staged, fresh = pact.Slice(next.Sealed, next.Concerns(ask.Node, ask.Seats)), true
+			reply.Staged, fresh = bundle.Slice(next.Sealed, next.Concerns(ask.Node, ask.Seats)), true
 		}
 	}
 	if learning := h.Learning(); learning.GetOdds().GetSerial() > ask.Odds {
--- a/helm/rollout.go
+++ b/helm/rollout.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -40,7 +40,7 @@
 	}
 }
 
-func (h *Helm) backing(current *pact.Bundle, staged *outline) (have, need int) {
+func (h *Helm) backing(current *bundle.Bundle, staged *outline) (have, need int) {
 	serial, forsaken, left := staged.staged, forsakenBy(staged.head.Staged), 0
 	for machine := range current.Machines() {
 		if machine.Core || slices.Contains(forsaken, machine.Name) {
--- a/pact/pact_test.go
+++ b/internal/bundle/bundle_test.go
@@ -1,4 +1,4 @@
-package pact
+package bundle
 
 import (
 	"crypto/ed25519"
@@ -17,15 +17,15 @@
 	"curlewreach/proto/wire"
 )
 
-func TestPact(t *testing.T) {
+func TestBundle(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "pact")
+	ginkgo.RunSpecs(t, "bundle")
 }
 
 var limits = UsualLimits(6 * time.Second)
 
 func example(name string) *wire.Bundle {
-	body, err := os.ReadFile("../examples/" + name + "/bundle.json")
+	body, err := os.ReadFile("../../examples/" + name + "/bundle.json")
 	Expect(err).NotTo(HaveOccurred())
 	b := &wire.Bundle{}
 	Expect(protojson.Unmarshal(body, b)).To(Succeed())
--- a/pact/seal.go
+++ b/internal/bundle/seal.go
@@ -1,4 +1,4 @@
-package pact
+package bundle
 
 import (
 	"bytes"
--- a/internal/controlplane/learn.go
+++ b/internal/controlplane/learn.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -57,7 +57,7 @@
 
 func newLearner(m *Moor, c *core) *learner {
 	usual := &wire.Bundle{Common: &wire.Common{Tracing: &wire.Tracing{Cycle: durationpb.New(5 * time.Second)}}}
-	pact.Normalise(usual, pact.UsualLimits(m.params.Load().Grace.AsDuration()))
+	bundle.Normalise(usual, bundle.UsualLimits(m.params.Load().Grace.AsDuration()))
 	l := &learner{moor: m, core: c, tracing: usual.Common.Tracing, cursors: map[string]*cursor{}, moved: m.scope.Clock.Mono(), owed: -1}
 	l.cycle = l.tracing.Cycle.AsDuration()
 	return l
--- a/internal/quorum/old_test.go
+++ b/internal/quorum/old_test.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -29,9 +29,9 @@
 		promised, entry := store.Peek("bundle")
 		head := &wire.Head{}
 		Expect(proto.Unmarshal(entry.Value, head)).To(Succeed())
-		bundle, mishap := pact.Open(head.Sealed)
+		signed, mishap := bundle.Open(head.Sealed)
 		Expect(mishap).To(BeNil())
-		Expect(bundle.Serial).To(Equal(uint64(2)))
+		Expect(signed.Serial).To(Equal(uint64(2)))
 		bounded, cancel := s.Within(time.Second)
 		defer cancel()
 		granted, _, held, err := store.Promise(bounded, "bundle", &wire.Epoch{Number: promised.Number + 1, Keel: place("10.9.0.1:7001")})
--- a/proto/compat/compat_test.go
+++ b/proto/compat/compat_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -184,10 +184,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		sealed := &wire.Sealed{}
 		Expect(proto.Unmarshal(raw, sealed)).To(Succeed())
-		bundle, mishap := pact.Open(sealed)
+		signed, mishap := bundle.Open(sealed)
 		Expect(mishap).To(BeNil())
-		Expect(bundle.Serial).To(Equal(uint64(2)))
-		_, known := pact.Index(sealed, bundle).Match("POST", "/lending/hold/7")
+		Expect(signed.Serial).To(Equal(uint64(2)))
+		_, known := bundle.Index(sealed, signed).Match("POST", "/lending/hold/7")
 		Expect(known).To(BeTrue())
 	})
 })
