--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -1,3 +1,7 @@
+// Package bundle holds the configuration of a fleet of listed machines: one
+// numbered, signed bundle of machines, shares, services, routes and tracing
+// params. It checks one, applies a change, signs and verifies, cuts out what a
+// node needs, and matches requests. docs/bundle.md has the ways weighed.
 package bundle
 
 import (
@@ -9,6 +13,7 @@
 	"curlewreach/proto/wire"
 )
 
+// Bundle is an indexed bundle, or a node's slice of one. It doesn't change.
 type Bundle struct {
 	Serial   uint64
 	Sealed   *wire.Sealed
@@ -20,16 +25,22 @@
 	tree     *tree
 }
 
+// Way is where a request leads: a route, its service, and the group whose share
+// it counts against.
 type Way struct {
 	Service *wire.Service
 	Route   *wire.Route
 	Group   string
 }
 
+// Identifier returns "service/route", unique in the bundle.
 func (w Way) Identifier() string { return w.Service.Name + "/" + w.Route.Name }
 
+// Deadline returns the time a request of the route may take.
 func (w Way) Deadline() time.Duration { return w.Route.GetDeadline().AsDuration() }
 
+// Index indexes an opened bundle or slice. Both arguments must not be changed
+// afterwards.
 func Index(sealed *wire.Sealed, raw *wire.Bundle) *Bundle {
 	b := &Bundle{
 		Serial: raw.Serial, Sealed: sealed, Raw: raw,
@@ -56,20 +67,27 @@
 	return b
 }
 
+// Tracing returns the tracing params.
 func (b *Bundle) Tracing() *wire.Tracing { return b.Raw.GetCommon().GetTracing() }
 
+// Machine returns a machine by its name, or nil.
 func (b *Bundle) Machine(name string) *wire.Machine { return b.machines[name] }
 
+// Service returns a service by its name, or nil.
 func (b *Bundle) Service(name string) *wire.Service { return b.services[name] }
 
+// Share returns a group's share, or nil.
 func (b *Bundle) Share(group string) *wire.Share { return b.shares[group] }
 
+// Machines iterates over all machines in the bundle's order.
 func (b *Bundle) Machines() iter.Seq[*wire.Machine] {
 	return slices.Values(b.Raw.GetCommon().GetMachines())
 }
 
+// Vanes returns the number of application machines.
 func (b *Bundle) Vanes() int { return vanes(b.Raw) }
 
+// Match finds the route of a request. Checked bundles have at most one.
 func (b *Bundle) Match(method, path string) (Way, bool) {
 	segments, ok := split(path)
 	if !ok {
@@ -82,6 +100,7 @@
 	return b.way(found.service, found.route), true
 }
 
+// Way finds a route by its service and name.
 func (b *Bundle) Way(service, route string) (Way, bool) {
 	found := b.services[service]
 	for _, candidate := range found.GetRoutes() {
@@ -92,6 +111,7 @@
 	return Way{}, false
 }
 
+// Names reports whether the identifier is a route of the bundle.
 func (b *Bundle) Names(identifier string) bool {
 	service, route, _ := strings.Cut(identifier, "/")
 	_, known := b.Way(service, route)
@@ -106,6 +126,8 @@
 	return Way{Service: service, Route: route, Group: group}
 }
 
+// Holes returns what a path has in place of the placeholders of the route's
+// template, by their names.
 func (b *Bundle) Holes(way Way, path string) map[string]string {
 	template, _ := split(way.Route.Path)
 	segments, _ := split(path)
@@ -118,6 +140,9 @@
 	return holes
 }
 
+// Concerns returns which services a node needs to know: those with an instance
+// beside it (seated), those these call further, and those that the machine's
+// own visitors call, which are all if it lists none.
 func (b *Bundle) Concerns(node string, seated []string) func(service string) bool {
 	machine := b.machines[node]
 	wanted := map[string]bool{}
--- a/internal/bundle/change.go
+++ b/internal/bundle/change.go
@@ -9,6 +9,8 @@
 	"curlewreach/proto/wire"
 )
 
+// Apply returns the bundle that a change leads to. The current one is left as
+// it is.
 func Apply(current *wire.Bundle, change *wire.Change) *wire.Bundle {
 	b := proto.Clone(current).(*wire.Bundle)
 	if b.Common == nil {
@@ -39,6 +41,8 @@
 	return merged
 }
 
+// Difference returns a line for each item added (+), changed (~) or dropped
+// (-).
 func Difference(before, after *wire.Bundle) []string {
 	var lines []string
 	lines = append(lines, compare("machine", before.GetCommon().GetMachines(), after.GetCommon().GetMachines(), func(m *wire.Machine) string { return m.Name })...)
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -15,26 +15,53 @@
 	"curlewreach/proto/wire"
 )
 
+// Limits are the sizes that a bundle must keep to, and the stop grace of the
+// nodes, which bounds deadlines.
 type Limits struct {
+	// Grace is the time that a stopping node has for requests in flight.
 	Grace    time.Duration
 	Routes   int
 	Machines int
 	Services int
-	Bytes    int
+	// Bytes bounds a request with a bundle or a change.
+	Bytes int
 }
 
 const (
+	// longestDeadline is the longest deadline as a part of the grace: what is
+	// left of it is for the answer's way back.
 	longestDeadline = 5.0 / 6
-	usualDeadline   = 1.0 / 3
-	mostRepeats     = 0.2
+	// usualDeadline is the deadline, as a part of the grace, of a route that
+	// states none.
+	usualDeadline = 1.0 / 3
+	// mostRepeats is the highest, and the default, ratio of repeats to requests
+	// of a service.
+	mostRepeats = 0.2
+	// leastDeadline is the shortest deadline a route may have.
+	leastDeadline = 10 * time.Millisecond
+	// mostFurther bounds the further calls that a route declares for one of its
+	// requests.
+	mostFurther = 1000
+	// leastShare and mostShare bound the weights of a share, so that no group
+	// gets next to nothing by mistake.
+	leastShare = 0.001
+	mostShare  = 1000.0
+	// mostAllowance is the most repeats that an application machine may save up
+	// for a service; the least is 1, as the allowance is divided among the
+	// machines.
+	mostAllowance = 4
 )
 
+// UsualLimits returns the limits of size that core machines hold bundles to,
+// with the grace given.
 func UsualLimits(grace time.Duration) Limits {
 	return Limits{Grace: grace, Routes: 20000, Machines: 512, Services: 512, Bytes: 16 << 20}
 }
 
+// Longest returns the longest deadline a route may have.
 func (l Limits) Longest() time.Duration { return time.Duration(float64(l.Grace) * longestDeadline) }
 
+// Usual returns the deadline of a route that states none.
 func (l Limits) Usual() time.Duration { return time.Duration(float64(l.Grace) * usualDeadline) }
 
 var (
@@ -45,6 +72,7 @@
 	chunk  = regexp.MustCompile(`^(\{[a-z][a-z0-9_]{0,31}\}|[A-Za-z0-9._~-]+)$`)
 )
 
+// Normalise fills in the defaults, in b itself.
 func Normalise(b *wire.Bundle, limits Limits) {
 	if b.Common == nil {
 		b.Common = &wire.Common{}
@@ -93,6 +121,7 @@
 	return count
 }
 
+// inquest collects the first fault found.
 type inquest struct{ found *base.Mishap }
 
 func (q *inquest) bounce(kind base.Kind, path, format string, args ...any) {
@@ -115,6 +144,7 @@
 	seen[name] = true
 }
 
+// Check returns the first fault of a normalised bundle, or nil.
 func Check(b *wire.Bundle, limits Limits) *base.Mishap {
 	q := &inquest{}
 	q.machines(b, limits)
@@ -162,7 +192,7 @@
 		path := fmt.Sprintf("services[%d]", i)
 		q.once(names, path+".name", service.Name)
 		q.value(path+".repeats", service.Repeats, validation.Min(0.0), validation.Max(mostRepeats))
-		q.value(path+".allowance", service.Allowance, validation.Min(uint32(vanes(b))), validation.Max(uint32(4*vanes(b))))
+		q.value(path+".allowance", service.Allowance, validation.Min(uint32(vanes(b))), validation.Max(uint32(mostAllowance*vanes(b))))
 	}
 	for i, machine := range b.GetCommon().GetMachines() {
 		for j, call := range machine.Calls {
@@ -182,39 +212,49 @@
 	for i, share := range b.GetCommon().GetShares() {
 		path := fmt.Sprintf("common.shares[%d]", i)
 		q.once(groups, path+".group", share.Group)
-		q.value(path+".carried", share.Carried, validation.Required, validation.Min(0.001), validation.Max(1000.0))
-		q.value(path+".watched", share.Watched, validation.Required, validation.Min(0.001), validation.Max(1000.0))
-		for j, service := range share.Services {
-			at := fmt.Sprintf("%s.services[%d]", path, j)
-			if !services[service] {
-				q.bounce(base.Dangling, at, "no service %q", service)
-			}
-			if owned[service] {
-				q.bounce(base.Duplicate, at, "service %q is in two shares", service)
-			}
-			owned[service] = true
-		}
+		q.value(path+".carried", share.Carried, validation.Required, validation.Min(leastShare), validation.Max(mostShare))
+		q.value(path+".watched", share.Watched, validation.Required, validation.Min(leastShare), validation.Max(mostShare))
+		q.owners(path, share, services, owned)
 	}
 	for i, service := range b.Services {
-		if !owned[service.Name] {
-			q.bounce(base.Dangling, fmt.Sprintf("services[%d].name", i), "service %q is in no share", service.Name)
+		q.groups(fmt.Sprintf("services[%d]", i), service, groups, owned)
+	}
+}
+
+// owners checks that a share's services exist and are in no other share.
+func (q *inquest) owners(path string, share *wire.Share, services, owned map[string]bool) {
+	for i, service := range share.Services {
+		at := fmt.Sprintf("%s.services[%d]", path, i)
+		if !services[service] {
+			q.bounce(base.Dangling, at, "no service %q", service)
 		}
-		for j, route := range service.Routes {
-			if route.Group != "" && !groups[route.Group] {
-				q.bounce(base.Dangling, fmt.Sprintf("services[%d].routes[%d].group", i, j), "no share for group %q", route.Group)
-			}
+		if owned[service] {
+			q.bounce(base.Duplicate, at, "service %q is in two shares", service)
+		}
+		owned[service] = true
+	}
+}
+
+// groups checks that a service is in a share, and that its routes name groups
+// that have one.
+func (q *inquest) groups(path string, service *wire.Service, groups, owned map[string]bool) {
+	if !owned[service.Name] {
+		q.bounce(base.Dangling, path+".name", "service %q is in no share", service.Name)
+	}
+	for i, route := range service.Routes {
+		if route.Group != "" && !groups[route.Group] {
+			q.bounce(base.Dangling, fmt.Sprintf("%s.routes[%d].group", path, i), "no share for group %q", route.Group)
 		}
 	}
 }
 
 func (q *inquest) routes(b *wire.Bundle, limits Limits) {
 	count := 0
-	known := map[string]map[string]bool{}
+	known := map[string]bool{}
 	for _, service := range b.Services {
 		count += len(service.Routes)
-		known[service.Name] = map[string]bool{}
 		for _, route := range service.Routes {
-			known[service.Name][route.Name] = true
+			known[service.Name+"/"+route.Name] = true
 		}
 	}
 	if count > limits.Routes {
@@ -228,34 +268,47 @@
 			path := fmt.Sprintf("services[%d].routes[%d]", i, j)
 			q.once(names, path+".name", route.Name)
 			q.value(path+".method", route.Method, validation.Required, validation.Match(method))
-			q.value(path+".deadline", route.GetDeadline().AsDuration(), validation.Min(10*time.Millisecond), validation.Max(limits.Longest()))
-			segments, ok := split(route.Path)
-			for _, segment := range segments {
-				ok = ok && chunk.MatchString(segment)
-			}
-			if !ok && route.Path != "/" {
-				q.bounce(base.OutOfRange, path+".path", "%q is not a path template", route.Path)
-				continue
-			}
-			if other := templates.clash(route.Method, segments); other != "" {
-				q.bounce(base.Overlapping, path+".path", "%s %s overlaps %s", route.Method, route.Path, other)
-			}
-			templates.add(route.Method, segments, service.Name+"/"+route.Name, nil, nil)
-			for k, further := range route.Further {
-				at := fmt.Sprintf("%s.further[%d]", path, k)
-				if !known[further.Service][further.Route] {
-					q.bounce(base.Dangling, at, "no route %s/%s", further.Service, further.Route)
-				}
-				q.value(at+".most", further.Most, validation.Max(uint32(1000)))
-				for l, match := range further.Keys {
-					q.value(fmt.Sprintf("%s.keys[%d].parent", at, l), match.Parent, validation.Required, validation.Match(field))
-					q.value(fmt.Sprintf("%s.keys[%d].child", at, l), match.Child, validation.Required, validation.Match(field))
-				}
+			q.value(path+".deadline", route.GetDeadline().AsDuration(), validation.Min(leastDeadline), validation.Max(limits.Longest()))
+			if q.template(path+".path", service, route, templates) {
+				q.further(path+".further", route, known)
 			}
 		}
 	}
 }
 
+// template checks a route's path template against those met before, to which
+// it is added. It reports whether the path is a template.
+func (q *inquest) template(path string, service *wire.Service, route *wire.Route, templates *tree) bool {
+	segments, ok := split(route.Path)
+	for _, segment := range segments {
+		ok = ok && chunk.MatchString(segment)
+	}
+	if !ok && route.Path != "/" {
+		q.bounce(base.OutOfRange, path, "%q is not a path template", route.Path)
+		return false
+	}
+	if other := templates.clash(route.Method, segments); other != "" {
+		q.bounce(base.Overlapping, path, "%s %s overlaps %s", route.Method, route.Path, other)
+	}
+	templates.add(route.Method, segments, service.Name+"/"+route.Name, nil, nil)
+	return true
+}
+
+// further checks the further calls that a route declares.
+func (q *inquest) further(path string, route *wire.Route, known map[string]bool) {
+	for i, further := range route.Further {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if !known[further.Service+"/"+further.Route] {
+			q.bounce(base.Dangling, at, "no route %s/%s", further.Service, further.Route)
+		}
+		q.value(at+".most", further.Most, validation.Max(uint32(mostFurther)))
+		for j, match := range further.Keys {
+			q.value(fmt.Sprintf("%s.keys[%d].parent", at, j), match.Parent, validation.Required, validation.Match(field))
+			q.value(fmt.Sprintf("%s.keys[%d].child", at, j), match.Child, validation.Required, validation.Match(field))
+		}
+	}
+}
+
 func (q *inquest) tracing(t *wire.Tracing) {
 	q.value("common.tracing.sample", t.GetSample(), validation.Required, validation.Min(0.0001), validation.Max(1.0))
 	q.value("common.tracing.percentile", t.GetPercentile(), validation.Required, validation.Min(0.01), validation.Max(0.999))
@@ -269,6 +322,7 @@
 	q.value("common.tracing.utility", t.GetUtility(), validation.In("variance", "deviation", "mean"))
 }
 
+// split returns the segments of a path, and false if it has no leading slash.
 func split(path string) ([]string, bool) {
 	if !strings.HasPrefix(path, "/") {
 		return nil, false
--- a/internal/bundle/fuzz_test.go
+++ b/internal/bundle/fuzz_test.go
@@ -44,21 +44,30 @@
 		if !proto.Equal(b, opened) {
 			t.Fatal("a bundle that passed its checks changed on the way")
 		}
-		index := Index(sealed, opened)
-		for _, service := range b.Services {
-			for _, route := range service.Routes {
-				way, known := index.Match(route.Method, route.Path)
-				if known && (way.Service.Name != service.Name || way.Route.Name != route.Name) {
-					t.Fatalf("%s matched %s", route.Path, way.Identifier())
-				}
-			}
-		}
-		if odds := b.Common.Tracing.Epsilon; !(odds > 0 && odds <= 1) || !(b.Common.Tracing.Budget >= 1) || !(b.Common.Tracing.Sample > 0) {
-			t.Fatalf("unlawful tracing passed: %v", b.Common.Tracing)
+		matchesItself(t, b, Index(sealed, opened))
+		if tracing := b.Common.Tracing; !lawful(tracing) {
+			t.Fatalf("unlawful tracing passed: %v", tracing)
 		}
 	})
 }
 
+// lawful reports whether nodes can work with the tracing params.
+func lawful(t *wire.Tracing) bool {
+	return t.Epsilon > 0 && t.Epsilon <= 1 && t.Budget >= 1 && t.Sample > 0
+}
+
+// matchesItself fails the test if a route's own template is matched by another route.
+func matchesItself(t *testing.T, b *wire.Bundle, index *Bundle) {
+	for _, service := range b.Services {
+		for _, route := range service.Routes {
+			way, known := index.Match(route.Method, route.Path)
+			if known && (way.Service.Name != service.Name || way.Route.Name != route.Name) {
+				t.Fatalf("%s matched %s", route.Path, way.Identifier())
+			}
+		}
+	}
+}
+
 func FuzzSealed(f *testing.F) {
 	RegisterTestingT(f)
 	key, trust := keys(1)
--- a/internal/bundle/seal.go
+++ b/internal/bundle/seal.go
@@ -15,11 +15,17 @@
 )
 
 const (
-	domain     = "curlewreach bundle\n"
+	// domain begins what is signed, so that a signature made for another
+	// purpose doesn't fit.
+	domain = "curlewreach bundle\n"
+	// commonPart names the part with machines, shares and tracing params.
 	commonPart = "common"
-	servePart  = "service/"
+	// servePart begins the name of a service's part.
+	servePart = "service/"
 )
 
+// Pack encodes a bundle in parts under a manifest with their SHA-256 digests.
+// It isn't signed yet.
 func Pack(b *wire.Bundle) (*wire.Sealed, error) {
 	manifest := &wire.Manifest{Serial: b.Serial, Base: b.Base, Forsaken: b.Forsaken}
 	sealed := &wire.Sealed{}
@@ -46,18 +52,24 @@
 	return sealed, err
 }
 
+// Sign signs the manifest.
 func Sign(sealed *wire.Sealed, key ed25519.PrivateKey) {
 	sealed.Signature = ed25519.Sign(key, append([]byte(domain), sealed.Manifest...))
 	sealed.Signer = Signer(key.Public().(ed25519.PublicKey))
 }
 
+// Signer returns the short name of a public key: the first 8 bytes of its
+// SHA-256 as hexadecimal digits.
 func Signer(key ed25519.PublicKey) string {
 	digest := sha256.Sum256(key)
 	return hex.EncodeToString(digest[:8])
 }
 
+// Trust holds the public keys whose signatures are accepted, by their short
+// names.
 type Trust map[string]ed25519.PublicKey
 
+// NewTrust returns the trust in public keys given as base64.
 func NewTrust(keys []string) (Trust, error) {
 	trust := Trust{}
 	for _, text := range keys {
@@ -70,6 +82,9 @@
 	return trust, nil
 }
 
+// Verify checks signature and digests, and returns the manifest. The error is
+// of kind Unsigned, Untrusted or Malformed. Parts may be missing, as in a
+// slice, but none may be altered or added.
 func (t Trust) Verify(sealed *wire.Sealed) (*wire.Manifest, *base.Mishap) {
 	if len(sealed.GetSignature()) == 0 {
 		return nil, base.Bounce(base.Unsigned, "sealed.signature", "the manifest is not signed")
@@ -103,10 +118,14 @@
 	return manifest, nil
 }
 
+// Whole reports whether no part is missing. The digests must have been
+// verified.
 func Whole(sealed *wire.Sealed, manifest *wire.Manifest) bool {
 	return len(sealed.Parts) == len(manifest.Parts)
 }
 
+// Open decodes the parts after checking their digests, but not the signature.
+// The error is of kind Malformed.
 func Open(sealed *wire.Sealed) (*wire.Bundle, *base.Mishap) {
 	manifest, mishap := digests(sealed)
 	if mishap != nil {
@@ -136,6 +155,8 @@
 	return b, nil
 }
 
+// Slice returns a bundle with the common part and the services of concern only.
+// Its signature still holds.
 func Slice(sealed *wire.Sealed, concerns func(service string) bool) *wire.Sealed {
 	slice := &wire.Sealed{Manifest: sealed.Manifest, Signature: sealed.Signature, Signer: sealed.Signer}
 	for _, part := range sealed.Parts {
@@ -146,6 +167,8 @@
 	return slice
 }
 
+// Digest returns the first 8 bytes of the manifest's SHA-256 as hexadecimal
+// digits, or "" for nil.
 func Digest(sealed *wire.Sealed) string {
 	if sealed == nil {
 		return ""
