--- a/cmd/drill/day.go
+++ b/cmd/drill/day.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -34,7 +34,7 @@
 	Kept     uint64             `json:"spansRecorded"`
 	Kinds    map[string]int     `json:"bouncesByKind,omitempty"`
 	Odds     map[string]float64 `json:"odds"`
-	verdicts []assay.Verdict
+	verdicts []judge.Verdict
 }
 
 func (f *fleet) day(s base.Scope, length time.Duration, rate float64) (*summary, error) {
@@ -86,7 +86,7 @@
 	if err := f.collect(s); err != nil {
 		return nil, err
 	}
-	sum.verdicts = assay.Check(history, assay.Brief())
+	sum.verdicts = judge.Check(history, judge.Brief())
 	for _, call := range history.Calls() {
 		sum.Calls++
 		if call.Kind != "" {
@@ -142,7 +142,7 @@
 			return err
 		}
 		for line := range bytes.Lines(body) {
-			var run assay.Run
+			var run judge.Run
 			if json.Unmarshal(line, &run) == nil {
 				f.history.Ran(run)
 			}
@@ -189,10 +189,10 @@
 }
 
 func (s *summary) verdict(smoke bool) error {
-	if broken := assay.Broken(s.verdicts); len(broken) > 0 {
+	if broken := judge.Broken(s.verdicts); len(broken) > 0 {
 		return errors.Errorf("%d breaches, first: %s", len(broken), broken[0])
 	}
-	if vacuous := assay.Vacuous(s.verdicts, assay.RanTwice, assay.Whole, assay.Allowed, assay.InForce, assay.SlideBack, assay.OneAck, assay.ReadBack, assay.Returns); len(vacuous) > 0 {
+	if vacuous := judge.Vacuous(s.verdicts, judge.RanTwice, judge.Whole, judge.Allowed, judge.InForce, judge.SlideBack, judge.OneAck, judge.ReadBack, judge.Returns); len(vacuous) > 0 {
 		return errors.Errorf("nothing to judge for %v", vacuous)
 	}
 	owed := 99
--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -19,9 +19,9 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/helm"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -64,7 +64,7 @@
 	clerk   *helm.Clerk
 	web     *http.Client
 	old     map[string]bool
-	history *assay.History
+	history *judge.History
 }
 
 func readJSON(file string, into any) error {
@@ -99,7 +99,7 @@
 		return nil, err
 	}
 	trusted := []string{base64.StdEncoding.EncodeToString(public)}
-	f.history = assay.NewHistory(s.Clock)
+	f.history = judge.NewHistory(s.Clock)
 	f.old = map[string]bool{}
 	var seeds, operators []string
 	for i, each := range f.bundle.Common.Machines {
@@ -256,7 +256,7 @@
 	_ = json.NewDecoder(response.Body).Decode(&said)
 	at := f.history.Now()
 	if port == opsPort {
-		f.history.Read(assay.Reading{At: at, Node: m.Name, Serial: said.Serial, Digest: said.Digest, Ready: response.StatusCode == http.StatusOK})
+		f.history.Read(judge.Reading{At: at, Node: m.Name, Serial: said.Serial, Digest: said.Digest, Ready: response.StatusCode == http.StatusOK})
 	}
 	return said.Serial, response.StatusCode == http.StatusOK
 }
--- a/cmd/mime/main.go
+++ b/cmd/mime/main.go
@@ -9,8 +9,8 @@
 
 	"github.com/alexflint/go-arg"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 )
 
@@ -89,7 +89,7 @@
 			return err
 		}
 		defer file.Close()
-		stand.History = assay.NewHistory(s.Clock)
+		stand.History = judge.NewHistory(s.Clock)
 		stand.History.Spill = file
 	}
 	if err := stand.Start(500 * time.Millisecond); err != nil {
@@ -104,7 +104,7 @@
 }
 
 func (v *visitors) run(s base.Scope) error {
-	history := assay.NewHistory(s.Clock)
+	history := judge.NewHistory(s.Clock)
 	stand := &mime.Visitors{Scope: s, Name: v.Name, To: v.To, Rate: v.Rate, History: history}
 	if err := read(v.Plan, &stand.Habits); err != nil {
 		return err
--- a/fleet/answers_test.go
+++ b/fleet/answers_test.go
@@ -8,16 +8,16 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
 
 func sound(f *Fleet, wanted ...string) {
-	verdicts := assay.Check(f.History, f.Bounds())
-	Expect(assay.Broken(verdicts)).To(BeEmpty(), f.Story)
-	Expect(assay.Vacuous(verdicts, wanted...)).To(BeEmpty(), f.Story)
+	verdicts := judge.Check(f.History, f.Bounds())
+	Expect(judge.Broken(verdicts)).To(BeEmpty(), f.Story)
+	Expect(judge.Vacuous(verdicts, wanted...)).To(BeEmpty(), f.Story)
 }
 
 func (f *Fleet) seatsOf(service string) []*mime.Upstream {
@@ -30,7 +30,7 @@
 	return seats
 }
 
-func (f *Fleet) ask(m *Machine, habit mime.Habitual, id string) assay.Call {
+func (f *Fleet) ask(m *Machine, habit mime.Habitual, id string) judge.Call {
 	s := f.scope("asker "+id, m.IP, m.Disk, m.Clock, m.Journal)
 	call := (&mime.Visitors{Scope: s, To: m.At(visitorsPort)}).Ask(s, habit, id)
 	f.History.Called(call)
@@ -42,7 +42,7 @@
 	report = mime.Habitual{Service: "catalogue", Route: "report", Method: "GET", Path: "/catalogue/report/7"}
 )
 
-func (f *Fleet) tally(calls []assay.Call) map[string]int {
+func (f *Fleet) tally(calls []judge.Call) map[string]int {
 	counts := map[string]int{}
 	for _, call := range calls {
 		switch {
@@ -140,7 +140,7 @@
 		}
 		Expect(counts[200]).To(BeNumerically(">=", 10))
 		Expect(counts[503]).To(BeNumerically(">", 10))
-		calls := make([]assay.Call, 12)
+		calls := make([]judge.Call, 12)
 		base.All([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}, func(i int) { calls[i] = f.ask(f.Vanes[0], report, fmt.Sprint("long-", i)) })
 		for _, call := range calls {
 			Expect(call.Broken).To(BeEmpty())
@@ -148,7 +148,7 @@
 		}
 		f.Pass(time.Second)
 		Expect(f.Vanes[0].Vane.Node.Sizes()["room"]).To(BeZero(), "all room is given back")
-		sound(f, assay.Whole)
+		sound(f, judge.Whole)
 	})
 
 	story("given a slow upstream, when a hold's deadline passes, then the answer is unknown and the hold never runs again", []uint64{1, 2}, func(f *Fleet) {
@@ -257,7 +257,7 @@
 			}
 			second.Kill()
 		}
-		sound(f, assay.NotRun)
+		sound(f, judge.NotRun)
 	})
 
 	story("given upstreams that close idle connections, when none of them ends, then no request is bounced for it", []uint64{1}, func(f *Fleet) {
--- a/fleet/doors_test.go
+++ b/fleet/doors_test.go
@@ -11,8 +11,8 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 )
 
 func (f *Fleet) raw(address, text string, wait time.Duration) (status int, body string, err error) {
@@ -101,6 +101,6 @@
 		Expect(time.Since(begun)).To(BeNumerically("<", 7*time.Second), "a body that never ends is given up on by the deadline")
 		Expect(f.Ready(f.Every())).To(BeTrue())
 		Expect(f.ask(m, hold, "after all").Status).To(Equal(200))
-		sound(f, assay.RanTwice)
+		sound(f, judge.RanTwice)
 	})
 })
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,11 +14,11 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
 	"curlewreach/flow"
 	"curlewreach/helm"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -64,7 +64,7 @@
 	Keels    []*Machine
 	Vanes    []*Machine
 	Seats    []*mime.Upstream
-	History  *assay.History
+	History  *judge.History
 	Story    string
 	Diskless bool
 	Key      ed25519.PrivateKey
@@ -114,7 +114,7 @@
 	f.Key = ed25519.NewKeyFromSeed(seedBytes)
 	f.trusted = []string{base64.StdEncoding.EncodeToString(f.Key.Public().(ed25519.PublicKey))}
 	f.Scope = f.scope("story", "10.9.9.9", rig.NewDisk(f.rand("story disk")), rig.NewClock(f.born), base.NewJournal(journalBound))
-	f.History = assay.NewHistory(f.Scope.Clock)
+	f.History = judge.NewHistory(f.Scope.Clock)
 	for _, m := range f.Every() {
 		m.Journal.Attach(tap{f.History, m.Name})
 	}
@@ -334,7 +334,7 @@
 	f.World.Cut(b.IP, a.IP)
 }
 
-func (f *Fleet) Bounds() assay.Bounds { return assay.Brief() }
+func (f *Fleet) Bounds() judge.Bounds { return judge.Brief() }
 
 func (f *Fleet) Every() []*Machine { return append(append([]*Machine{}, f.Vanes...), f.Keels...) }
 
--- a/fleet/odds_test.go
+++ b/fleet/odds_test.go
@@ -6,7 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/assay"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/internal/tracing"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
@@ -76,7 +76,7 @@
 		f.Pass(3 * time.Second)
 		f.Leave()
 		Expect(f.Vanes[1].Disk.Names()).To(BeEmpty())
-		sound(f, assay.InForce)
+		sound(f, judge.InForce)
 	})
 })
 
--- a/fleet/open/history.go
+++ b/fleet/open/history.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/proto/wire"
 )
 
@@ -106,7 +106,7 @@
 	jobs     []*Job
 	sent     []*Sent
 	left     []Departure
-	spells   []*assay.Spell
+	spells   []*judge.Spell
 	strays   []string
 	reads    []Readback
 }
@@ -165,7 +165,7 @@
 }
 
 func (h *History) Spell(name, cause string, planned bool) (end func()) {
-	spell := &assay.Spell{Node: name, Cause: cause, Planned: planned, From: h.Now(), Till: -1}
+	spell := &judge.Spell{Node: name, Cause: cause, Planned: planned, From: h.Now(), Till: -1}
 	note(h, &h.spells, spell)
 	return func() { h.Mark(func() { spell.Till = h.clock.Mono() }) }
 }
--- a/fleet/open/rules.go
+++ b/fleet/open/rules.go
@@ -11,8 +11,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewreach/assay"
 	"curlewreach/internal/config"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/proto/wire"
 )
 
@@ -34,7 +34,7 @@
 
 type book struct {
 	*History
-	verdict *assay.Verdict
+	verdict *judge.Verdict
 	by      map[string]*Ask
 	runs    map[string][]*Arrival
 	tables  map[*Sent]*config.Table
@@ -47,7 +47,7 @@
 func (b *book) judged() { b.verdict.Judged++ }
 
 // Check judges a whole history, rule by rule.
-func Check(h *History) []assay.Verdict {
+func Check(h *History) []judge.Verdict {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	slices.SortStableFunc(h.arrivals, func(a, b *Arrival) int { return cmp.Compare(a.At, b.At) })
@@ -80,7 +80,7 @@
 		{Budget, budget},
 		{Denied, denied},
 	}
-	verdicts := make([]assay.Verdict, len(rules))
+	verdicts := make([]judge.Verdict, len(rules))
 	for i, rule := range rules {
 		verdicts[i].Rule = rule.name
 		rule.judge(&book{h, &verdicts[i], by, runs, tables})
@@ -202,12 +202,12 @@
 	}
 }
 
-func overlaps(s *assay.Spell, from, till time.Duration) bool {
+func overlaps(s *judge.Spell, from, till time.Duration) bool {
 	return s.From <= till && (s.Till < 0 || s.Till >= from)
 }
 
 func (b *book) troubled(from, till time.Duration, names ...string) bool {
-	return slices.ContainsFunc(b.spells, func(s *assay.Spell) bool {
+	return slices.ContainsFunc(b.spells, func(s *judge.Spell) bool {
 		return !s.Planned && (len(names) == 0 || slices.Contains(names, s.Node)) && overlaps(s, from-contact, till)
 	})
 }
@@ -215,7 +215,7 @@
 func lost(b *book) {
 	for id, told := range b.told {
 		ask := b.by[id]
-		at := slices.IndexFunc(b.spells, func(s *assay.Spell) bool { return s.Planned && s.Node == ask.Node && overlaps(s, ask.At, told.At) })
+		at := slices.IndexFunc(b.spells, func(s *judge.Spell) bool { return s.Planned && s.Node == ask.Node && overlaps(s, ask.At, told.At) })
 		if at < 0 || b.troubled(ask.At, told.At) {
 			continue
 		}
--- a/fleet/open/suite_test.go
+++ b/fleet/open/suite_test.go
@@ -12,8 +12,8 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/proto/wire"
 )
 
@@ -123,6 +123,6 @@
 	f.Away()
 	verdicts := Check(f.History)
 	f.tell(verdicts)
-	Expect(assay.Broken(verdicts)).To(BeEmpty(), f.Story)
-	Expect(assay.Vacuous(verdicts, wanted...)).To(BeEmpty(), f.Story)
+	Expect(judge.Broken(verdicts)).To(BeEmpty(), f.Story)
+	Expect(judge.Vacuous(verdicts, wanted...)).To(BeEmpty(), f.Story)
 }
--- a/fleet/open/tell_test.go
+++ b/fleet/open/tell_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"os"
 
-	"curlewreach/assay"
+	"curlewreach/internal/testing/judge"
 )
 
 // tell prints the verdicts with TELL=1 and whoever wasn't served with TELL=2.
-func (f *Fleet) tell(verdicts []assay.Verdict) {
+func (f *Fleet) tell(verdicts []judge.Verdict) {
 	how := os.Getenv("TELL")
 	if how == "" {
 		return
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -7,9 +7,9 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/internal/bundle"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -202,7 +202,7 @@
 	story("given a slow request under way, when a bundle rolls out, then it is neither dropped nor handed over under the older", []uint64{1, 2}, func(f *Fleet) {
 		f.Habits = []mime.Habit{{Prefix: "/catalogue/report", Base: 3000, Size: 2000}}
 		raised(f)
-		done := make(chan assay.Call, 1)
+		done := make(chan judge.Call, 1)
 		go func() { done <- f.ask(f.Vanes[1], report, "slow") }()
 		f.Pass(200 * time.Millisecond)
 		Expect(f.push("second", 1, nudge(2)).Verdict).To(Equal(wire.Verdict_TAKEN))
@@ -232,7 +232,7 @@
 		back := f.Scope.Clock.Mono()
 		f.Pass(10 * time.Second)
 		f.Leave()
-		var late []assay.Call
+		var late []judge.Call
 		for _, call := range f.History.Calls() {
 			if call.Begun > back+5*time.Second {
 				late = append(late, call)
--- a/fleet/soak_test.go
+++ b/fleet/soak_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -361,8 +361,8 @@
 	f.Story = fmt.Sprintf("seed %d: %s", f.Seed, strings.Join(told, "; "))
 	f.learnOutcomes(f.Story)
 	f.ReadBack()
-	sound(f, assay.RanTwice, assay.Whole, assay.Allowed, assay.InForce, assay.SlideBack, assay.OneAck, assay.ReadBack, assay.Returns)
-	var late []assay.Call
+	sound(f, judge.RanTwice, judge.Whole, judge.Allowed, judge.InForce, judge.SlideBack, judge.OneAck, judge.ReadBack, judge.Returns)
+	var late []judge.Call
 	for _, call := range f.History.Calls() {
 		if call.Begun > back && call.Begun < back+2500*time.Millisecond {
 			late = append(late, call)
--- a/fleet/tap.go
+++ b/fleet/tap.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 )
 
 const (
@@ -13,7 +13,7 @@
 )
 
 type tap struct {
-	history *assay.History
+	history *judge.History
 	node    string
 }
 
@@ -47,7 +47,7 @@
 				continue
 			}
 			serial, digest, ready := m.Vane.Node.Serving()
-			f.History.Read(assay.Reading{At: now, Node: m.Name, Serial: serial, Digest: digest, Ready: ready, Calm: now-calm > calmAfter})
+			f.History.Read(judge.Reading{At: now, Node: m.Name, Serial: serial, Digest: digest, Ready: ready, Calm: now-calm > calmAfter})
 		}
 	})
 }
--- a/fleet/trouble_test.go
+++ b/fleet/trouble_test.go
@@ -11,9 +11,9 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
@@ -32,7 +32,7 @@
 		f.Pass(5 * time.Second)
 		f.Leave()
 		Expect(f.AllOn(2)).To(BeTrue())
-		sound(f, assay.RanTwice, assay.InForce, assay.SlideBack)
+		sound(f, judge.RanTwice, judge.InForce, judge.SlideBack)
 	})
 
 	story("given the owner of the bundle frozen mid-change, when another finishes and it thaws, then its late writes change nothing", []uint64{1, 2, 3, 4}, func(f *Fleet) {
@@ -58,7 +58,7 @@
 		Expect(f.resolve("second").Verdict).To(Equal(outcome.Verdict))
 		f.Leave()
 		f.ReadBack()
-		sound(f, assay.ReadBack, assay.OneAck)
+		sound(f, judge.ReadBack, judge.OneAck)
 	})
 
 	story("given the learner's holder frozen, when another takes the duty and it thaws, then beliefs only go forward and one learns", []uint64{1, 2}, func(f *Fleet) {
@@ -103,7 +103,7 @@
 		f.World.HealAll()
 		f.Pass(3 * time.Second)
 		f.Leave()
-		sound(f, assay.InForce)
+		sound(f, judge.InForce)
 	})
 
 	story("given one attempt delivered twice, when the first has run or not, then the second neither runs nor says not run of the first", []uint64{1, 2}, func(f *Fleet) {
@@ -154,8 +154,8 @@
 
 var _ = ginkgo.Describe("answers crossed on the way", func() {
 	holding := func(data []byte) bool { return bytes.Contains(data, []byte(`"filler"`)) }
-	ask2 := func(f *Fleet, m *Machine) []assay.Call {
-		calls := make([]assay.Call, 2)
+	ask2 := func(f *Fleet, m *Machine) []judge.Call {
+		calls := make([]judge.Call, 2)
 		base.All([]int{0, 1}, func(i int) { calls[i] = f.ask(m, hold, fmt.Sprint("crossed-", i)) })
 		return calls
 	}
@@ -173,7 +173,7 @@
 			Expect(call.Broken).To(BeEmpty())
 			Expect(call.Outcome).To(Equal("unknown"))
 		}
-		sound(f, assay.RanTwice)
+		sound(f, judge.RanTwice)
 	})
 
 	story("given two answers crossed by their upstreams or before the visitor, when checked, then the checker sees whose they are", []uint64{1}, func(f *Fleet) {
@@ -181,7 +181,7 @@
 		raised(f)
 		f.World.Cross(f.Vanes[0].IP, f.Vanes[0].IP, holding)
 		ask2(f, f.Vanes[0])
-		Expect(assay.Broken(assay.Check(f.History, f.Bounds()))).To(ContainElement(And(HavePrefix(assay.Whole), ContainSubstring("someone else's"))))
+		Expect(judge.Broken(judge.Check(f.History, f.Bounds()))).To(ContainElement(And(HavePrefix(judge.Whole), ContainSubstring("someone else's"))))
 	})
 })
 
@@ -210,7 +210,7 @@
 		Expect(doubtful).To(BeNumerically("<", bounced/10))
 		ginkgo.GinkgoWriter.Printf("MEASURE crowd, seed %d: %v, %d crowded, %d of them in doubt\n", f.Seed, f.tally(f.History.Calls()), bounced, doubtful)
 		Expect(f.tally(f.History.Calls())["answered"]).To(BeNumerically(">", 300))
-		sound(f, assay.NotRun)
+		sound(f, judge.NotRun)
 	})
 })
 
@@ -238,7 +238,7 @@
 		f.Pass(2 * time.Second)
 		Expect(f.ask(f.Vanes[0], hold, "back").Status).To(Equal(200))
 		f.Leave()
-		sound(f, assay.Allowed, assay.InForce, assay.SlideBack)
+		sound(f, judge.Allowed, judge.InForce, judge.SlideBack)
 	})
 
 	story("given an application machine dropped by a bundle, when it still runs, then what it sends is under no older serial and it is let go", []uint64{1, 2}, func(f *Fleet) {
@@ -250,7 +250,7 @@
 		Expect(f.push("again", 2, nudge(3)).Verdict).To(Equal(wire.Verdict_TAKEN))
 		f.Pass(3 * time.Second)
 		f.Leave()
-		sound(f, assay.InForce, assay.SlideBack)
+		sound(f, judge.InForce, judge.SlideBack)
 	})
 })
 
@@ -285,7 +285,7 @@
 		}
 		f.Pass(2 * time.Second)
 		f.Leave()
-		sound(f, assay.Stops)
+		sound(f, judge.Stops)
 	})
 })
 
@@ -361,7 +361,7 @@
 		f.Pass(3 * time.Second)
 		f.Leave()
 		Expect(f.tally(f.History.Calls())).To(HaveLen(1), "two keels are a majority")
-		sound(f, assay.InForce)
+		sound(f, judge.InForce)
 	})
 })
 
@@ -377,6 +377,6 @@
 		}
 		f.Pass(3 * time.Second)
 		f.Leave()
-		sound(f, assay.Whole, assay.RanTwice)
+		sound(f, judge.Whole, judge.RanTwice)
 	})
 })
--- a/fleet/ways_test.go
+++ b/fleet/ways_test.go
@@ -8,9 +8,9 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
+	"curlewreach/internal/testing/judge"
 	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
@@ -68,7 +68,7 @@
 				f.Pass(3 * time.Second)
 				Expect(f.AllOn(3)).To(BeTrue())
 				f.Leave()
-				sound(f, assay.InForce, assay.SlideBack)
+				sound(f, judge.InForce, judge.SlideBack)
 			})
 		})
 	})
@@ -99,7 +99,7 @@
 		Expect(f.forsake("without them", 1, lost).Verdict).To(Equal(wire.Verdict_TAKEN))
 		f.Pass(4 * time.Second)
 		f.Leave()
-		sound(f, assay.InForce, assay.SlideBack)
+		sound(f, judge.InForce, judge.SlideBack)
 	})
 
 	story("given a core machine lost, when one at another address takes its place, then it recovers every key and the newest bundle outlives the loss of another disk", []uint64{1, 2, 3}, func(f *Fleet) {
@@ -149,7 +149,7 @@
 		f.Pass(2 * time.Second)
 		f.ReadBack()
 		f.Leave()
-		sound(f, assay.ReadBack, assay.InForce)
+		sound(f, judge.ReadBack, judge.InForce)
 	})
 })
 
@@ -174,7 +174,7 @@
 		f.Pass(2 * time.Second)
 		f.ReadBack()
 		f.Leave()
-		sound(f, assay.ReadBack)
+		sound(f, judge.ReadBack)
 	})
 })
 
@@ -209,7 +209,7 @@
 			}
 		}
 		Expect(counts["answered"]).To(BeNumerically(">", 20*(counts["not-run"]+counts["unknown"])))
-		sound(f, assay.Stops)
+		sound(f, judge.Stops)
 	})
 
 	story("given a keel stopped politely, when it goes, then the keys it owned have an owner at once", []uint64{1, 2, 3}, func(f *Fleet) {
--- a/assay/check_test.go
+++ b/internal/testing/judge/check_test.go
@@ -1,4 +1,4 @@
-package assay
+package judge
 
 import (
 	"fmt"
@@ -12,9 +12,9 @@
 	"curlewreach/proto/wire"
 )
 
-func TestAssay(t *testing.T) {
+func TestJudge(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "assay")
+	ginkgo.RunSpecs(t, "judge")
 }
 
 type still struct{ at time.Duration }
--- a/assay/verdict.go
+++ b/internal/testing/judge/verdict.go
@@ -1,4 +1,4 @@
-package assay
+package judge
 
 import (
 	"fmt"
--- a/mime/upstream.go
+++ b/mime/upstream.go
@@ -15,8 +15,8 @@
 	"sync"
 	"time"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 )
 
 const (
@@ -59,7 +59,7 @@
 	Capacity int
 	Reports  string
 	Habits   []Habit
-	History  *assay.History
+	History  *judge.History
 	web      *http.Client
 	mu       sync.Mutex
 	leaving  bool
@@ -192,7 +192,7 @@
 	}
 	leaving, left := u.leaving, u.left
 	u.mu.Unlock()
-	u.History.Ran(assay.Run{ID: id, Service: u.Service, Seat: u.Address, Serial: serial, Leaving: leaving, Left: left, Method: r.Method, Path: r.URL.Path})
+	u.History.Ran(judge.Run{ID: id, Service: u.Service, Seat: u.Address, Serial: serial, Leaving: leaving, Left: left, Method: r.Method, Path: r.URL.Path})
 	habit := u.habit(r.URL.Path)
 	pause := habit.Base.Duration() + time.Duration(float64(habit.Swing.Duration())*u.Scope.Rand.Float64())
 	base.Await(u.Scope.Under(r.Context()), pause)
--- a/mime/visitors.go
+++ b/mime/visitors.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 )
 
 type Habitual struct {
@@ -31,7 +31,7 @@
 	To      string
 	Rate    float64
 	Habits  []Habitual
-	History *assay.History
+	History *judge.History
 	web     *http.Client
 	crew    base.Crew
 }
@@ -65,8 +65,8 @@
 	return v.Habits[0]
 }
 
-func (v *Visitors) Ask(s base.Scope, habit Habitual, id string) assay.Call {
-	call := assay.Call{Via: v.Name, ID: id, Service: habit.Service, Route: habit.Route, Group: habit.Group, Begun: s.Clock.Mono()}
+func (v *Visitors) Ask(s base.Scope, habit Habitual, id string) judge.Call {
+	call := judge.Call{Via: v.Name, ID: id, Service: habit.Service, Route: habit.Route, Group: habit.Group, Begun: s.Clock.Mono()}
 	path := strings.ReplaceAll(habit.Path, "{n}", fmt.Sprint(s.Rand.Below(40)))
 	request, err := http.NewRequestWithContext(context.WithoutCancel(s), habit.Method, "http://"+v.To+path, nil)
 	if err != nil {
