--- a/cmd/drill/day.go
+++ b/cmd/drill/day.go
@@ -12,7 +12,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -47,7 +47,7 @@
 	defer rest()
 	go f.watch(watching)
 	for _, each := range f.vanes {
-		visitors := &mime.Visitors{Scope: s, Name: each.Name, To: each.at(visitorsPort), Rate: rate / float64(len(f.vanes)), Habits: f.plan, History: history}
+		visitors := &standin.Visitors{Scope: s, Name: each.Name, To: each.at(visitorsPort), Rate: rate / float64(len(f.vanes)), Habits: f.plan, History: history}
 		crew.Go(func() { visitors.Run(bounded) })
 	}
 	base.Await(bounded, length/2)
@@ -109,7 +109,7 @@
 	}
 	sum.Samples = sum.Samples[:min(len(sum.Samples), 5)]
 	for _, each := range f.seats {
-		var counts mime.Counts
+		var counts standin.Counts
 		response, err := f.web.Get("http://" + each.address + "/mime/counts")
 		if err != nil {
 			return nil, err
--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -22,7 +22,7 @@
 	"curlewreach/base"
 	"curlewreach/helm"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -58,7 +58,7 @@
 	keels   []*machine
 	vanes   []*machine
 	seats   []*seat
-	plan    []mime.Habitual
+	plan    []standin.Habitual
 	key     ed25519.PrivateKey
 	keyFile string
 	clerk   *helm.Clerk
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -11,7 +11,7 @@
 
 	"curlewreach/base"
 	"curlewreach/fleet/scale"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 )
 
 const (
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	s.Clock = mime.MachineClock()
+	s.Clock = standin.MachineClock()
 	s.Rand = base.SeededRand(a.Seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/cmd/drill/trouble.go
+++ b/cmd/drill/trouble.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -205,7 +205,7 @@
 }
 
 func (f *fleet) faulty(s base.Scope) error {
-	for i, fault := range []mime.Fault{mime.LoseAfter, mime.Stuck, mime.Garble, mime.Truncate, mime.Nonsense} {
+	for i, fault := range []standin.Fault{standin.LoseAfter, standin.Stuck, standin.Garble, standin.Truncate, standin.Nonsense} {
 		each := f.seats[i%len(f.seats)]
 		if err := f.tell(each, "/mime/fault/"+string(fault)); err != nil {
 			return err
--- a/cmd/mime/main.go
+++ b/cmd/mime/main.go
@@ -11,7 +11,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 )
 
 type upstream struct {
@@ -51,7 +51,7 @@
 	if err != nil {
 		base.Complain("mime", err)
 	}
-	s.Clock = mime.MachineClock()
+	s.Clock = standin.MachineClock()
 	switch {
 	case a.Upstream != nil:
 		err = a.Upstream.run(s)
@@ -79,7 +79,7 @@
 }
 
 func (u *upstream) run(s base.Scope) error {
-	stand := &mime.Upstream{Scope: s, Service: u.Service, Address: u.Address, Zone: u.Zone, Capacity: u.Capacity, Reports: u.Reports}
+	stand := &standin.Upstream{Scope: s, Service: u.Service, Address: u.Address, Zone: u.Zone, Capacity: u.Capacity, Reports: u.Reports}
 	if err := read(u.Habits, &stand.Habits); err != nil {
 		return err
 	}
@@ -105,7 +105,7 @@
 
 func (v *visitors) run(s base.Scope) error {
 	history := judge.NewHistory(s.Clock)
-	stand := &mime.Visitors{Scope: s, Name: v.Name, To: v.To, Rate: v.Rate, History: history}
+	stand := &standin.Visitors{Scope: s, Name: v.Name, To: v.To, Rate: v.Rate, History: history}
 	if err := read(v.Plan, &stand.Habits); err != nil {
 		return err
 	}
--- a/fleet/answers_test.go
+++ b/fleet/answers_test.go
@@ -10,7 +10,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -20,8 +20,8 @@
 	Expect(judge.Vacuous(verdicts, wanted...)).To(BeEmpty(), f.Story)
 }
 
-func (f *Fleet) seatsOf(service string) []*mime.Upstream {
-	var seats []*mime.Upstream
+func (f *Fleet) seatsOf(service string) []*standin.Upstream {
+	var seats []*standin.Upstream
 	for _, u := range f.Seats {
 		if u.Service == service {
 			seats = append(seats, u)
@@ -30,16 +30,16 @@
 	return seats
 }
 
-func (f *Fleet) ask(m *Machine, habit mime.Habitual, id string) judge.Call {
+func (f *Fleet) ask(m *Machine, habit standin.Habitual, id string) judge.Call {
 	s := f.scope("asker "+id, m.IP, m.Disk, m.Clock, m.Journal)
-	call := (&mime.Visitors{Scope: s, To: m.At(visitorsPort)}).Ask(s, habit, id)
+	call := (&standin.Visitors{Scope: s, To: m.At(visitorsPort)}).Ask(s, habit, id)
 	f.History.Called(call)
 	return call
 }
 
 var (
-	hold   = mime.Habitual{Service: "lending", Route: "hold", Method: "POST", Path: "/lending/hold/7"}
-	report = mime.Habitual{Service: "catalogue", Route: "report", Method: "GET", Path: "/catalogue/report/7"}
+	hold   = standin.Habitual{Service: "lending", Route: "hold", Method: "POST", Path: "/lending/hold/7"}
+	report = standin.Habitual{Service: "catalogue", Route: "report", Method: "GET", Path: "/catalogue/report/7"}
 )
 
 func (f *Fleet) tally(calls []judge.Call) map[string]int {
@@ -58,7 +58,7 @@
 }
 
 var _ = ginkgo.Describe("answers", func() {
-	for _, fault := range []mime.Fault{mime.LoseAfter, mime.Truncate, mime.Garble, mime.Overlong, mime.Unframed, mime.Nonsense} {
+	for _, fault := range []standin.Fault{standin.LoseAfter, standin.Truncate, standin.Garble, standin.Overlong, standin.Unframed, standin.Nonsense} {
 		story(fmt.Sprintf("given upstreams that %s their answers, when a hold is asked, then it runs once and nothing but a whole answer is relayed", fault), []uint64{1, 2}, func(f *Fleet) {
 			raised(f)
 			for _, u := range f.seatsOf("lending") {
@@ -67,7 +67,7 @@
 			for i := range 12 {
 				call := f.ask(f.Vanes[i%len(f.Vanes)], hold, fmt.Sprintf("hold-%d", i))
 				Expect(call.Broken).To(BeEmpty())
-				if fault == mime.Overlong {
+				if fault == standin.Overlong {
 					Expect(call.Status).To(Equal(200))
 					continue
 				}
@@ -81,7 +81,7 @@
 
 	story("given one upstream that loses answers, when searches are asked, then repeats find another within their bound", []uint64{1, 2, 3}, func(f *Fleet) {
 		raised(f)
-		f.seatsOf("catalogue")[0].SetFault(mime.LoseAfter)
+		f.seatsOf("catalogue")[0].SetFault(standin.LoseAfter)
 		f.Visit(80)
 		f.Pass(15 * time.Second)
 		f.Leave()
@@ -93,7 +93,7 @@
 	story("given every upstream losing answers, when the crowd comes, then repeats stay within a fifth and the allowance", []uint64{1, 2}, func(f *Fleet) {
 		raised(f)
 		for _, u := range f.seatsOf("catalogue") {
-			u.SetFault(mime.LoseAfter)
+			u.SetFault(standin.LoseAfter)
 		}
 		f.Visit(100)
 		f.Pass(15 * time.Second)
@@ -103,23 +103,23 @@
 	})
 
 	story("given a long answer, when its upstream breaks off midway, then the visitor cannot take it for whole", []uint64{1}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/catalogue/report", Base: 5, Size: 3 << 20}}
+		f.Habits = []standin.Habit{{Prefix: "/catalogue/report", Base: 5, Size: 3 << 20}}
 		f.Tune = func(p *wire.VaneParams) { p.Held = 64 << 10 }
 		raised(f)
 		Expect(f.ask(f.Vanes[1], report, "whole").Broken).To(BeEmpty())
 		for _, u := range f.seatsOf("catalogue") {
-			u.SetFault(mime.Truncate)
+			u.SetFault(standin.Truncate)
 		}
 		Expect(f.ask(f.Vanes[1], report, "torn").Broken).To(HavePrefix("torn"))
 		for _, u := range f.seatsOf("catalogue") {
-			u.SetFault(mime.Garble)
+			u.SetFault(standin.Garble)
 		}
 		Expect(f.ask(f.Vanes[1], report, "garbled").Broken).To(HavePrefix("torn"))
 		sound(f)
 	})
 
 	story("given little room in memory, when many bodies and long answers come at once, then room is never overdrawn, some are turned back, and the rest are whole", []uint64{1, 2}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/catalogue/report", Base: 20, Size: 300 << 10}, {Prefix: "/lending", Base: 200}}
+		f.Habits = []standin.Habit{{Prefix: "/catalogue/report", Base: 20, Size: 300 << 10}, {Prefix: "/lending", Base: 200}}
 		f.Tune = func(p *wire.VaneParams) { p.Room = 1 << 20 }
 		raised(f)
 		statuses := make(chan int, 40)
@@ -154,7 +154,7 @@
 	story("given a slow upstream, when a hold's deadline passes, then the answer is unknown and the hold never runs again", []uint64{1, 2}, func(f *Fleet) {
 		raised(f)
 		for _, u := range f.seatsOf("lending") {
-			u.SetFault(mime.Stuck)
+			u.SetFault(standin.Stuck)
 		}
 		call := f.ask(f.Vanes[0], hold, "stuck")
 		Expect(call.Outcome).To(Equal("unknown"))
@@ -165,7 +165,7 @@
 
 	story("given no route, seat or room, when asked, then the bounce promises not run and says when to come back", []uint64{1}, func(f *Fleet) {
 		raised(f)
-		Expect(f.ask(f.Vanes[0], mime.Habitual{Method: "GET", Path: "/nowhere"}, "nowhere").Status).To(Equal(404))
+		Expect(f.ask(f.Vanes[0], standin.Habitual{Method: "GET", Path: "/nowhere"}, "nowhere").Status).To(Equal(404))
 		for _, u := range f.seatsOf("lending") {
 			u.Kill()
 		}
@@ -245,8 +245,8 @@
 			u.Leave()
 		}
 		for round := range 25 {
-			first := &mime.Upstream{Scope: f.scope(fmt.Sprint("first ", round), home.IP, home.Disk, home.Clock, home.Journal), Service: "lending", Address: home.At(8100 + round), Zone: home.Zone, Capacity: 16, Reports: home.At(upstreamsPort), History: f.History}
-			second := &mime.Upstream{Scope: f.scope(fmt.Sprint("second ", round), home.IP, home.Disk, home.Clock, home.Journal), Service: "catalogue", Address: first.Address, Zone: home.Zone, Capacity: 16, Reports: "10.9.0.99:1", History: f.History}
+			first := &standin.Upstream{Scope: f.scope(fmt.Sprint("first ", round), home.IP, home.Disk, home.Clock, home.Journal), Service: "lending", Address: home.At(8100 + round), Zone: home.Zone, Capacity: 16, Reports: home.At(upstreamsPort), History: f.History}
+			second := &standin.Upstream{Scope: f.scope(fmt.Sprint("second ", round), home.IP, home.Disk, home.Clock, home.Journal), Service: "catalogue", Address: first.Address, Zone: home.Zone, Capacity: 16, Reports: "10.9.0.99:1", History: f.History}
 			Expect(first.Start(time.Hour)).To(Succeed())
 			f.Pass(time.Duration(round*int(f.Seed)*3) * time.Microsecond)
 			first.Kill()
@@ -277,7 +277,7 @@
 		first := f.seatsOf("lending")[0]
 		home := f.Vanes[1]
 		first.Drain()
-		second := &mime.Upstream{Scope: first.Scope, Service: "catalogue", Address: first.Address, Reports: "10.9.0.99:1", Capacity: 16, Zone: home.Zone, History: f.History}
+		second := &standin.Upstream{Scope: first.Scope, Service: "catalogue", Address: first.Address, Reports: "10.9.0.99:1", Capacity: 16, Zone: home.Zone, History: f.History}
 		Expect(second.Start(time.Hour)).To(Succeed())
 		defer second.Kill()
 		for i := range 20 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,7 +19,7 @@
 	"curlewreach/flow"
 	"curlewreach/helm"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -63,15 +63,15 @@
 	World    *rig.World
 	Keels    []*Machine
 	Vanes    []*Machine
-	Seats    []*mime.Upstream
+	Seats    []*standin.Upstream
 	History  *judge.History
 	Story    string
 	Diskless bool
 	Key      ed25519.PrivateKey
 	Clerk    *helm.Clerk
 	Shape    *wire.Bundle
-	Habits   []mime.Habit
-	Plan     []mime.Habitual
+	Habits   []standin.Habit
+	Plan     []standin.Habitual
 	Tune     func(*wire.VaneParams)
 	TuneKeel func(*wire.KeelParams)
 	trusted  []string
@@ -251,8 +251,8 @@
 	m.Keel, m.Vane, m.cancel = nil, nil, nil
 }
 
-func (f *Fleet) Seat(m *Machine, service string, port, capacity int) (*mime.Upstream, error) {
-	u := &mime.Upstream{
+func (f *Fleet) Seat(m *Machine, service string, port, capacity int) (*standin.Upstream, error) {
+	u := &standin.Upstream{
 		Scope:   f.scope(fmt.Sprintf("%s %s %d %d", m.Name, service, port, len(f.Seats)), m.IP, m.Disk, m.Clock, m.Journal),
 		Service: service, Address: m.At(port), Zone: m.Zone, Capacity: capacity, Reports: m.At(upstreamsPort), Habits: f.Habits, History: f.History,
 	}
@@ -265,7 +265,7 @@
 	f.visiting = cancel
 	for _, m := range f.Vanes {
 		each := f.scope("visitors "+m.Name, m.IP, m.Disk, m.Clock, m.Journal)
-		visitors := &mime.Visitors{Scope: each, Name: m.Name, To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
+		visitors := &standin.Visitors{Scope: each, Name: m.Name, To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
 		f.crew.Go(func() { visitors.Run(each.Under(s)) })
 	}
 }
--- a/fleet/lens_test.go
+++ b/fleet/lens_test.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -99,11 +99,11 @@
 		{"have nothing, and are let together", false, false, true, 0, 0},
 	} {
 		story("given further calls that "+mode.name+", when several are in flight, then none is tied to a wrong parent", []uint64{1, 2}, func(f *Fleet) {
-			f.Habits = []mime.Habit{
+			f.Habits = []standin.Habit{
 				{Prefix: "/lending/borrow", Base: 20, Swing: 20, Size: 50, Calls: []string{"GET /catalogue/licences/{last}"}, Passes: mode.passes},
 				{Prefix: "/catalogue/licences", Base: 5, Swing: 10, Size: 50},
 			}
-			f.Plan = []mime.Habitual{{Service: "lending", Route: "borrow", Group: "patrons", Method: "POST", Path: "/lending/borrow/{n}", Part: 1}}
+			f.Plan = []standin.Habitual{{Service: "lending", Route: "borrow", Group: "patrons", Method: "POST", Path: "/lending/borrow/{n}", Part: 1}}
 			for _, route := range f.Shape.Services[1].Routes {
 				if route.Name == "borrow" {
 					route.Together = mode.together
@@ -141,8 +141,8 @@
 
 var _ = ginkgo.Describe("fair shares", func() {
 	story("given one group that floods, when another asks its usual, then the other keeps its part and spare room is used", []uint64{1, 2, 3}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/catalogue", Base: 40, Size: 50}}
-		f.Plan = []mime.Habitual{
+		f.Habits = []standin.Habit{{Prefix: "/catalogue", Base: 40, Size: 50}}
+		f.Plan = []standin.Habitual{
 			{Service: "catalogue", Route: "search", Group: "patrons", Method: "GET", Path: "/catalogue/search?q={n}", Part: 1},
 			{Service: "catalogue", Route: "report", Group: "librarians", Method: "GET", Path: "/catalogue/report/{n}", Part: 9},
 		}
--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -11,7 +11,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -48,7 +48,7 @@
 			raised(f)
 			f.Visit(8)
 			serial, port := uint64(1), 9000
-			var guest *mime.Upstream
+			var guest *standin.Upstream
 			churn := func(rounds int) map[string]int {
 				for range rounds {
 					name := fmt.Sprint("guest-", serial)
@@ -69,7 +69,7 @@
 					guest, err = f.Seat(f.Vanes[int(serial)%4], name, port, 4)
 					Expect(err).NotTo(HaveOccurred())
 					f.Pass(2 * time.Second)
-					f.ask(f.Vanes[0], mime.Habitual{Service: name, Route: "r", Method: "GET", Path: "/" + name + "/r"}, name)
+					f.ask(f.Vanes[0], standin.Habitual{Service: name, Route: "r", Method: "GET", Path: "/" + name + "/r"}, name)
 					m := f.Every()[int(serial)%7]
 					f.Stop(m)
 					Expect(f.Raise(m)).To(Succeed())
--- a/fleet/odds_test.go
+++ b/fleet/odds_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/gomega"
 
 	"curlewreach/internal/testing/judge"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/internal/tracing"
-	"curlewreach/mime"
 	"curlewreach/proto/wire"
 )
 
@@ -130,8 +130,8 @@
 
 var _ = ginkgo.Describe("close watching shared out", func() {
 	story("given one group that floods, when another calls as usual, then all of the other's calls are watched at every node and the flood gets what is left", []uint64{1, 2, 3}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/catalogue", Base: 2, Size: 50}}
-		f.Plan = []mime.Habitual{
+		f.Habits = []standin.Habit{{Prefix: "/catalogue", Base: 2, Size: 50}}
+		f.Plan = []standin.Habitual{
 			{Service: "catalogue", Route: "search", Group: "patrons", Method: "GET", Path: "/catalogue/search?q={n}", Part: 1},
 			{Service: "catalogue", Route: "report", Group: "librarians", Method: "GET", Path: "/catalogue/report/{n}", Part: 9},
 		}
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -10,7 +10,7 @@
 	"curlewreach/base"
 	"curlewreach/internal/bundle"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -200,7 +200,7 @@
 	})
 
 	story("given a slow request under way, when a bundle rolls out, then it is neither dropped nor handed over under the older", []uint64{1, 2}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/catalogue/report", Base: 3000, Size: 2000}}
+		f.Habits = []standin.Habit{{Prefix: "/catalogue/report", Base: 3000, Size: 2000}}
 		raised(f)
 		done := make(chan judge.Call, 1)
 		go func() { done <- f.ask(f.Vanes[1], report, "slow") }()
--- a/fleet/soak_test.go
+++ b/fleet/soak_test.go
@@ -14,7 +14,7 @@
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -126,9 +126,9 @@
 	}},
 	{"faulty upstream", func(f *Fleet, rand *base.Rand) func() {
 		u := f.Seats[rand.Below(len(f.Seats))]
-		faults := []mime.Fault{mime.LoseAfter, mime.Truncate, mime.Garble, mime.Unframed, mime.Stuck, mime.Nonsense}
+		faults := []standin.Fault{standin.LoseAfter, standin.Truncate, standin.Garble, standin.Unframed, standin.Stuck, standin.Nonsense}
 		u.SetFault(faults[rand.Below(len(faults))])
-		return func() { u.SetFault(mime.Sound) }
+		return func() { u.SetFault(standin.Sound) }
 	}},
 	{"full disk", func(f *Fleet, rand *base.Rand) func() {
 		m := f.Keels[rand.Below(len(f.Keels))]
@@ -303,7 +303,7 @@
 	var crew base.Crew
 	for _, m := range f.Vanes {
 		each := f.scope(fmt.Sprint("crowd ", m.Name, f.Scope.Clock.Mono()), m.IP, m.Disk, m.Clock, m.Journal)
-		visitors := &mime.Visitors{Scope: each, Name: fmt.Sprint("crowd-", m.Name), To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
+		visitors := &standin.Visitors{Scope: each, Name: fmt.Sprint("crowd-", m.Name), To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
 		crew.Go(func() { visitors.Run(each.Under(s)) })
 	}
 	return func() {
--- a/fleet/suite_test.go
+++ b/fleet/suite_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -85,7 +85,7 @@
 	}
 }
 
-var habits = []mime.Habit{
+var habits = []standin.Habit{
 	{Prefix: "/catalogue/search", Base: 4, Swing: 3, Size: 200},
 	{Prefix: "/catalogue/report", Base: 20, Swing: 60, Size: 4000},
 	{Prefix: "/catalogue/licences", Base: 1, Swing: 1, Size: 60},
@@ -93,7 +93,7 @@
 	{Prefix: "/lending/hold", Base: 3, Swing: 2, Size: 120},
 }
 
-var plan = []mime.Habitual{
+var plan = []standin.Habitual{
 	{Service: "catalogue", Route: "search", Group: "patrons", Method: "GET", Path: "/catalogue/search?q={n}", Part: 5},
 	{Service: "catalogue", Route: "report", Group: "librarians", Method: "GET", Path: "/catalogue/report/{n}", Part: 1},
 	{Service: "lending", Route: "borrow", Group: "patrons", Method: "POST", Path: "/lending/borrow/{n}", Part: 2},
--- a/fleet/trouble_test.go
+++ b/fleet/trouble_test.go
@@ -14,7 +14,7 @@
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -107,14 +107,14 @@
 	})
 
 	story("given one attempt delivered twice, when the first has run or not, then the second neither runs nor says not run of the first", []uint64{1, 2}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/lending/hold", Base: 300, Size: 50}}
+		f.Habits = []standin.Habit{{Prefix: "/lending/hold", Base: 300, Size: 50}}
 		raised(f)
 		far := f.Vanes[1]
 		callee := wireconnect.NewFlowClient(base.Wire(f.Scope), "http://"+far.Address)
 		ask := &wire.CarryRequest{
 			Attempt: "twice", Incarnation: far.Vane.Node.Incarnation(), Serial: 1, Service: "lending", Route: "hold", Seat: far.At(8001), Group: "patrons",
 			Method: "POST", Target: "/lending/hold/7", NotAfterUs: (far.Clock.Mono() + 2*time.Second).Microseconds(), Trail: &wire.Trail{Trace: "t"},
-			Headers: []*wire.Header{{Name: mime.IDHeader, Values: []string{"twice"}}},
+			Headers: []*wire.Header{{Name: standin.IDHeader, Values: []string{"twice"}}},
 		}
 		said := make(chan *wire.CarryMishap, 2)
 		for range 2 {
@@ -160,7 +160,7 @@
 		return calls
 	}
 	story("given two answers crossed between two of our nodes, when their seals are read, then neither reaches a visitor", []uint64{1, 2}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/lending/hold", Base: 50, Size: 500}}
+		f.Habits = []standin.Habit{{Prefix: "/lending/hold", Base: 50, Size: 500}}
 		raised(f)
 		for _, u := range f.seatsOf("lending")[1:] {
 			u.Leave()
@@ -177,7 +177,7 @@
 	})
 
 	story("given two answers crossed by their upstreams or before the visitor, when checked, then the checker sees whose they are", []uint64{1}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/lending/hold", Base: 50, Size: 500}}
+		f.Habits = []standin.Habit{{Prefix: "/lending/hold", Base: 50, Size: 500}}
 		raised(f)
 		f.World.Cross(f.Vanes[0].IP, f.Vanes[0].IP, holding)
 		ask2(f, f.Vanes[0])
@@ -187,7 +187,7 @@
 
 var _ = ginkgo.Describe("crowds and slow upstreams at once", func() {
 	story("given upstreams ten times slower and five times the visitors, when room runs out, then who can't be served hears it at once with when to come back", []uint64{1, 2}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/", Base: 200, Swing: 100, Size: 100}}
+		f.Habits = []standin.Habit{{Prefix: "/", Base: 200, Swing: 100, Size: 100}}
 		raised(f)
 		for _, u := range f.Seats {
 			u.Resize(4)
@@ -302,7 +302,7 @@
 				bubble(seed, b, func(f *Fleet) {
 					f.World.Even()
 					f.Tune = func(p *wire.VaneParams) { p.Queue = 64 }
-					f.Habits = []mime.Habit{{Prefix: "/", Base: 5, Size: 100}}
+					f.Habits = []standin.Habit{{Prefix: "/", Base: 5, Size: 100}}
 					f.Plan = plan[:1]
 					raised(f)
 					for _, u := range f.seatsOf("catalogue")[1:] {
@@ -367,7 +367,7 @@
 
 var _ = ginkgo.Describe("a node that loses power and returns at once", func() {
 	story("given searches in flight at it, when they break off, then each is its visitor's to judge and none is told not run of what ran", []uint64{1, 2, 3}, func(f *Fleet) {
-		f.Habits = []mime.Habit{{Prefix: "/", Base: 40, Swing: 40, Size: 100}}
+		f.Habits = []standin.Habit{{Prefix: "/", Base: 40, Swing: 40, Size: 100}}
 		raised(f)
 		f.Visit(300)
 		for range 6 {
--- a/fleet/ways_test.go
+++ b/fleet/ways_test.go
@@ -11,7 +11,7 @@
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
 	"curlewreach/internal/testing/judge"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -180,7 +180,7 @@
 
 var _ = ginkgo.Describe("stops", func() {
 	story("given every machine rolled with long answers in flight, when each stops, then it carries what fits in its grace and drops none", []uint64{1, 2, 3}, func(f *Fleet) {
-		f.Habits = append([]mime.Habit{{Prefix: "/catalogue/report", Base: 1500, Swing: 1000, Size: 200000}}, habits...)
+		f.Habits = append([]standin.Habit{{Prefix: "/catalogue/report", Base: 1500, Swing: 1000, Size: 200000}}, habits...)
 		raised(f)
 		f.Visit(50)
 		for _, m := range f.Every() {
--- a/mime/visitors.go
+++ b/internal/testing/standin/visitors.go
@@ -1,4 +1,4 @@
-package mime
+package standin
 
 import (
 	"bytes"
