--- a/internal/testing/standin/clock.go
+++ b/internal/testing/standin/clock.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"curlewreach/base"
 )
 
 type machineClock struct{}
@@ -16,4 +18,6 @@
 	return time.Duration(at.Nano())
 }
 
-func MachineClock() machineClock { return machineClock{} }
+// MachineClock returns a clock whose Mono is the machine's monotonic clock, so
+// that the histories of processes on one machine can be merged.
+func MachineClock() base.Clock { return machineClock{} }
--- a/internal/testing/standin/upstream.go
+++ b/internal/testing/standin/upstream.go
@@ -1,3 +1,6 @@
+// Package standin stands in for the upstreams and visitors of a fleet of listed
+// machines, in stories in memory and, through cmd/mime, on loopback. Both note
+// what they saw in a judge.History.
 package standin
 
 import (
@@ -19,67 +22,101 @@
 	"curlewreach/internal/testing/judge"
 )
 
+// The headers between stand-ins, and the mesh's own that they look at.
 const (
-	IDHeader    = "Mime-Id"
+	// IDHeader names a request, the same in all its attempts.
+	IDHeader = "Mime-Id"
+	// TruthHeader tells, in a further call, the traceparent of its true parent,
+	// to judge what the mesh tied it to.
 	TruthHeader = "Mime-Truth"
-	SerialSeen  = "Curlew-Serial"
+	// SerialSeen is set by the mesh to the number of the bundle that the
+	// request was sent under.
+	SerialSeen = "Curlew-Serial"
 )
 
+// Millis is a duration in milliseconds, as habits files have it.
 type Millis int
 
+// Duration returns m as a time.Duration.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
+// Habit is how an upstream answers paths that begin with a prefix.
 type Habit struct {
-	Prefix string   `json:"prefix"`
-	Base   Millis   `json:"base"`
-	Swing  Millis   `json:"swing"`
-	Size   int      `json:"size"`
-	Calls  []string `json:"calls"`
-	Passes bool     `json:"passes"`
+	Prefix string `json:"prefix"`
+	// Base is the least time that a request takes.
+	Base Millis `json:"base"`
+	// Swing is the width of the random time added to Base.
+	Swing Millis `json:"swing"`
+	// Size is the number of filler bytes in an answer.
+	Size int `json:"size"`
+	// Calls are the further calls made for a request, such as "GET
+	// /loans/{last}", where {last} is the last segment of the request's path.
+	Calls []string `json:"calls"`
+	// Passes is set if the upstream passes the traceparent header on.
+	Passes bool `json:"passes"`
 }
 
+// Fault is how an upstream's answers are broken.
 type Fault string
 
+// The faults.
 const (
-	Sound     Fault = ""
+	// Sound breaks nothing.
+	Sound Fault = ""
+	// LoseAfter closes the connection instead of answering.
 	LoseAfter Fault = "lose-after"
-	Truncate  Fault = "truncate"
-	Garble    Fault = "garble"
-	Overlong  Fault = "overlong"
-	Unframed  Fault = "unframed"
-	Stuck     Fault = "stuck"
-	Nonsense  Fault = "nonsense"
+	// Truncate closes the connection halfway through the body.
+	Truncate Fault = "truncate"
+	// Garble alters a byte of the body.
+	Garble Fault = "garble"
+	// Overlong sends the body twice under the length of one.
+	Overlong Fault = "overlong"
+	// Unframed sends half a body that has no stated length.
+	Unframed Fault = "unframed"
+	// Stuck never answers.
+	Stuck Fault = "stuck"
+	// Nonsense sends bytes that are no HTTP.
+	Nonsense Fault = "nonsense"
 )
 
+// Upstream is a stand-in for one instance of a service.
 type Upstream struct {
 	Scope    base.Scope
 	Service  string
 	Address  string
 	Zone     string
 	Capacity int
-	Reports  string
-	Habits   []Habit
-	History  *judge.History
-	web      *http.Client
-	mu       sync.Mutex
-	leaving  bool
-	left     time.Duration
-	fault    Fault
-	ran      map[string]int
-	right    int
-	other    int
-	door     *base.Door
-	cancel   context.CancelFunc
-	crew     base.Crew
+	// Reports is the node's address for reports and further calls.
+	Reports string
+	Habits  []Habit
+	// History takes what ran here.
+	History *judge.History
+	web     *http.Client
+	mu      sync.Mutex
+	leaving bool
+	left    time.Duration
+	fault   Fault
+	ran     map[string]int
+	right   int
+	other   int
+	door    *base.Door
+	cancel  context.CancelFunc
+	crew    base.Crew
 }
 
+// Counts are what an upstream saw.
 type Counts struct {
-	Ran      int `json:"ran"`
+	// Ran is the number of requests run.
+	Ran int `json:"ran"`
+	// Repeated is how many of them had run here before.
 	Repeated int `json:"repeated"`
+	// TiedWell counts the further calls that the mesh tied to their true
+	// parent, TiedElse those that it didn't.
 	TiedWell int `json:"tiedWell"`
 	TiedElse int `json:"tiedElse"`
 }
 
+// Start listens and reports itself to the node at each interval.
 func (u *Upstream) Start(every time.Duration) error {
 	u.ran = map[string]int{}
 	s, cancel := u.Scope.Child()
@@ -102,18 +139,21 @@
 	return nil
 }
 
+// Kill ends it at once, with all connections.
 func (u *Upstream) Kill() {
 	u.cancel()
 	u.door.Slam()
 	u.crew.Wait()
 }
 
+// Drain stops reporting and listening; requests in flight end as usual.
 func (u *Upstream) Drain() {
 	u.cancel()
 	u.door.Fold()
 	u.crew.Wait()
 }
 
+// Leave reports that it is leaving; it goes on serving.
 func (u *Upstream) Leave() {
 	u.mu.Lock()
 	u.leaving, u.left = true, u.Scope.Clock.Mono()
@@ -121,6 +161,7 @@
 	u.report(u.Scope)
 }
 
+// Stay takes Leave back.
 func (u *Upstream) Stay() {
 	u.mu.Lock()
 	u.leaving = false
@@ -128,18 +169,21 @@
 	u.report(u.Scope)
 }
 
+// Resize sets the capacity told from the next report on.
 func (u *Upstream) Resize(capacity int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.Capacity = capacity
 }
 
+// SetFault sets how answers are broken from now on.
 func (u *Upstream) SetFault(fault Fault) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.fault = fault
 }
 
+// Counts returns what it saw so far.
 func (u *Upstream) Counts() Counts {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -260,6 +304,7 @@
 	}
 }
 
+// traceOf returns the trace ID of a traceparent header, or "none".
 func traceOf(traceparent string) string {
 	pieces := strings.Split(traceparent, "-")
 	if len(pieces) != 4 {
@@ -268,6 +313,7 @@
 	return pieces[1]
 }
 
+// Body returns the answer to a request.
 func Body(id, service string, size int) []byte {
 	body, _ := json.Marshal(map[string]string{"id": id, "service": service, "filler": strings.Repeat("x", size)})
 	return body
--- a/internal/testing/standin/visitors.go
+++ b/internal/testing/standin/visitors.go
@@ -16,19 +16,25 @@
 	"curlewreach/internal/testing/judge"
 )
 
+// Habitual is a request that visitors make.
 type Habitual struct {
-	Service string  `json:"service"`
-	Route   string  `json:"route"`
-	Group   string  `json:"group"`
-	Method  string  `json:"method"`
-	Path    string  `json:"path"`
-	Part    float64 `json:"part"`
+	Service string `json:"service"`
+	Route   string `json:"route"`
+	Group   string `json:"group"`
+	Method  string `json:"method"`
+	// Path may hold {n}, a random number below 40.
+	Path string `json:"path"`
+	// Part is its weight among all.
+	Part float64 `json:"part"`
 }
 
+// Visitors is a stand-in for callers behind one node.
 type Visitors struct {
-	Scope   base.Scope
-	Name    string
-	To      string
+	Scope base.Scope
+	Name  string
+	// To is the node's address for visitors.
+	To string
+	// Rate is the mean number of requests a second.
 	Rate    float64
 	Habits  []Habitual
 	History *judge.History
@@ -36,6 +42,7 @@
 	crew    base.Crew
 }
 
+// Run makes requests until the scope ends, then waits for the answers.
 func (v *Visitors) Run(s base.Scope) {
 	v.web = &http.Client{Transport: &http.Transport{DialContext: s.Net.Dial, MaxIdleConnsPerHost: 32}, Timeout: 8 * time.Second}
 	gap := time.Duration(float64(time.Second) / v.Rate)
@@ -65,6 +72,8 @@
 	return v.Habits[0]
 }
 
+// Ask makes one request of the name id and returns what came of it, with the
+// answer checked for being whole and this request's.
 func (v *Visitors) Ask(s base.Scope, habit Habitual, id string) judge.Call {
 	call := judge.Call{Via: v.Name, ID: id, Service: habit.Service, Route: habit.Route, Group: habit.Group, Begun: s.Clock.Mono()}
 	path := strings.ReplaceAll(habit.Path, "{n}", fmt.Sprint(s.Rand.Below(40)))
@@ -106,10 +115,13 @@
 	return call
 }
 
+// once gives a request a body that can't be replayed, so that the HTTP client
+// doesn't repeat it by itself.
 func once(request *http.Request) {
 	request.Body, request.GetBody = io.NopCloser(strings.NewReader("")), nil
 }
 
+// sound reports whether a Content-Digest header matches the body.
 func sound(header string, body []byte) bool {
 	digest := sha256.Sum256(body)
 	given, err := base64.StdEncoding.DecodeString(strings.Trim(strings.TrimPrefix(header, "sha-256="), ":"))
