--- a/internal/testing/judge/check.go
+++ b/internal/testing/judge/check.go
@@ -1,3 +1,8 @@
+// Package judge judges a history of a fleet of listed machines by the rules
+// that must never be broken. The rules look only at what upstreams, visitors,
+// operators and samplers saw; each tells how many things it judged, so that a
+// run which judged nothing doesn't pass for a good one. docs/proof.md lists the
+// rules.
 package judge
 
 import (
@@ -6,22 +11,39 @@
 	"slices"
 )
 
+// The names of the rules.
 const (
-	RanTwice   = "ran twice"
-	NotRun     = "not run"
-	Whole      = "whole answers"
-	Allowed    = "allowed services"
-	InForce    = "in force"
-	SlideBack  = "slide back"
-	OneAck     = "one ack a base"
+	// RanTwice: no request other than GET runs twice.
+	RanTwice = "ran twice"
+	// NotRun: a request told as not run didn't run.
+	NotRun = "not run"
+	// Whole: answers are complete and of the right request.
+	Whole = "whole answers"
+	// Allowed: a request runs only at a service that a signed bundle routes it
+	// to.
+	Allowed = "allowed services"
+	// InForce: a confirmed bundle is in force everywhere in time.
+	InForce = "in force"
+	// SlideBack: nobody goes back to an older bundle.
+	SlideBack = "slide back"
+	// OneAck: a submission has one outcome, and a serial number one submission.
+	OneAck = "one ack a base"
+	// BouncedOut: what was refused is never in force.
 	BouncedOut = "bounced stay out"
+	// LeavingOff: a leaving upstream gets no new requests after a while.
 	LeavingOff = "leaving"
-	Stops      = "planned stops"
-	Repeats    = "repeats"
-	ReadBack   = "read back"
-	Returns    = "returns"
+	// Stops: a planned stop breaks no request.
+	Stops = "planned stops"
+	// Repeats: repeats stay within their ratio and allowance.
+	Repeats = "repeats"
+	// ReadBack: the newest confirmed bundle is read back whole after a disk
+	// loss.
+	ReadBack = "read back"
+	// Returns: after a return, service is back in time.
+	Returns = "returns"
 )
 
+// account is a history being judged by one rule.
 type account struct {
 	*History
 	Bounds
@@ -34,6 +56,7 @@
 
 func (a *account) judged() { a.verdict.Judged++ }
 
+// Check judges the history by all rules and returns a verdict for each.
 func Check(h *History, bounds Bounds) []Verdict {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -64,6 +87,7 @@
 	return verdicts
 }
 
+// Broken returns all violations, each with its rule's name.
 func Broken(verdicts []Verdict) []string {
 	var broken []string
 	for _, verdict := range verdicts {
@@ -74,6 +98,7 @@
 	return broken
 }
 
+// Vacuous returns the rules, of those wanted, that found nothing to judge.
 func Vacuous(verdicts []Verdict, wanted ...string) []string {
 	var vacuous []string
 	for _, verdict := range verdicts {
--- a/internal/testing/judge/history.go
+++ b/internal/testing/judge/history.go
@@ -22,7 +22,9 @@
 	bundle *bundle.Bundle
 }
 
+// History collects what was seen of a fleet. It is safe for concurrent use.
 type History struct {
+	// Spill, if set, takes runs as JSON lines in place of the history.
 	Spill     io.Writer
 	clock     base.Clock
 	mu        sync.Mutex
@@ -38,6 +40,7 @@
 	signed    map[string]signed
 }
 
+// NewHistory returns an empty history that stamps by the clock.
 func NewHistory(clock base.Clock) *History {
 	return &History{clock: clock, signed: map[string]signed{}}
 }
@@ -54,8 +57,10 @@
 	return append([]T(nil), *rows...)
 }
 
+// Now returns the clock's reading.
 func (h *History) Now() time.Duration { return h.clock.Mono() }
 
+// Ran notes that a request arrived at an upstream. A nil history ignores it.
 func (h *History) Ran(run Run) {
 	if h == nil {
 		return
@@ -73,16 +78,21 @@
 	note(h, &h.runs, run)
 }
 
+// Called notes a request as its visitor saw it.
 func (h *History) Called(call Call) { note(h, &h.calls, call) }
 
+// Acked notes an outcome as an operator was told it.
 func (h *History) Acked(outcome *wire.Outcome) {
 	note(h, &h.acks, Ack{At: h.Now(), Submission: outcome.GetSubmission(), Verdict: outcome.GetVerdict(), Serial: outcome.GetSerial()})
 }
 
+// Sent notes that a node sent a request under a bundle.
 func (h *History) Sent(sent Sent) { note(h, &h.sent, sent) }
 
+// Dialled notes a failed dial of an attempt.
 func (h *History) Dialled(dial Dial) { note(h, &h.dials, dial) }
 
+// Fold takes what concerns the rules out of a node's journal.
 func (h *History) Fold(node, topic, subject, detail string, at time.Duration) {
 	switch topic {
 	case "handed":
@@ -97,8 +107,10 @@
 	}
 }
 
+// Read notes a sample of what a node would serve.
 func (h *History) Read(reading Reading) { note(h, &h.readings, reading) }
 
+// ReadBack notes what a disk had of the bundle, or the error.
 func (h *History) ReadBack(disk string, serial uint64, sealed *wire.Sealed, err error) {
 	row := Readback{At: h.Now(), Disk: disk, Serial: serial, Body: whole(sealed)}
 	if err != nil {
@@ -107,8 +119,10 @@
 	note(h, &h.readbacks, row)
 }
 
+// Returned notes that all machines are back from now on.
 func (h *History) Returned() { note(h, &h.returns, h.Now()) }
 
+// Spell notes the begin of a trouble or a planned stop; end notes its end.
 func (h *History) Spell(node, cause string, planned bool) (end func()) {
 	spell := &Spell{Node: node, Cause: cause, Planned: planned, From: h.Now(), Till: -1}
 	note(h, &h.spells, spell)
@@ -119,6 +133,7 @@
 	}
 }
 
+// Signed notes a bundle that an operator handed in under a submission.
 func (h *History) Signed(submission string, sealed *wire.Sealed) {
 	row := signed{digest: bundle.Digest(sealed), body: whole(sealed)}
 	if raw, mishap := bundle.Open(sealed); mishap == nil {
@@ -137,8 +152,11 @@
 	return body
 }
 
+// Runs returns a copy of the runs so far.
 func (h *History) Runs() []Run { return snapshot(h, &h.runs) }
 
+// Calls returns a copy of the calls so far.
 func (h *History) Calls() []Call { return snapshot(h, &h.calls) }
 
+// Acks returns a copy of the outcomes so far.
 func (h *History) Acks() []Ack { return snapshot(h, &h.acks) }
--- a/internal/testing/judge/rows.go
+++ b/internal/testing/judge/rows.go
@@ -6,37 +6,50 @@
 	"curlewreach/proto/wire"
 )
 
+// Run is a request's arrival at an upstream.
 type Run struct {
 	At      time.Duration
 	ID      string
 	Service string
-	Seat    string
-	Serial  uint64
+	// Seat is the upstream's address.
+	Seat string
+	// Serial is the bundle that the request was sent under.
+	Serial uint64
+	// Leaving is set if the upstream had said, at Left, that it is leaving.
 	Leaving bool
 	Left    time.Duration
 	Method  string
 	Path    string
 }
 
+// Call is a request as its visitor saw it.
 type Call struct {
 	ID      string
 	Service string
 	Route   string
 	Group   string
-	Via     string
-	Begun   time.Duration
-	Ended   time.Duration
-	Status  int
+	// Via is the node that it was sent to.
+	Via    string
+	Begun  time.Duration
+	Ended  time.Duration
+	Status int
+	// Outcome is what the mesh said of a request it refused: "not-run" or
+	// "unknown"; empty for an upstream's answer.
 	Outcome string
-	Kind    string
-	Reason  string
-	Broken  string
-	Again   string
-	Trace   string
+	// Kind and Reason are the mesh's error.
+	Kind   string
+	Reason string
+	// Broken tells what was wrong with the answer, if anything.
+	Broken string
+	// Again is the answer's Retry-After.
+	Again string
+	Trace string
 }
 
+// Answered reports whether an upstream's answer came whole.
 func (c Call) Answered() bool { return c.Broken == "" && c.Outcome == "" }
 
+// Ack is an outcome that an operator was told.
 type Ack struct {
 	At         time.Duration
 	Submission string
@@ -44,18 +57,23 @@
 	Serial     uint64
 }
 
+// Sent is a request sent by a node under a bundle.
 type Sent struct {
 	At     time.Duration
 	Node   string
 	Serial uint64
 }
 
+// Dial is a failed dial for an attempt; Ordinal counts a request's attempts
+// from 0.
 type Dial struct {
 	At      time.Duration
 	Service string
 	Ordinal int
 }
 
+// Reading is a sample of a node: the bundle it holds, whether it would serve,
+// and whether nothing troubles the fleet (Calm).
 type Reading struct {
 	At     time.Duration
 	Node   string
@@ -65,6 +83,7 @@
 	Calm   bool
 }
 
+// Readback is what a disk had of the bundle; Reason is why it couldn't be read.
 type Readback struct {
 	At     time.Duration
 	Disk   string
@@ -73,6 +92,8 @@
 	Reason string
 }
 
+// Spell is the time of a trouble or a planned stop. Till is negative while it
+// lasts.
 type Spell struct {
 	Node    string
 	Cause   string
--- a/internal/testing/judge/rules.go
+++ b/internal/testing/judge/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -78,71 +79,100 @@
 func inForce(a *account) {
 	told := map[string]bool{}
 	for _, ack := range a.taken() {
-		late := ack.At + a.InForce
-		for _, run := range a.runs {
-			if run.At > late {
-				a.judged()
-				if run.Serial < ack.Serial {
-					a.found("%s ran under %d, %s after %d was acked", run.ID, run.Serial, run.At-ack.At, ack.Serial)
-				}
-			}
+		a.ackInForce(ack, told)
+	}
+}
+
+// ackInForce judges all that happened late after ack. The nodes in told were
+// found to serve nothing.
+func (a *account) ackInForce(ack Ack, told map[string]bool) {
+	late := ack.At + a.InForce
+	for _, run := range a.runs {
+		if run.At > late {
+			a.runInForce(ack, run)
 		}
-		for _, sent := range a.sent {
-			if sent.At > late && sent.Serial < ack.Serial {
-				a.found("%s sent under %d, %s after %d was acked", sent.Node, sent.Serial, sent.At-ack.At, ack.Serial)
-			}
+	}
+	for _, sent := range a.sent {
+		if sent.At > late && sent.Serial < ack.Serial {
+			a.found("%s sent under %d, %s after %d was acked", sent.Node, sent.Serial, sent.At-ack.At, ack.Serial)
 		}
-		for _, reading := range a.readings {
-			if reading.At <= late {
-				continue
-			}
-			a.judged()
-			switch {
-			case reading.Ready && reading.Serial < ack.Serial:
-				a.found("%s would serve under %d, %s after %d was acked", reading.Node, reading.Serial, reading.At-ack.At, ack.Serial)
-			case reading.Calm && !reading.Ready && !told[reading.Node] && !a.rolling(reading.At):
-				told[reading.Node] = true
-				a.found("%s serves nothing though all is calm, %s after %d was acked", reading.Node, reading.At-ack.At, ack.Serial)
-			}
+	}
+	for _, reading := range a.readings {
+		if reading.At > late {
+			a.readingInForce(ack, reading, told)
 		}
 	}
 }
 
+func (a *account) runInForce(ack Ack, run Run) {
+	a.judged()
+	if run.Serial < ack.Serial {
+		a.found("%s ran under %d, %s after %d was acked", run.ID, run.Serial, run.At-ack.At, ack.Serial)
+	}
+}
+
+// readingInForce judges a sample taken late after ack. That a node serves
+// nothing though all is calm is told once a node.
+func (a *account) readingInForce(ack Ack, reading Reading, told map[string]bool) {
+	a.judged()
+	switch {
+	case reading.Ready && reading.Serial < ack.Serial:
+		a.found("%s would serve under %d, %s after %d was acked", reading.Node, reading.Serial, reading.At-ack.At, ack.Serial)
+	case reading.Calm && !reading.Ready && !told[reading.Node] && !a.rolling(reading.At):
+		told[reading.Node] = true
+		a.found("%s serves nothing though all is calm, %s after %d was acked", reading.Node, reading.At-ack.At, ack.Serial)
+	}
+}
+
 func (a *account) rolling(at time.Duration) bool {
 	return slices.ContainsFunc(a.acks, func(ack Ack) bool { return max(at-ack.At, ack.At-at) <= a.InForce })
 }
 
 func slideBack(a *account) {
-	first := map[uint64]time.Duration{}
+	seen := newSightings(a.runs)
 	for _, run := range a.runs {
+		a.slid(seen, run.ID+" arrived", run.Serial, run.At)
+	}
+	for _, sent := range a.sent {
+		a.slid(seen, sent.Node+" sent", sent.Serial, sent.At)
+	}
+	for _, reading := range a.readings {
+		if reading.Ready {
+			a.slid(seen, reading.Node+" would serve", reading.Serial, reading.At)
+		}
+	}
+}
+
+// sightings are the serials that upstreams saw, ascending, and when each was
+// first seen.
+type sightings struct {
+	first   map[uint64]time.Duration
+	serials []uint64
+}
+
+func newSightings(runs []Run) sightings {
+	first := map[uint64]time.Duration{}
+	for _, run := range runs {
 		if _, seen := first[run.Serial]; !seen {
 			first[run.Serial] = run.At
 		}
 	}
-	serials := slices.Sorted(maps.Keys(first))
-	judge := func(what string, serial uint64, at time.Duration) {
-		for _, newer := range serials {
-			if newer > serial && at > first[newer] {
-				a.judged()
-				if at-first[newer] > a.SlideBack {
-					a.found("%s under %d, %s after %d was seen", what, serial, at-first[newer], newer)
-				}
-			}
+	return sightings{first, slices.Sorted(maps.Keys(first))}
+}
+
+// slid judges a use of a serial against each newer one seen before it.
+func (a *account) slid(seen sightings, what string, serial uint64, at time.Duration) {
+	for _, newer := range seen.serials {
+		if newer <= serial || at <= seen.first[newer] {
+			continue
 		}
-		if len(serials) > 1 && serial == serials[len(serials)-1] {
-			a.judged()
+		a.judged()
+		if at-seen.first[newer] > a.SlideBack {
+			a.found("%s under %d, %s after %d was seen", what, serial, at-seen.first[newer], newer)
 		}
 	}
-	for _, run := range a.runs {
-		judge(run.ID+" arrived", run.Serial, run.At)
-	}
-	for _, sent := range a.sent {
-		judge(sent.Node+" sent", sent.Serial, sent.At)
-	}
-	for _, reading := range a.readings {
-		if reading.Ready {
-			judge(reading.Node+" would serve", reading.Serial, reading.At)
-		}
+	if len(seen.serials) > 1 && serial == seen.serials[len(seen.serials)-1] {
+		a.judged()
 	}
 }
 
@@ -172,26 +202,9 @@
 	if len(a.acks) == 0 {
 		return
 	}
-	out, in := map[string]string{}, map[string]bool{}
-	serials := map[uint64]bool{}
-	for _, ack := range a.acks {
-		row, known := a.signed[ack.Submission]
-		switch ack.Verdict {
-		case wire.Verdict_BOUNCED:
-			a.judged()
-			if known {
-				out[row.digest] = ack.Submission
-			}
-		default:
-			serials[ack.Serial] = true
-			if known {
-				in[row.digest] = true
-				serials[row.base+1] = true
-			}
-		}
-	}
+	out, serials := a.outcomes()
 	for _, reading := range a.readings {
-		if submission := out[reading.Digest]; reading.Digest != "" && submission != "" && !in[reading.Digest] {
+		if submission := out[reading.Digest]; reading.Digest != "" && submission != "" {
 			a.found("%s holds the bounced %s", reading.Node, submission)
 		}
 	}
@@ -202,6 +215,30 @@
 	}
 }
 
+// outcomes returns the submissions that were only ever bounced, by digest, and
+// the serials that were or may have been acked.
+func (a *account) outcomes() (out map[string]string, serials map[uint64]bool) {
+	out, serials = map[string]string{}, map[uint64]bool{}
+	in := map[string]bool{}
+	for _, ack := range a.acks {
+		row, known := a.signed[ack.Submission]
+		if ack.Verdict == wire.Verdict_BOUNCED {
+			a.judged()
+			if known {
+				out[row.digest] = ack.Submission
+			}
+			continue
+		}
+		serials[ack.Serial] = true
+		if known {
+			in[row.digest] = true
+			serials[row.base+1] = true
+		}
+	}
+	maps.DeleteFunc(out, func(digest, _ string) bool { return in[digest] })
+	return out, serials
+}
+
 func leavingOff(a *account) {
 	for _, run := range a.runs {
 		if !run.Leaving {
@@ -220,18 +257,8 @@
 
 func plannedStops(a *account) {
 	for _, call := range a.calls {
-		var planned *Spell
-		excused := false
-		for _, spell := range a.spells {
-			if !spell.overlaps(call.Begun, call.Ended) {
-				continue
-			}
-			excused = excused || !spell.Planned
-			if spell.Planned {
-				planned = spell
-			}
-		}
-		if planned == nil || excused {
+		planned := a.plannedOnly(call)
+		if planned == nil {
 			continue
 		}
 		a.judged()
@@ -242,6 +269,22 @@
 	}
 }
 
+// plannedOnly returns the last planned stop during a call, or nil if there was
+// none, or trouble too.
+func (a *account) plannedOnly(call Call) *Spell {
+	var planned *Spell
+	for _, spell := range a.spells {
+		if !spell.overlaps(call.Begun, call.Ended) {
+			continue
+		}
+		if !spell.Planned {
+			return nil
+		}
+		planned = spell
+	}
+	return planned
+}
+
 func (a *account) allowance(service string) float64 {
 	most := 0.0
 	for _, row := range a.signed {
@@ -257,6 +300,30 @@
 	again bool
 }
 
+// window counts the arrivals at a service within the last span of time.
+type window struct {
+	span          time.Duration
+	arrivals      []arrival
+	firsts, again int
+}
+
+func (w *window) count(each arrival, by int) {
+	if each.again {
+		w.again += by
+	} else {
+		w.firsts += by
+	}
+}
+
+func (w *window) add(last arrival) {
+	w.arrivals = append(w.arrivals, last)
+	w.count(last, 1)
+	for last.at-w.arrivals[0].at > w.span {
+		w.count(w.arrivals[0], -1)
+		w.arrivals = w.arrivals[1:]
+	}
+}
+
 func repeats(a *account) {
 	services := map[string][]arrival{}
 	seen := map[string]bool{}
@@ -270,35 +337,32 @@
 			dials++
 		}
 	}
-	for service, each := range services {
-		allowance := a.allowance(service)
-		start, firsts, again := 0, 0, 0
-		for _, last := range each {
-			if last.again {
-				again++
-				a.judged()
-			} else {
-				firsts++
-			}
-			for last.at-each[start].at > a.Window {
-				if each[start].again {
-					again--
-				} else {
-					firsts--
-				}
-				start++
-			}
-			over := float64(again) - a.Repeats*float64(firsts)
-			worst = max(worst, over)
-			if over > allowance {
-				a.found("%s: %d repeats of %d first requests, allowance %.0f, at %s", service, again, firsts, allowance, last.at)
-				break
-			}
-		}
+	for service, arrivals := range services {
+		worst = max(worst, a.repeatsOf(service, arrivals))
 	}
 	a.verdict.Remark = fmt.Sprintf("(most above a fifth: %.1f; failed dials of further attempts, not bound: %d)", worst, dials)
 }
 
+// repeatsOf judges a service's arrivals up to the first violation, and returns
+// the most repeats above the ratio.
+func (a *account) repeatsOf(service string, arrivals []arrival) (worst float64) {
+	allowance := a.allowance(service)
+	counted := &window{span: a.Window}
+	for _, last := range arrivals {
+		if last.again {
+			a.judged()
+		}
+		counted.add(last)
+		over := float64(counted.again) - a.Repeats*float64(counted.firsts)
+		worst = max(worst, over)
+		if over > allowance {
+			a.found("%s: %d repeats of %d first requests, allowance %.0f, at %s", service, counted.again, counted.firsts, allowance, last.at)
+			return worst
+		}
+	}
+	return worst
+}
+
 func readBack(a *account) {
 	for _, read := range a.readbacks {
 		newest, submission := uint64(0), ""
@@ -323,51 +387,73 @@
 }
 
 const (
+	// stretch is the time over which answers are counted after a return.
 	stretch = time.Second
-	fewest  = 4
+	// fewest is the least number of requests in a stretch to judge it by.
+	fewest = 4
 )
 
 func returned(a *account) {
 	slowest := time.Duration(0)
-	for i, back := range a.returns {
-		until := time.Duration(1 << 62)
-		if i+1 < len(a.returns) {
-			until = a.returns[i+1]
-		}
-		for _, spell := range a.spells {
-			if !spell.Planned && spell.From > back {
-				until = min(until, spell.From)
-			}
+	for i := range a.returns {
+		slowest = max(slowest, a.returnedSince(a.returns[i], a.untilTrouble(i)))
+	}
+	a.verdict.Remark = fmt.Sprintf("(a quarter back within %s)", slowest)
+}
+
+// untilTrouble returns when the time after a return ends: at the next return
+// or the next trouble.
+func (a *account) untilTrouble(i int) time.Duration {
+	until := time.Duration(math.MaxInt64)
+	if i+1 < len(a.returns) {
+		until = a.returns[i+1]
+	}
+	for _, spell := range a.spells {
+		if !spell.Planned && spell.From > a.returns[i] {
+			until = min(until, spell.From)
 		}
-		asked, got := map[int]int{}, map[int]int{}
-		last := 0
-		for _, call := range a.calls {
-			if call.Begun < back || call.Begun >= until-stretch {
-				continue
-			}
-			at := int((call.Begun - back) / stretch)
-			last = max(last, at)
-			asked[at]++
-			if call.Answered() {
-				got[at]++
-			}
+	}
+	return until
+}
+
+// returnedSince judges the stretches between a return and until, and returns
+// the end of the last short one.
+func (a *account) returnedSince(back, until time.Duration) (slowest time.Duration) {
+	asked, got := a.answers(back, until)
+	for at := range asked {
+		if asked[at] < fewest {
+			continue
 		}
-		for at := range last + 1 {
-			if asked[at] < fewest {
-				continue
-			}
-			short := float64(got[at]) < a.Quarter*float64(asked[at])
-			since := time.Duration(at) * stretch
-			if short {
-				slowest = max(slowest, since+stretch)
-			}
-			if since >= a.Recovery || !short {
-				a.judged()
-			}
-			if since >= a.Recovery && short {
-				a.found("%s after the return: %d of %d answered", since, got[at], asked[at])
-			}
+		short := float64(got[at]) < a.Quarter*float64(asked[at])
+		since := time.Duration(at) * stretch
+		if short {
+			slowest = max(slowest, since+stretch)
+		}
+		if since >= a.Recovery || !short {
+			a.judged()
+		}
+		if since >= a.Recovery && short {
+			a.found("%s after the return: %d of %d answered", since, got[at], asked[at])
 		}
 	}
-	a.verdict.Remark = fmt.Sprintf("(a quarter back within %s)", slowest)
+	return slowest
+}
+
+// answers counts, by stretches since a return, the requests begun and those of
+// them that were answered. The last stretch before until is left out.
+func (a *account) answers(back, until time.Duration) (asked, got []int) {
+	for _, call := range a.calls {
+		if call.Begun < back || call.Begun >= until-stretch {
+			continue
+		}
+		at := int((call.Begun - back) / stretch)
+		for at >= len(asked) {
+			asked, got = append(asked, 0), append(got, 0)
+		}
+		asked[at]++
+		if call.Answered() {
+			got[at]++
+		}
+	}
+	return asked, got
 }
--- a/internal/testing/judge/verdict.go
+++ b/internal/testing/judge/verdict.go
@@ -5,13 +5,18 @@
 	"strings"
 )
 
+// Verdict is what a rule found.
 type Verdict struct {
-	Rule   string
+	Rule string
+	// Judged is how many things the rule applied to.
 	Judged int
-	Found  []string
+	// Found are the violations.
+	Found []string
+	// Remark is a figure worth knowing beside.
 	Remark string
 }
 
+// String returns the verdict in one line.
 func (v Verdict) String() string {
 	switch {
 	case v.Judged == 0:
