--- /dev/null
+++ b/cmd/quiz/opentables.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/helm"
+	"curlewreach/proto/wire"
+)
+
+func printAll(lists map[string][]proto.Message, silent []string) error {
+	all := map[string]any{"silent": append([]string{}, silent...)}
+	for name, list := range lists {
+		rows := []json.RawMessage{}
+		for _, each := range list {
+			body, err := protojson.Marshal(each)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, body)
+		}
+		all[name] = rows
+	}
+	body, err := json.MarshalIndent(all, "", "  ")
+	fmt.Println(string(body))
+	return err
+}
+
+func messages[T proto.Message](rows map[string]T) (list []proto.Message) {
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		list = append(list, rows[name])
+	}
+	return list
+}
+
+func span(ms uint64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+func (l *look) mute() (names []string) {
+	for _, name := range slices.Sorted(maps.Keys(l.sights)) {
+		if l.views[name] == nil && !l.sights[name].gone() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (n *sighted) standing(view *wire.NodeView) string {
+	switch {
+	case n.gone():
+		return "absent"
+	case view.GetStopping() || n.post.Stopping:
+		return "stopping"
+	case len(n.absent) > 0:
+		return "unheard by " + strings.Join(n.absent, ",")
+	case view != nil && !view.Ready:
+		return "not ready"
+	}
+	return "well"
+}
+
+func upstream(berth *wire.Berth) string {
+	switch {
+	case berth == nil:
+		return "none"
+	case berth.Leaving:
+		return berth.Service + "@" + berth.Address + " leaving"
+	}
+	return berth.Service + "@" + berth.Address
+}
+
+func (a *args) openNodes(l *look) error {
+	if a.JSON {
+		return printAll(map[string][]proto.Message{"nodes": messages(l.views)}, l.mute())
+	}
+	t := tableOf("NODE", "ZONE", "SERVICE", "STANDING", "SILENT", "SERIAL", "UPSTREAM", "GATE", "WAITING", "LOOK")
+	for _, name := range slices.Sorted(maps.Keys(l.sights)) {
+		node, view := l.sights[name], l.views[name]
+		serial, gate, waiting, berth := any("?"), "?", any("?"), node.post.Berth
+		if view != nil {
+			serial, gate, waiting, berth = view.Serial, fmt.Sprintf("%d/%d", view.Gate.GetFlying(), view.Gate.GetLimit()), view.Gate.GetWaiting(), view.Berth
+		}
+		t.add(name, node.post.Zone, node.post.Service, node.standing(view), span(node.silenceMs), serial, upstream(berth), gate, waiting, cmp.Or(node.post.Mates, "-"))
+	}
+	t.print(a.Sort, a.Filter)
+	for _, name := range l.mute() {
+		fmt.Printf("%s did not reply\n", name)
+	}
+	return nil
+}
+
+func (a *args) openNode(l *look, name string) error {
+	view, known := l.views[name]
+	if !known {
+		if l.sights[name] == nil {
+			return errors.Errorf("no keel knows a node %q", name)
+		}
+		return errors.Errorf("%s did not reply", name)
+	}
+	if a.JSON {
+		return printProto(view)
+	}
+	fmt.Printf("%s, zone %s, service %s, life %s, up %s, %s\n", view.Node, view.Zone, view.Service, view.Incarnation, span(view.UpMs), l.sights[name].standing(view))
+	fmt.Printf("serial %d, odds %d, %d requests inside, link behind by %s\n", view.Serial, view.Odds, view.Inside, span(view.BacklogMs))
+	fmt.Printf("upstream %s, heard %s ago; gate %d of %d, %d waiting, usual hold %s\n", upstream(view.Berth), span(view.BerthSilenceMs), view.Gate.GetFlying(), view.Gate.GetLimit(), view.Gate.GetWaiting(), span(view.Gate.GetHoldMs()))
+	for _, keel := range slices.Sorted(maps.Keys(view.Keels)) {
+		fmt.Printf("keel %s spoke %s ago\n", keel, span(view.Keels[keel]))
+	}
+	fmt.Println("counts:", sorted(view.Counts))
+	fmt.Println("further calls:", strings.Join(view.Further, " "))
+	fmt.Println()
+	t := tableOf("MATE", "ZONE", "SERVICE", "SEEN", "SPEED", "FLYING", "LAST NEWS")
+	for _, mate := range view.Mates {
+		seen := "there"
+		switch {
+		case mate.Absent:
+			seen = "absent"
+		case mate.AvoidedMs > 0:
+			seen = "avoided"
+		case mate.Stopping:
+			seen = "stopping"
+		case mate.Berth == "":
+			seen = "no upstream"
+		case mate.Leaving || mate.Barred == mate.Berth:
+			seen = "leaving"
+		}
+		t.add(mate.Node, mate.Zone, mate.Service, seen, fmt.Sprintf("%.2f", mate.Speed), mate.Flying, span(mate.SilenceMs))
+	}
+	t.print(a.Sort, a.Filter)
+	fmt.Println()
+	t = tableOf("REPEATS OF", "HELD", "MOST", "REQUESTS LATELY")
+	for _, each := range view.Purses {
+		t.add(each.Service, fmt.Sprintf("%.1f", each.Held), fmt.Sprintf("%.1f", each.Most), each.Lately)
+	}
+	t.print(a.Sort, a.Filter)
+	fmt.Println()
+	t = tableOf("ROUTE", "USUAL MS", "LONG MS", "ANSWERED")
+	for _, each := range view.Paces {
+		t.add(each.Route, fmt.Sprintf("%.1f", each.MeanMs), fmt.Sprintf("%.1f", each.LongMs), each.Seen)
+	}
+	t.print(a.Sort, a.Filter)
+	return nil
+}
+
+func (a *args) openKeels(l *look) error {
+	if a.JSON {
+		return printAll(map[string][]proto.Message{"keels": messages(l.keels)}, l.silent)
+	}
+	t := tableOf("KEEL", "ADDRESS", "ZONE", "PHASE", "SETTLED", "AGREED", "SERIAL", "OWNER", "LEARNER", "NODES", "ABSENT", "KEYS")
+	for _, address := range slices.Sorted(maps.Keys(l.keels)) {
+		keel := l.keels[address]
+		agreed, absent, keys := "never", 0, []string{}
+		if keel.AgreedMs != nil {
+			agreed = span(keel.GetAgreedMs()) + " ago"
+		}
+		for _, each := range keel.Nodes {
+			if each.Absent {
+				absent++
+			}
+		}
+		for _, key := range keel.Keys {
+			sick := ""
+			if key.Sick {
+				sick = " under repair"
+			}
+			keys = append(keys, fmt.Sprintf("%s:%d%s", key.Key, key.Serial, sick))
+		}
+		t.add(keel.Keel, address, keel.Zone, keel.Phase, keel.Settled, agreed, keel.Serial, keel.Owner, keel.Learner, len(keel.Nodes), absent, strings.Join(keys, " "))
+	}
+	t.print(a.Sort, a.Filter)
+	for _, address := range l.silent {
+		fmt.Printf("%s did not reply\n", address)
+	}
+	return nil
+}
+
+func (a *args) openRoutes(ctx context.Context, clerk *helm.Clerk, l *look) error {
+	chart, err := anyKeel(ctx, clerk, (*helm.Clerk).Chart)
+	return a.table(chart, err, func() {
+		slowest, further := l.paces()
+		fmt.Printf("serial %d\n", chart.Serial)
+		t := tableOf("ROUTE", "HOST", "PREFIX", "TO", "REPEAT", "RANK", "TRIES", "AIM MS", "CUTOFF MS", "USUAL MS", "FURTHER")
+		for _, route := range chart.Routes {
+			usual := "-"
+			if slowest[route.Name] > 0 {
+				usual = fmt.Sprintf("%.1f", slowest[route.Name])
+			}
+			t.add(route.Name, route.Host, route.Prefix, targets(route), strings.ToLower(route.Repeat.String()), route.Rank, route.Tries, route.AimMs, route.CutoffMs, usual, further[route.Name])
+		}
+		t.print(a.Sort, a.Filter)
+	})
+}
+
+// paces returns, by route, the slowest mean that any node is used to, in
+// milliseconds, and whether any node takes it for a route of further calls.
+func (l *look) paces() (slowest map[string]float64, further map[string]bool) {
+	slowest, further = map[string]float64{}, map[string]bool{}
+	for _, view := range l.views {
+		for _, each := range view.Paces {
+			slowest[each.Route] = max(slowest[each.Route], each.MeanMs)
+		}
+		for _, route := range view.Further {
+			further[route] = true
+		}
+	}
+	return slowest, further
+}
+
+// targets returns the services that a route leads to, with their weights.
+func targets(route *wire.ChartRoute) string {
+	var to []string
+	for _, fork := range route.Forks {
+		to = append(to, fmt.Sprintf("%s:%g", fork.Service, fork.Weight))
+	}
+	if route.Service != nil {
+		to = append(to, route.GetService())
+	}
+	return strings.Join(to, " ")
+}
+
+func (a *args) openJournal(ctx context.Context, clerk *helm.Clerk, l *look) error {
+	ask := a.Open.Journal
+	address := ""
+	if node := l.sights[ask.Node]; node != nil {
+		address = node.post.Mates
+	}
+	for _, keel := range l.keels {
+		if keel.Keel == ask.Node || keel.Address == ask.Node {
+			address = keel.Address
+		}
+	}
+	if address == "" {
+		return errors.Errorf("no keel knows a node %q that can be asked", ask.Node)
+	}
+	reply, err := at(clerk, address).Journal(ctx, ask.Subject, ask.Last)
+	if errors.Is(err, helm.ErrNoKeel) {
+		err = errors.Errorf("%s did not reply", ask.Node)
+	}
+	return a.table(reply, err, func() {
+		t := tableOf("AT", "TOPIC", "SUBJECT", "DETAIL")
+		for _, each := range reply.Happenings {
+			t.add(time.UnixMicro(each.AtUs).UTC().Format("15:04:05.000"), each.Topic, each.Subject, each.Detail)
+		}
+		t.print(a.Sort, a.Filter)
+		fmt.Println("counts:", sorted(reply.Counts))
+	})
+}
--- a/cmd/quiz/openwrong.go
+++ b/cmd/quiz/openwrong.go
@@ -37,25 +37,9 @@
 	}
 	offered := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(l.sights)) {
-		node, view := l.sights[name], l.views[name]
-		switch {
-		case node.gone():
-			add("node %s is absent, silent for %s", name, span(node.silenceMs))
-			continue
-		case len(node.absent) > 0:
-			add("node %s is not heard by %s, though by %s", name, strings.Join(node.absent, ", "), strings.Join(node.there, ", "))
+		if berth := l.nodeSeen(name, newest, add); berth != nil && !berth.Leaving {
+			offered[berth.Service] = true
 		}
-		if view == nil {
-			add("node %s did not reply at its door for views (%s)", name, node.post.Mates)
-			if berth := node.post.Berth; berth != nil && !berth.Leaving {
-				offered[berth.Service] = true
-			}
-			continue
-		}
-		if view.Berth != nil && !view.Berth.Leaving {
-			offered[view.Berth.Service] = true
-		}
-		nodeWrong(name, view, newest, add)
 	}
 	for _, service := range chart.GetServices() {
 		if !offered[service.Name] {
@@ -65,6 +49,25 @@
 	return found
 }
 
+// nodeSeen adds what is wrong with a node and returns its upstream, as far as
+// it is known; nil if the node is gone.
+func (l *look) nodeSeen(name string, newest uint64, add func(string, ...any)) *wire.Berth {
+	node, view := l.sights[name], l.views[name]
+	if node.gone() {
+		add("node %s is absent, silent for %s", name, span(node.silenceMs))
+		return nil
+	}
+	if len(node.absent) > 0 {
+		add("node %s is not heard by %s, though by %s", name, strings.Join(node.absent, ", "), strings.Join(node.there, ", "))
+	}
+	if view == nil {
+		add("node %s did not reply at its door for views (%s)", name, node.post.Mates)
+		return node.post.Berth
+	}
+	nodeWrong(name, view, newest, add)
+	return view.Berth
+}
+
 func (l *look) keelWrong(keel *wire.KeelView, newest uint64, add func(string, ...any)) {
 	name := keel.Keel
 	if keel.Phase != wholePhase {
@@ -88,16 +91,20 @@
 			add("keel %s does not hear keel %s", name, mate.Address)
 		}
 	}
+	keelRepairs(keel, add)
+	if newest > 0 && keel.Phase == wholePhase && keel.Learner == "" {
+		add("keel %s knows of nobody who learns the odds", name)
+	}
+}
+
+func keelRepairs(keel *wire.KeelView, add func(string, ...any)) {
 	for _, key := range keel.Keys {
 		if key.Sick {
-			add("keel %s repairs the key %s on its disk", name, key.Key)
+			add("keel %s repairs the key %s on its disk", keel.Keel, key.Key)
 		}
 	}
 	if keel.Owed > 0 {
-		add("keel %s owes %d batches of spans to a mate", name, keel.Owed)
-	}
-	if newest > 0 && keel.Phase == wholePhase && keel.Learner == "" {
-		add("keel %s knows of nobody who learns the odds", name)
+		add("keel %s owes %d batches of spans to a mate", keel.Keel, keel.Owed)
 	}
 }
 
--- a/cmd/quiz/shell.go
+++ b/cmd/quiz/shell.go
@@ -17,21 +17,7 @@
 }
 
 func (a *args) shell() error {
-	var items []readline.PrefixCompleterInterface
-	for _, name := range commands {
-		var inner []readline.PrefixCompleterInterface
-		if name == "open" {
-			for _, each := range views {
-				inner = append(inner, readline.PcItem(each))
-			}
-		}
-		items = append(items, readline.PcItem(name, inner...))
-	}
-	config := &readline.Config{Prompt: "quiz> ", AutoComplete: readline.NewPrefixCompleter(items...)}
-	if home, err := os.UserHomeDir(); err == nil {
-		config.HistoryFile = filepath.Join(home, ".quiz_history")
-	}
-	lines, err := readline.NewEx(config)
+	lines, err := readline.NewEx(terminal())
 	if err != nil {
 		return err
 	}
@@ -58,6 +44,28 @@
 	}
 }
 
+// terminal returns how lines are read: with the commands completed, and a
+// history in the user's home folder if there is one.
+func terminal() *readline.Config {
+	var inner []readline.PrefixCompleterInterface
+	for _, each := range views {
+		inner = append(inner, readline.PcItem(each))
+	}
+	var items []readline.PrefixCompleterInterface
+	for _, name := range commands {
+		if name == "open" {
+			items = append(items, readline.PcItem(name, inner...))
+			continue
+		}
+		items = append(items, readline.PcItem(name))
+	}
+	config := &readline.Config{Prompt: "quiz> ", AutoComplete: readline.NewPrefixCompleter(items...)}
+	if home, err := os.UserHomeDir(); err == nil {
+		config.HistoryFile = filepath.Join(home, ".quiz_history")
+	}
+	return config
+}
+
 func (a *args) line(words []string) {
 	next := args{Keels: a.Keels, JSON: a.JSON}
 	parser, err := arg.NewParser(arg.Config{Program: "quiz"}, &next)
--- a/cmd/quiz/tell.go
+++ b/cmd/quiz/tell.go
@@ -80,6 +80,13 @@
 	tellSilent(reply)
 }
 
+func tellCounts(reply *wire.ToldReply) {
+	for _, each := range reply.Told {
+		fmt.Println(each.Node, sorted(each.Counts))
+	}
+	tellSilent(reply)
+}
+
 func tellSilent(reply *wire.ToldReply) {
 	for _, node := range reply.Silent {
 		fmt.Printf("%s did not reply\n", node)
--- a/cmd/quiz/wrong.go
+++ b/cmd/quiz/wrong.go
@@ -70,22 +70,26 @@
 			w.add("keel %s can't be reached", keel)
 			continue
 		}
-		if state.Phase != "founded" {
-			w.add("%s has not recovered its disk: %s", state.Keel, state.Phase)
-		}
-		if state.Staged > 0 {
-			w.add("%s sees serial %d staged and not settled", state.Keel, state.Staged)
-		}
-		if state.Owed > 0 {
-			w.add("%s owes %d batches of spans to a mate", state.Keel, state.Owed)
+		w.keel(state)
+	}
+}
+
+func (w *findings) keel(state *wire.StateReply) {
+	if state.Phase != wholePhase {
+		w.add("%s has not recovered its disk: %s", state.Keel, state.Phase)
+	}
+	if state.Staged > 0 {
+		w.add("%s sees serial %d staged and not settled", state.Keel, state.Staged)
+	}
+	if state.Owed > 0 {
+		w.add("%s owes %d batches of spans to a mate", state.Keel, state.Owed)
+	}
+	for _, key := range state.Keys {
+		if key.Sick {
+			w.add("key %s is under repair at %s", key.Key, state.Keel)
 		}
-		for _, key := range state.Keys {
-			if key.Sick {
-				w.add("key %s is under repair at %s", key.Key, state.Keel)
-			}
-			if key.Key == helm.BundleKey && key.Copies > 0 && key.Copies < wholeCopies {
-				w.add("the newest %s has %d copies, seen from %s", key.Key, key.Copies, state.Keel)
-			}
+		if key.Key == helm.BundleKey && key.Copies > 0 && key.Copies < wholeCopies {
+			w.add("the newest %s has %d copies, seen from %s", key.Key, key.Copies, state.Keel)
 		}
 	}
 }
