--- a/cmd/drill/day.go
+++ b/cmd/drill/day.go
@@ -16,7 +16,12 @@
 	"curlewreach/proto/wire"
 )
 
-const settling = 10 * time.Second
+const (
+	// settling is the least time that visitors go on calling after a trouble.
+	settling = 10 * time.Second
+	// mostSamples is the most broken answers that the summary shows.
+	mostSamples = 5
+)
 
 type summary struct {
 	NotWhole int                `json:"takenForWholeButNot"`
@@ -37,87 +42,113 @@
 	verdicts []judge.Verdict
 }
 
+// day lets visitors call for the length given, changes the configuration and
+// causes the trouble midway, and judges what came of it.
 func (f *fleet) day(s base.Scope, length time.Duration, rate float64) (*summary, error) {
-	history := f.history
 	begunDay := s.Clock.Mono()
-	bounded, cancel := s.Child()
-	defer cancel()
-	var crew base.Crew
+	visiting, leave := s.Child()
+	defer leave()
 	watching, rest := s.Child()
 	defer rest()
 	go f.watch(watching)
+	crew := f.visit(s, visiting, rate)
+	base.Await(visiting, length/2)
+	sum := &summary{Kinds: map[string]int{}, Odds: map[string]float64{}}
+	if err := f.second(s, sum); err != nil {
+		return nil, err
+	}
+	begunTrouble := s.Clock.Mono()
+	if err := f.trouble(s); err != nil {
+		return nil, err
+	}
+	left := length - (s.Clock.Mono() - begunDay)
+	if f.args.Trouble != "none" {
+		left = max(left, settling)
+	}
+	base.Await(s, left)
+	leave()
+	crew.Wait()
+	rest()
+	if err := f.collect(s); err != nil {
+		return nil, err
+	}
+	sum.verdicts = judge.Check(f.history, judge.Brief())
+	for _, call := range f.history.Calls() {
+		sum.add(call, begunTrouble)
+	}
+	sum.Samples = sum.Samples[:min(len(sum.Samples), mostSamples)]
+	return sum, f.ask(s, sum)
+}
+
+// visit starts visitors behind each node, who make requests until visiting ends.
+func (f *fleet) visit(s, visiting base.Scope, rate float64) *base.Crew {
+	crew := &base.Crew{}
 	for _, each := range f.vanes {
-		visitors := &standin.Visitors{Scope: s, Name: each.Name, To: each.at(visitorsPort), Rate: rate / float64(len(f.vanes)), Habits: f.plan, History: history}
-		crew.Go(func() { visitors.Run(bounded) })
+		visitors := &standin.Visitors{Scope: s, Name: each.Name, To: each.at(visitorsPort), Rate: rate / float64(len(f.vanes)), Habits: f.plan, History: f.history}
+		crew.Go(func() { visitors.Run(visiting) })
 	}
-	base.Await(bounded, length/2)
-	sum := &summary{Kinds: map[string]int{}, Odds: map[string]float64{}}
+	return crew
+}
+
+// second rolls out the second bundle and notes how long that took.
+func (f *fleet) second(s base.Scope, sum *summary) error {
 	begun := time.Now()
 	outcome, err := f.change(s, "second", 1)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if outcome.Verdict != wire.Verdict_TAKEN {
-		return nil, errors.Errorf("the second bundle was not taken: %s", outcome)
+		return errors.Errorf("the second bundle was not taken: %s", outcome)
 	}
 	acked := time.Now()
 	if err := f.until(s, "the second bundle in force", func() bool { return f.allOn(2) }); err != nil {
-		return nil, err
+		return err
 	}
 	sum.InForce = fmt.Sprintf("%dms after its ack, %dms after its draft", time.Since(acked).Milliseconds(), time.Since(begun).Milliseconds())
-	begunTrouble := s.Clock.Mono()
+	return nil
+}
+
+// trouble causes the trouble asked for. A roll is planned, so it excuses nothing.
+func (f *fleet) trouble(s base.Scope) error {
 	end := func() {}
 	if f.args.Trouble != "none" && f.args.Trouble != "roll" {
-		end = history.Spell("drill", f.args.Trouble, false)
+		end = f.history.Spell("drill", f.args.Trouble, false)
 	}
 	if err := troubles[f.args.Trouble](f, s); err != nil {
-		return nil, err
+		return err
 	}
 	end()
-	history.Returned()
-	left := length - (s.Clock.Mono() - begunDay)
-	if f.args.Trouble != "none" {
-		left = max(left, settling)
-	}
-	base.Await(s, left)
-	cancel()
-	crew.Wait()
-	rest()
-	if err := f.collect(s); err != nil {
-		return nil, err
+	f.history.Returned()
+	return nil
+}
+
+func (sum *summary) add(call judge.Call, begunTrouble time.Duration) {
+	sum.Calls++
+	if call.Kind != "" {
+		sum.Kinds[fmt.Sprintf("%s of %s (%s) in second %d", call.Kind, call.Route, call.Reason, (call.Begun-begunTrouble)/time.Second)]++
 	}
-	sum.verdicts = judge.Check(history, judge.Brief())
-	for _, call := range history.Calls() {
-		sum.Calls++
-		if call.Kind != "" {
-			sum.Kinds[fmt.Sprintf("%s of %s (%s) in second %d", call.Kind, call.Route, call.Reason, (call.Begun-begunTrouble)/time.Second)]++
-		}
-		switch {
-		case call.Broken != "":
-			sum.Broken++
-			if strings.HasPrefix(call.Broken, "not whole") {
-				sum.NotWhole++
-			}
-			sum.Samples = append(sum.Samples, call.Route+" "+call.Broken)
-		case call.Outcome == "not-run":
-			sum.NotRun++
-		case call.Outcome != "":
-			sum.Unknown++
-		default:
-			sum.Whole++
+	switch {
+	case call.Broken != "":
+		sum.Broken++
+		if strings.HasPrefix(call.Broken, "not whole") {
+			sum.NotWhole++
 		}
+		sum.Samples = append(sum.Samples, call.Route+" "+call.Broken)
+	case call.Outcome == "not-run":
+		sum.NotRun++
+	case call.Outcome != "":
+		sum.Unknown++
+	default:
+		sum.Whole++
 	}
-	sum.Samples = sum.Samples[:min(len(sum.Samples), 5)]
+}
+
+// ask adds what the upstreams counted and what was learned.
+func (f *fleet) ask(s base.Scope, sum *summary) error {
 	for _, each := range f.seats {
 		var counts standin.Counts
-		response, err := f.web.Get("http://" + each.address + "/mime/counts")
-		if err != nil {
-			return nil, err
-		}
-		err = json.NewDecoder(response.Body).Decode(&counts)
-		_ = response.Body.Close()
-		if err != nil {
-			return nil, err
+		if err := f.get("http://"+each.address+"/mime/counts", &counts); err != nil {
+			return err
 		}
 		sum.Ran += counts.Ran
 		sum.Repeated += counts.Repeated
@@ -126,38 +157,36 @@
 	}
 	learning, err := f.clerk.Odds(s)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for _, belief := range learning.Beliefs {
 		sum.Odds[belief.Identifier] = belief.Odds
 		sum.Kept += belief.Samples
 	}
-	return sum, nil
+	return nil
+}
+
+// get decodes the JSON at an address.
+func (f *fleet) get(address string, into any) error {
+	response, err := f.web.Get(address)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
 }
 
+// collect adds to the history what upstreams, nodes and core machines have.
 func (f *fleet) collect(s base.Scope) error {
 	for _, each := range f.seats {
-		body, err := os.ReadFile(f.runsOf(each))
-		if err != nil {
+		if err := f.collectRuns(each); err != nil {
 			return err
 		}
-		for line := range bytes.Lines(body) {
-			var run judge.Run
-			if json.Unmarshal(line, &run) == nil {
-				f.history.Ran(run)
-			}
-		}
 	}
 	wall, mono := time.Now(), f.history.Now()
 	for _, m := range f.vanes {
-		response, err := f.web.Get("http://" + m.at(opsPort) + "/journal")
-		if err != nil {
-			return err
-		}
 		var events []base.Event
-		err = json.NewDecoder(response.Body).Decode(&events)
-		_ = response.Body.Close()
-		if err != nil {
+		if err := f.get("http://"+m.at(opsPort)+"/journal", &events); err != nil {
 			return err
 		}
 		for _, event := range events {
@@ -173,6 +202,20 @@
 	return nil
 }
 
+func (f *fleet) collectRuns(each *seat) error {
+	body, err := os.ReadFile(f.runsOf(each))
+	if err != nil {
+		return err
+	}
+	for line := range bytes.Lines(body) {
+		var run judge.Run
+		if json.Unmarshal(line, &run) == nil {
+			f.history.Ran(run)
+		}
+	}
+	return nil
+}
+
 func (f *fleet) watch(s base.Scope) {
 	base.Tick(s, 100*time.Millisecond, func(base.Scope) {
 		base.All(f.vanes, func(m *machine) { f.ready(m, opsPort) })
--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -56,6 +56,7 @@
 	args    args
 	bundle  *wire.Bundle
 	keels   []*machine
+	seeds   []string
 	vanes   []*machine
 	seats   []*seat
 	plan    []standin.Habitual
@@ -75,87 +76,109 @@
 	return errors.Wrap(json.Unmarshal(body, into), file)
 }
 
-func raise(s base.Scope, a args) (_ *fleet, mishap error) {
-	f := &fleet{args: a, bundle: &wire.Bundle{}, web: &http.Client{Timeout: 5 * time.Second}}
-	body, err := os.ReadFile(filepath.Join(a.Example, "bundle.json"))
-	if err != nil {
+// raise starts a fleet with the first bundle in force and all upstreams known.
+func raise(s base.Scope, a args) (*fleet, error) {
+	f := &fleet{args: a, bundle: &wire.Bundle{}, web: &http.Client{Timeout: 5 * time.Second}, history: judge.NewHistory(s.Clock)}
+	if err := f.read(); err != nil {
 		return nil, err
 	}
-	if err := protojson.Unmarshal(body, f.bundle); err != nil {
+	trusted, err := f.makeKey()
+	if err != nil {
 		return nil, err
 	}
-	if err := readJSON(filepath.Join(a.Example, "seats.json"), &f.seats); err != nil {
+	f.list()
+	if err := f.startAll(s, trusted); err != nil {
+		f.fell()
 		return nil, err
 	}
-	if err := readJSON(filepath.Join(a.Example, "plan.json"), &f.plan); err != nil {
-		return nil, err
+	return f, nil
+}
+
+// read reads the example's files.
+func (f *fleet) read() error {
+	body, err := os.ReadFile(filepath.Join(f.args.Example, "bundle.json"))
+	if err != nil {
+		return err
+	}
+	if err := protojson.Unmarshal(body, f.bundle); err != nil {
+		return err
 	}
+	if err := readJSON(filepath.Join(f.args.Example, "seats.json"), &f.seats); err != nil {
+		return err
+	}
+	return readJSON(filepath.Join(f.args.Example, "plan.json"), &f.plan)
+}
+
+// makeKey makes the key that bundles are signed with and returns the keys to
+// trust.
+func (f *fleet) makeKey() (trusted []string, err error) {
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		return nil, err
 	}
-	f.key, f.keyFile = private, filepath.Join(a.Folder, "signer.key")
-	if err := os.WriteFile(f.keyFile, []byte(base64.StdEncoding.EncodeToString(private.Seed())), 0o600); err != nil {
-		return nil, err
-	}
-	trusted := []string{base64.StdEncoding.EncodeToString(public)}
-	f.history = judge.NewHistory(s.Clock)
+	f.key, f.keyFile = private, filepath.Join(f.args.Folder, "signer.key")
+	seed := base64.StdEncoding.EncodeToString(private.Seed())
+	return []string{base64.StdEncoding.EncodeToString(public)}, os.WriteFile(f.keyFile, []byte(seed), 0o600)
+}
+
+// list sorts the bundle's machines into core and application machines. With an
+// old version given, every second one starts with it.
+func (f *fleet) list() {
 	f.old = map[string]bool{}
-	var seeds, operators []string
+	f.clerk = &helm.Clerk{Web: f.web, Signed: f.history.Signed}
 	for i, each := range f.bundle.Common.Machines {
-		f.old[each.Name] = a.Old != "" && i%2 == 1
-	}
-	for _, each := range f.bundle.Common.Machines {
+		f.old[each.Name] = f.args.Old != "" && i%2 == 1
 		at := &machine{Machine: each}
-		if each.Core {
-			f.keels = append(f.keels, at)
-			seeds = append(seeds, each.Address)
-			operators = append(operators, at.at(operatorsPort))
-		} else {
+		if !each.Core {
 			f.vanes = append(f.vanes, at)
+			continue
 		}
+		f.keels = append(f.keels, at)
+		f.seeds = append(f.seeds, each.Address)
+		f.clerk.Keels = append(f.clerk.Keels, at.at(operatorsPort))
 	}
-	f.clerk = &helm.Clerk{Web: f.web, Keels: operators, Signed: f.history.Signed}
-	defer func() {
-		if mishap != nil {
-			f.fell()
-		}
-	}()
+}
+
+// startMachines starts the core and the application machines' processes.
+func (f *fleet) startMachines(trusted []string) (err error) {
 	for _, each := range f.keels {
-		params := &wire.KeelParams{Name: each.Name, Zone: each.Zone, Mates: each.Address, Operators: each.at(operatorsPort), Seeds: seeds, Folder: f.folder(each.Name), Trusted: trusted, Log: a.Log}
-		if each.process, err = f.start("keel", each.Name, params); err != nil {
-			return nil, err
+		if each.process, err = f.start("keel", each.Name, f.keelParams(each, trusted)); err != nil {
+			return err
 		}
 	}
 	for _, each := range f.vanes {
-		params := &wire.VaneParams{
-			Name: each.Name, Zone: each.Zone, Mates: each.Address, Visitors: each.at(visitorsPort), Upstreams: each.at(upstreamsPort),
-			Ops: each.at(opsPort), Seeds: seeds, Folder: f.folder(each.Name), Trusted: trusted, Log: a.Log,
-		}
-		if each.process, err = f.start("vane", each.Name, params); err != nil {
-			return nil, err
+		if each.process, err = f.start("vane", each.Name, f.vaneParams(each, trusted)); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// startAll starts all processes, with the first bundle in force.
+func (f *fleet) startAll(s base.Scope, trusted []string) error {
+	if err := f.startMachines(trusted); err != nil {
+		return err
+	}
 	if err := f.until(s, "keels ready", func() bool { return f.allReady(f.keels, operatorsPort) }); err != nil {
-		return nil, err
+		return err
 	}
 	for _, each := range f.seats {
 		if err := f.seat(each); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	outcome, err := f.clerk.Apply(s, "first", &wire.DraftRequest{Bundle: f.bundle}, f.key)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	f.history.Acked(outcome)
 	if outcome.Verdict != wire.Verdict_TAKEN {
-		return nil, errors.Errorf("the first bundle was not taken: %s", outcome)
+		return errors.Errorf("the first bundle was not taken: %s", outcome)
 	}
 	if err := f.until(s, "vanes ready", func() bool { return f.allReady(f.vanes, opsPort) }); err != nil {
-		return nil, err
+		return err
 	}
-	return f, f.until(s, "upstreams known", func() bool {
+	return f.until(s, "upstreams known", func() bool {
 		reply, err := f.clerk.Nodes(s)
 		count := 0
 		for _, sighting := range reply.GetSightings() {
@@ -165,6 +188,20 @@
 	})
 }
 
+func (f *fleet) keelParams(each *machine, trusted []string) *wire.KeelParams {
+	return &wire.KeelParams{
+		Name: each.Name, Zone: each.Zone, Mates: each.Address, Operators: each.at(operatorsPort), Seeds: f.seeds,
+		Folder: f.folder(each.Name), Trusted: trusted, Log: f.args.Log,
+	}
+}
+
+func (f *fleet) vaneParams(each *machine, trusted []string) *wire.VaneParams {
+	return &wire.VaneParams{
+		Name: each.Name, Zone: each.Zone, Mates: each.Address, Visitors: each.at(visitorsPort), Upstreams: each.at(upstreamsPort),
+		Ops: each.at(opsPort), Seeds: f.seeds, Folder: f.folder(each.Name), Trusted: trusted, Log: f.args.Log,
+	}
+}
+
 func (f *fleet) operators() string { return strings.Join(f.clerk.Keels, ",") }
 
 func (f *fleet) folder(name string) string { return filepath.Join(f.args.Folder, name) }
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -1,3 +1,6 @@
+// Command drill runs a whole fleet on one machine, as processes on loopback, to
+// see it work under load and trouble. It is a test tool and the only program
+// that starts others.
 package main
 
 import (
