--- a/fleet/rig/disk.go
+++ b/fleet/rig/disk.go
@@ -24,6 +24,8 @@
 	node *inode
 }
 
+// Disk is a disk that loses what wasn't synced at a power loss, and that can
+// fill up, stall, be slow or flip bits. It is safe for concurrent use.
 type Disk struct {
 	rand    *base.Rand
 	mu      sync.Mutex
@@ -35,10 +37,12 @@
 	slow    time.Duration
 }
 
+// NewDisk returns an empty disk; what a power loss leaves is drawn from rand.
 func NewDisk(rand *base.Rand) *Disk {
 	return &Disk{rand: rand, names: map[string]*inode{}, durable: map[string]*inode{}, pending: map[string][]change{}}
 }
 
+// Wipe loses everything.
 func (d *Disk) Wipe() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -117,12 +121,14 @@
 	return clone
 }
 
+// Fill makes the disk refuse new bytes and files, or take them again.
 func (d *Disk) Fill(full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.full = full
 }
 
+// Release ends a stall.
 func (d *Disk) Release() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -132,6 +138,7 @@
 	}
 }
 
+// Stall makes changes through a Mount wait until release is called.
 func (d *Disk) Stall() (release func()) {
 	d.Release()
 	d.mu.Lock()
@@ -148,18 +155,22 @@
 	}
 }
 
+// Slow lets each change through a Mount take so long; 0 ends it.
 func (d *Disk) Slow(each time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.slow = each
 }
 
+// Troubled reports whether the disk is full, stalled or slow.
 func (d *Disk) Troubled() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.full || d.stalled != nil || d.slow > 0
 }
 
+// Flip alters a bit in each file whose name contains match and returns their
+// names.
 func (d *Disk) Flip(match string) (flipped []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -174,6 +185,7 @@
 	return flipped
 }
 
+// Names returns the names of all files in order.
 func (d *Disk) Names() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -199,6 +211,7 @@
 	put(d.names, change{name, node})
 }
 
+// Create implements base.Disk. It returns ENOSPC if the disk is full.
 func (d *Disk) Create(name string) (base.DiskFile, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -210,6 +223,7 @@
 	return &file{d, node}, nil
 }
 
+// Rename implements base.Disk.
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -237,6 +251,7 @@
 	}
 }
 
+// SyncFolder implements base.Disk.
 func (d *Disk) SyncFolder(folder string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -248,8 +263,10 @@
 	return nil
 }
 
+// MakeFolder implements base.Disk. Folders need no making here.
 func (d *Disk) MakeFolder(string) error { return nil }
 
+// Read implements base.Disk.
 func (d *Disk) Read(name string) ([]byte, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -260,6 +277,7 @@
 	return slices.Clone(node.data), nil
 }
 
+// List implements base.Disk.
 func (d *Disk) List(folder string) ([]string, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -273,6 +291,7 @@
 	return names, nil
 }
 
+// Remove implements base.Disk.
 func (d *Disk) Remove(name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -307,6 +326,7 @@
 
 func (f *file) Close() error { return nil }
 
+// Bytes returns the size of all files together.
 func (d *Disk) Bytes() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/fleet/rig/trouble.go
+++ b/fleet/rig/trouble.go
@@ -5,25 +5,31 @@
 	"time"
 )
 
+// resend is the time by which a lost packet is late, as TCP sends it again.
 const resend = 200 * time.Millisecond
 
+// Link is how a way from one machine to another differs from the usual: a delay
+// added, and the ratio of packets that are lost and sent again.
 type Link struct {
 	Slower time.Duration
 	Loss   float64
 }
 
+// Even takes away the jitter: packets take the usual time exactly.
 func (w *World) Even() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.even = true
 }
 
+// SetLink changes the way from one machine to another.
 func (w *World) SetLink(from, to string, link Link) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.links[[2]string{from, to}] = link
 }
 
+// Troubled reports whether anything is cut, changed or frozen.
 func (w *World) Troubled() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -35,6 +41,7 @@
 	return len(w.links) > 0 || len(w.frozen) > 0
 }
 
+// Freeze stops what a process does on the network, until Thaw.
 func (w *World) Freeze(owner string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -43,6 +50,7 @@
 	}
 }
 
+// Thaw lets a frozen process go on.
 func (w *World) Thaw(owner string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -69,6 +77,8 @@
 	done  bool
 }
 
+// Cross exchanges the next two writes on the way from one machine to another
+// that match, once, to test that an answer isn't taken for another's.
 func (w *World) Cross(from, to string, match func([]byte) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
