Doc comments on helm; long functions split, the client's calls written once

Clerk's sixteen methods repeated the same three lines; they share fetch now. A keel whose own address isn't among the seeds is refused before its disk is touched.

--- a/helm/clerk.go
+++ b/helm/clerk.go
@@ -19,14 +19,34 @@
 	"curlewreach/proto/wire"
 )
 
+// Clerk is the operators' client. It asks the core machines in turn until one
+// answers.
 type Clerk struct {
-	Web    *http.Client
-	Keels  []string
+	Web *http.Client
+	// Keels are the addresses of the core machines' servers for operators; for
+	// the methods about open fleets, those for other nodes.
+	Keels []string
+	// Signed, if set, is told of each bundle that Apply hands in.
 	Signed func(submission string, sealed *wire.Sealed)
 }
 
+// ErrNoKeel means that no core machine answered. What was handed in may have
+// been taken: ask Status.
 var ErrNoKeel = errors.New("no keel could be reached")
 
+// message is a pointer to a generated message type T.
+type message[T any] interface {
+	*T
+	proto.Message
+}
+
+// fetch asks the core machines in turn and returns the first one's reply.
+func fetch[T any, M message[T]](ctx context.Context, c *Clerk, method, path string, request proto.Message) (M, error) {
+	reply := M(new(T))
+	return reply, c.ask(ctx, method, path, request, reply)
+}
+
+// ask goes from core machine to core machine until one answers.
 func (c *Clerk) ask(ctx context.Context, method, path string, request, reply proto.Message) error {
 	var body []byte
 	if request != nil {
@@ -40,82 +60,95 @@
 		if err != nil {
 			return err
 		}
-		response, err := c.Web.Do(ask)
-		if err != nil {
-			continue
-		}
-		said, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		if err != nil {
-			continue
-		}
-		if _, verdict := reply.(*wire.Outcome); response.StatusCode >= 300 && !verdict {
-			var bounced struct{ Mishap *base.Mishap }
-			if json.Unmarshal(said, &bounced) == nil && bounced.Mishap != nil {
-				return bounced.Mishap
-			}
-			return errors.Errorf("%s: %s", response.Status, bytes.TrimSpace(said))
+		if response, said, err := c.do(ask); err == nil {
+			return read(response, said, reply)
 		}
-		return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(said, reply)
 	}
 	return ErrNoKeel
 }
 
+// do makes a request and returns the answer with its whole body.
+func (c *Clerk) do(ask *http.Request) (*http.Response, []byte, error) {
+	response, err := c.Web.Do(ask)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	said, err := io.ReadAll(response.Body)
+	return response, said, err
+}
+
+// read decodes an answer. A refusal is returned as the error that it tells,
+// but for outcomes, which tell it themselves.
+func read(response *http.Response, said []byte, reply proto.Message) error {
+	if _, verdict := reply.(*wire.Outcome); response.StatusCode >= http.StatusMultipleChoices && !verdict {
+		var bounced struct{ Mishap *base.Mishap }
+		if json.Unmarshal(said, &bounced) == nil && bounced.Mishap != nil {
+			return bounced.Mishap
+		}
+		return errors.Errorf("%s: %s", response.Status, bytes.TrimSpace(said))
+	}
+	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(said, reply)
+}
+
+// Draft asks for a new bundle to sign. Nothing is changed yet.
 func (c *Clerk) Draft(ctx context.Context, request *wire.DraftRequest) (*wire.DraftReply, error) {
-	reply := &wire.DraftReply{}
-	return reply, c.ask(ctx, http.MethodPost, "/v1/draft", request, reply)
+	return fetch[wire.DraftReply](ctx, c, http.MethodPost, "/v1/draft", request)
 }
 
+// Sign hands in a signed bundle. The same submission is decided once, so it may
+// be handed in again.
 func (c *Clerk) Sign(ctx context.Context, submission string, sealed *wire.Sealed) (*wire.Outcome, error) {
-	reply := &wire.Outcome{}
-	return reply, c.ask(ctx, http.MethodPost, "/v1/sign", &wire.SignRequest{Submission: submission, Sealed: sealed}, reply)
+	return fetch[wire.Outcome](ctx, c, http.MethodPost, "/v1/sign", &wire.SignRequest{Submission: submission, Sealed: sealed})
 }
 
+// Status returns what became of a submission.
 func (c *Clerk) Status(ctx context.Context, submission string) (*wire.Outcome, error) {
-	reply := &wire.Outcome{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/submission/"+url.PathEscape(submission), nil, reply)
+	return fetch[wire.Outcome](ctx, c, http.MethodGet, "/v1/submission/"+url.PathEscape(submission), nil)
 }
 
+// Show returns the bundle of a serial number, or the newest for 0.
 func (c *Clerk) Show(ctx context.Context, serial uint64) (*wire.BundleReply, error) {
-	reply := &wire.BundleReply{}
-	return reply, c.ask(ctx, http.MethodGet, fmt.Sprintf("/v1/bundle?serial=%d", serial), nil, reply)
+	return fetch[wire.BundleReply](ctx, c, http.MethodGet, fmt.Sprintf("/v1/bundle?serial=%d", serial), nil)
 }
 
+// Holdings returns which node holds which bundle.
 func (c *Clerk) Holdings(ctx context.Context) (*wire.HoldingsReply, error) {
-	reply := &wire.HoldingsReply{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/holdings", nil, reply)
+	return fetch[wire.HoldingsReply](ctx, c, http.MethodGet, "/v1/holdings", nil)
 }
 
+// Odds returns what was learned, with the odds in force.
 func (c *Clerk) Odds(ctx context.Context) (*wire.Learning, error) {
-	reply := &wire.Learning{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/odds", nil, reply)
+	return fetch[wire.Learning](ctx, c, http.MethodGet, "/v1/odds", nil)
 }
 
+// Nodes returns all machines as a core machine sees them.
 func (c *Clerk) Nodes(ctx context.Context) (*wire.SightRequest, error) {
-	reply := &wire.SightRequest{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/nodes", nil, reply)
+	return fetch[wire.SightRequest](ctx, c, http.MethodGet, "/v1/nodes", nil)
 }
 
+// Trace returns the spans of a trace from all core machines.
 func (c *Clerk) Trace(ctx context.Context, trace string) (*wire.TraceReply, error) {
-	reply := &wire.TraceReply{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/trace/"+url.PathEscape(trace), nil, reply)
+	return fetch[wire.TraceReply](ctx, c, http.MethodGet, "/v1/trace/"+url.PathEscape(trace), nil)
 }
 
+// Why returns what all machines have in their journals about a subject.
 func (c *Clerk) Why(ctx context.Context, subject string) (*wire.ToldReply, error) {
-	reply := &wire.ToldReply{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/why?subject="+url.QueryEscape(subject), nil, reply)
+	return fetch[wire.ToldReply](ctx, c, http.MethodGet, "/v1/why?subject="+url.QueryEscape(subject), nil)
 }
 
+// State returns the state of the first core machine that answers.
 func (c *Clerk) State(ctx context.Context) (*wire.StateReply, error) {
-	reply := &wire.StateReply{}
-	return reply, c.ask(ctx, http.MethodGet, "/v1/state", nil, reply)
+	return fetch[wire.StateReply](ctx, c, http.MethodGet, "/v1/state", nil)
 }
 
+// Adopt lets a core machine whose disk is lost recover from the one whole disk
+// that is left.
 func (c *Clerk) Adopt(ctx context.Context) (*wire.StateReply, error) {
-	reply := &wire.StateReply{}
-	return reply, c.ask(ctx, http.MethodPost, "/v1/adopt", nil, reply)
+	return fetch[wire.StateReply](ctx, c, http.MethodPost, "/v1/adopt", nil)
 }
 
+// Each iterates over the core machines, with a client that asks just that one.
 func (c *Clerk) Each() func(yield func(string, *Clerk) bool) {
 	return func(yield func(string, *Clerk) bool) {
 		for _, keel := range c.Keels {
@@ -126,6 +159,8 @@
 	}
 }
 
+// Apply drafts, signs and hands in at once. It doesn't sign a bundle other than
+// the one that the draft shows.
 func (c *Clerk) Apply(ctx context.Context, submission string, request *wire.DraftRequest, key ed25519.PrivateKey) (*wire.Outcome, error) {
 	draft, err := c.Draft(ctx, request)
 	if err != nil {
--- a/helm/desk.go
+++ b/helm/desk.go
@@ -18,6 +18,7 @@
 	"curlewreach/proto/wire"
 )
 
+// Desk returns the handler of the server for operators.
 func Desk(h *Helm) http.Handler {
 	mux := http.NewServeMux()
 	serve := func(pattern string, ask endpoint.Endpoint, read httptransport.DecodeRequestFunc) {
@@ -80,6 +81,7 @@
 	return mux
 }
 
+// State returns this machine's view of the stored keys.
 func (h *Helm) State() *wire.StateReply {
 	seen := h.Settled()
 	reply := &wire.StateReply{Keel: h.self, Phase: strings.ToLower(h.trove.Store().Phase().String()), Committed: seen.committed, Staged: seen.staged, Learner: h.Learning().GetHolder(), Owed: uint32(h.traces.Owed())}
@@ -91,6 +93,7 @@
 	return reply
 }
 
+// Trace collects a trace's spans from all core machines that answer in time.
 func (h *Helm) Trace(ctx context.Context, trace string) *wire.TraceReply {
 	s, cancel := h.scope.Under(ctx).Within(h.force / 4)
 	defer cancel()
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -1,3 +1,8 @@
+// Package helm is the control plane of fleets of listed machines: the core
+// machine's process (Keel), what it decides (Helm), and the operators' client
+// (Clerk). A signed bundle is agreed by a majority of core disks, staged at the
+// nodes, and in force once a majority of them has confirmed it. docs/rollout.md
+// has the ways weighed.
 package helm
 
 import (
@@ -18,14 +23,26 @@
 )
 
 const (
-	BundleKey    = "bundle"
-	LearningKey  = "learning"
+	// BundleKey is the stored key of the bundle, with the one being rolled out
+	// and the newest outcomes.
+	BundleKey = "bundle"
+	// LearningKey is the stored key of what was learned.
+	LearningKey = "learning"
+	// outcomesKept is the number of outcomes remembered, for submissions handed
+	// in again.
 	outcomesKept = 64
-	indexesKept  = 4
-	holdRatio    = 0.3
+	// indexesKept is the number of bundles kept indexed: the one in force, the
+	// staged one, and some that were read.
+	indexesKept = 4
+	// holdRatio, of the slide-back bound, is how long a node's question for
+	// news is held open, so that it asks again within the bound.
+	holdRatio = 0.3
+	// patientRatio, of the in-force bound, is the same for nodes that say they
+	// are patient.
 	patientRatio = 0.125
 )
 
+// Helm decides on bundles and hands them out. It is safe for concurrent use.
 type Helm struct {
 	scope     base.Scope
 	self      string
@@ -48,6 +65,7 @@
 	hold      time.Duration
 }
 
+// Parts are what a Helm works with.
 type Parts struct {
 	Self    string
 	Address string
@@ -57,11 +75,14 @@
 	Traces  *tracing.Store
 	Trust   bundle.Trust
 	Limits  bundle.Limits
+	// Force is the bound on a bundle being in force, Slide that on going back,
+	// and Silence the time a machine must be silent before it can be forsaken.
 	Force   time.Duration
 	Slide   time.Duration
 	Silence time.Duration
 }
 
+// New returns a Helm; Run makes it work.
 func New(s base.Scope, web *http.Client, parts Parts) *Helm {
 	h := &Helm{
 		scope: s, self: parts.Self, trove: parts.Trove, member: parts.Member, traces: parts.Traces,
@@ -78,6 +99,8 @@
 	return h
 }
 
+// Run recovers the disk, settles what was left unsettled, and learns, until the
+// scope ends.
 func (h *Helm) Run(s base.Scope) {
 	var crew base.Crew
 	crew.Go(func() { h.trove.Recover(s, h.force/8) })
@@ -125,6 +148,7 @@
 	})
 }
 
+// Sizes returns how many rows each table holds, to watch for leaks.
 func (h *Helm) Sizes() map[string]int {
 	return map[string]int{
 		"confirms": len(h.confirms.Snapshot()), "indexes": len(h.index.Snapshot()), "journal": h.scope.Journal.Len(),
@@ -132,8 +156,10 @@
 	}
 }
 
+// View returns what is known of the machines.
 func (h *Helm) View() *membership.View { return h.member.View() }
 
+// Ready reports whether this machine's disk has recovered.
 func (h *Helm) Ready() bool { return h.trove.Ready() }
 
 func headOf(value []byte) (*wire.Head, error) {
@@ -173,6 +199,7 @@
 	return &outline{entry: entry, head: head, committed: serialOf(head.Sealed), staged: serialOf(head.Staged)}
 }
 
+// Settled returns the newest head known to be on a majority of disks.
 func (h *Helm) Settled() *outline {
 	entry, _ := h.trove.Settled(BundleKey)
 	seen := h.outline(entry)
@@ -180,6 +207,7 @@
 	return seen
 }
 
+// Accepted returns the head on this machine's disk, which a majority may lack.
 func (h *Helm) Accepted() *outline {
 	_, entry := h.trove.Store().Peek(BundleKey)
 	seen := h.outline(entry)
@@ -187,6 +215,7 @@
 	return seen
 }
 
+// Current returns the bundle in force, nil before the first.
 func (h *Helm) Current() *bundle.Bundle { return h.bundleOf(h.Settled().head.Sealed) }
 
 func (h *Helm) bundleOf(sealed *wire.Sealed) *bundle.Bundle {
@@ -212,6 +241,8 @@
 	return signed
 }
 
+// Draft makes the next bundle out of a whole one or a change. The error is of
+// kind StaleBase if the base isn't the newest, or tells the first fault.
 func (h *Helm) Draft(_ context.Context, request *wire.DraftRequest) (*wire.DraftReply, error) {
 	current := &wire.Bundle{}
 	if signed := h.Current(); signed != nil {
@@ -271,6 +302,8 @@
 	return manifest, bundle.Check(raw, h.limits)
 }
 
+// Read returns the bundle of a serial number, or the newest for 0; of older
+// ones, those still on this disk.
 func (h *Helm) Read(_ context.Context, serial uint64) (*wire.BundleReply, error) {
 	current := h.Current()
 	if current == nil {
@@ -292,6 +325,7 @@
 	return nil, base.Bounce(base.Missing, "serial", "serial %d is not kept here", serial)
 }
 
+// Holdings returns which node holds which bundle, and the machines never heard.
 func (h *Helm) Holdings(context.Context) *wire.HoldingsReply {
 	reply := &wire.HoldingsReply{}
 	heard := map[string]*wire.Sighting{}
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"regexp"
+	"slices"
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
@@ -18,15 +19,22 @@
 )
 
 const (
-	beatRatio  = 0.1
+	// beatRatio, of the leaving bound, is the interval between heartbeats.
+	beatRatio = 0.1
+	// roundRatio, of the in-force bound, is the longest that one round among
+	// the disks may take.
 	roundRatio = 0.25
-	stopRatio  = 0.9
-	// A roll-out writes its head twice, and a new owner once more.
+	// stopRatio, of the grace, is the time to stop in; the rest is for the
+	// process to end.
+	stopRatio = 0.9
+	// changesEach is the changes kept for each bundle: a roll-out writes its
+	// head twice, and a new owner once more.
 	changesEach = 3
 )
 
 var named = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
+// Usual sets the params that aren't set to their defaults.
 func Usual(p *wire.KeelParams) {
 	p.Bounds = base.UsualBounds(p.Bounds)
 	usual(&p.Serials, 16)
@@ -43,6 +51,7 @@
 	}
 }
 
+// Check returns validation errors that name each bad param.
 func Check(p *wire.KeelParams) error {
 	return validation.ValidateStruct(p,
 		validation.Field(&p.Name, validation.Required, validation.Match(named)),
@@ -60,6 +69,7 @@
 	)
 }
 
+// Keel is a running core machine.
 type Keel struct {
 	Helm   *Helm
 	Trove  *quorum.Trove
@@ -70,6 +80,7 @@
 	crew   base.Crew
 }
 
+// Start starts a core machine. On an error nothing is left running.
 func Start(s base.Scope, params *wire.KeelParams) (*Keel, error) {
 	Usual(params)
 	if err := Check(params); err != nil {
@@ -79,62 +90,71 @@
 	if err != nil {
 		return nil, err
 	}
+	if !slices.Contains(params.Seeds, params.Mates) {
+		return nil, errors.Errorf("seeds: a keel's own address %s is one of the seeds", params.Mates)
+	}
 	s, cancel := s.Child()
-	k := &Keel{params: params, cancel: cancel}
 	store, err := quorum.OpenStore(s, int(params.Serials)*changesEach)
 	if err != nil {
 		cancel()
 		return nil, errors.Wrap(err, "data folder")
 	}
-	web := base.Wire(s)
-	force := params.Bounds.InForce.AsDuration()
-	var mates []quorum.Mate
-	var relays []string
-	self := ""
-	for _, seed := range params.Seeds {
-		mates = append(mates, quorum.Mate{Name: seed, Address: seed})
-		if seed != params.Mates {
-			relays = append(relays, seed)
-		} else {
-			self = seed
-		}
+	k := &Keel{params: params, cancel: cancel}
+	member := k.assemble(s, store, trust)
+	if err := k.open(s, member); err != nil {
+		k.Kill()
+		return nil, err
 	}
-	if self == "" {
-		cancel()
-		return nil, errors.Errorf("seeds: a keel's own address %s is one of the seeds", params.Mates)
+	k.crew.Go(func() { member.Run(s) })
+	k.crew.Go(func() { k.Traces.Run(s, params.Bounds.InForce.AsDuration()/2) })
+	k.crew.Go(func() { k.Helm.Run(s) })
+	s.Log.Info("started", "name", params.Name, "zone", params.Zone)
+	return k, nil
+}
+
+// assemble makes the parts of the process; nothing runs yet.
+func (k *Keel) assemble(s base.Scope, store *quorum.Store, trust bundle.Trust) *membership.Member {
+	params, web := k.params, base.Wire(s)
+	bounds, force := params.Bounds, params.Bounds.InForce.AsDuration()
+	mates := make([]quorum.Mate, len(params.Seeds))
+	for i, seed := range params.Seeds {
+		mates[i] = quorum.Mate{Name: seed, Address: seed}
 	}
-	k.Trove = quorum.New(s, store, web, self, mates, time.Duration(float64(force)*roundRatio))
-	traces := tracing.OpenStore(s, int(params.Traces))
-	k.Traces = traces
-	traces.Mates(web, relays)
+	relays := slices.DeleteFunc(slices.Clone(params.Seeds), func(seed string) bool { return seed == params.Mates })
+	k.Trove = quorum.New(s, store, web, params.Mates, mates, time.Duration(float64(force)*roundRatio))
+	k.Traces = tracing.OpenStore(s, int(params.Traces))
+	k.Traces.Mates(web, relays)
 	member := membership.NewMember(s, web, &wire.Roster{Node: params.Name, Address: params.Mates, Zone: params.Zone, Core: true},
-		params.Seeds, relays, time.Duration(float64(params.Bounds.Leaving.AsDuration())*beatRatio))
-	limits := bundle.UsualLimits(params.Bounds.Grace.AsDuration())
+		params.Seeds, relays, time.Duration(float64(bounds.Leaving.AsDuration())*beatRatio))
+	limits := bundle.UsualLimits(bounds.Grace.AsDuration())
 	limits.Bytes = int(params.Bundle)
 	k.Helm = New(s, web, Parts{
-		Self: params.Name, Address: self, Mates: mates, Trove: k.Trove, Member: member, Traces: traces, Trust: trust, Limits: limits, Force: force, Slide: params.Bounds.SlideBack.AsDuration(),
-		Silence: max(params.Bounds.Recovery.AsDuration(), params.Bounds.Alone.AsDuration()),
+		Self: params.Name, Address: params.Mates, Mates: mates, Trove: k.Trove, Member: member, Traces: k.Traces,
+		Trust: trust, Limits: limits, Force: force, Slide: bounds.SlideBack.AsDuration(),
+		Silence: max(bounds.Recovery.AsDuration(), bounds.Alone.AsDuration()),
 	})
+	return member
+}
+
+// open opens the servers for other nodes and for operators.
+func (k *Keel) open(s base.Scope, member *membership.Member) error {
 	mux := http.NewServeMux()
 	mux.Handle(quorum.Handler(k.Trove))
 	mux.Handle(membership.Handler(member))
-	mux.Handle(tracing.Handler(traces))
+	mux.Handle(tracing.Handler(k.Traces))
 	mux.Handle(Handler(k.Helm))
-	for address, handler := range map[string]http.Handler{params.Mates: mux, params.Operators: Desk(k.Helm)} {
+	for address, handler := range map[string]http.Handler{k.params.Mates: mux, k.params.Operators: Desk(k.Helm)} {
 		door, err := base.Open(s, address, handler)
 		if err != nil {
-			k.Kill()
-			return nil, err
+			return err
 		}
 		k.doors = append(k.doors, door)
 	}
-	k.crew.Go(func() { member.Run(s) })
-	k.crew.Go(func() { traces.Run(s, force/2) })
-	k.crew.Go(func() { k.Helm.Run(s) })
-	s.Log.Info("started", "name", params.Name, "zone", params.Zone)
-	return k, nil
+	return nil
 }
 
+// Stop hands its duties over, lets requests in flight end, and ends the
+// process's parts within the grace.
 func (k *Keel) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(k.params.Bounds.Grace.AsDuration())*stopRatio))
 	defer cancel()
@@ -147,6 +167,7 @@
 	k.Kill()
 }
 
+// Kill ends everything at once.
 func (k *Keel) Kill() {
 	k.cancel()
 	for _, door := range k.doors {
@@ -155,6 +176,8 @@
 	k.crew.Wait()
 }
 
+// Reload puts the params in force that can change while running: the trusted
+// keys. It returns an error if others differ that can't.
 func (k *Keel) Reload(params *wire.KeelParams) error {
 	Usual(params)
 	if err := Check(params); err != nil {
--- a/helm/learn.go
+++ b/helm/learn.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	recentMost     = 20000
-	missedCycles   = 3
+	// recentMost is the most spans read from one core machine in a cycle.
+	recentMost = 20000
+	// missedCycles is the number of cycles without progress after which another
+	// machine takes learning over.
+	missedCycles = 3
+	// shortestCycles, dividing the in-force bound, is the wait while there is
+	// nothing to learn.
 	shortestCycles = 16
 )
 
@@ -25,6 +30,7 @@
 	incarnation string
 }
 
+// Learning returns what was learned, nil if nothing was yet.
 func (h *Helm) Learning() *wire.Learning {
 	entry, known := h.trove.Settled(LearningKey)
 	if !known {
@@ -128,6 +134,7 @@
 	return spans
 }
 
+// HandOver gives the duty to learn to another core machine, if this one has it.
 func (h *Helm) HandOver(s base.Scope) {
 	if h.Learning().GetHolder() != h.self {
 		return
--- a/helm/news.go
+++ b/helm/news.go
@@ -18,6 +18,7 @@
 
 type server struct{ helm *Helm }
 
+// Handler returns the path and handler that nodes and other core machines call.
 func Handler(h *Helm) (string, http.Handler) {
 	return wireconnect.NewHelmHandler(server{h}, base.Plain())
 }
@@ -64,44 +65,65 @@
 }
 
 func (h *Helm) tell(ask *wire.NewsRequest) (reply *wire.NewsReply, fresh bool) {
-	view := h.member.View()
-	reply = &wire.NewsReply{Keel: h.member.Incarnation(), Roster: view.Serial()}
+	reply = &wire.NewsReply{Keel: h.member.Incarnation(), Roster: h.member.View().Serial()}
 	reply.Vouches, reply.Accepted = h.trove.Ready() && !h.trove.Store().IsSick(BundleKey), h.Accepted().committed
-	concerns := func(string) bool { return true }
 	settled := h.Settled()
 	if settled.entry != nil {
 		reply.Ballot = &wire.Ballot{Epoch: settled.entry.Epoch.GetNumber(), Keel: settled.entry.Epoch.GetKeel(), Serial: settled.entry.Serial}
 		reply.Serial, reply.StagedSerial = settled.committed, settled.staged
 		fresh = quorum.CompareBallots(reply.Ballot, ask.Ballot) > 0
 	}
-	if current := h.Current(); current != nil {
-		concerns = current.Concerns(ask.Node, ask.Seats)
-		if slice := bundle.Slice(current.Sealed, concerns); current.Serial > ask.Serial || (current.Serial == ask.Serial && lacking(slice, ask.Parts)) {
-			fresh = true
-			if current.Serial != ask.Staged {
-				reply.Slice = slice
-			}
-		}
-	}
-	if settled.staged > 0 && settled.staged != ask.Staged {
-		if next := h.bundleOf(settled.head.Staged); next != nil {
-			reply.Staged, fresh = bundle.Slice(next.Sealed, next.Concerns(ask.Node, ask.Seats)), true
-		}
-	}
+	concerns, news := h.tellSlice(ask, reply)
+	fresh = h.tellStaged(ask, reply, settled) || news || fresh
 	if learning := h.Learning(); learning.GetOdds().GetSerial() > ask.Odds {
 		reply.Odds, fresh = learning.Odds, true
 	}
-	if ask.Keel != reply.Keel || ask.Roster < reply.Roster {
-		since := ask.Roster
-		if ask.Keel != reply.Keel {
-			since = 0
-		}
-		for sighting := range view.Since(since) {
-			reply.Sightings = append(reply.Sightings, membership.Narrow(sighting, concerns))
-		}
-		fresh = true
+	return reply, h.tellSightings(ask, reply, concerns) || fresh
+}
+
+// tellSlice adds the node's slice of the bundle in force if it lacks any of it.
+// It returns which services concern the node.
+func (h *Helm) tellSlice(ask *wire.NewsRequest, reply *wire.NewsReply) (concerns func(service string) bool, fresh bool) {
+	current := h.Current()
+	if current == nil {
+		return func(string) bool { return true }, false
+	}
+	concerns = current.Concerns(ask.Node, ask.Seats)
+	slice := bundle.Slice(current.Sealed, concerns)
+	fresh = current.Serial > ask.Serial || (current.Serial == ask.Serial && lacking(slice, ask.Parts))
+	if fresh && current.Serial != ask.Staged {
+		reply.Slice = slice
+	}
+	return concerns, fresh
+}
+
+// tellStaged adds the node's slice of the bundle being rolled out, if it
+// doesn't have it yet.
+func (h *Helm) tellStaged(ask *wire.NewsRequest, reply *wire.NewsReply, settled *outline) (fresh bool) {
+	if settled.staged == 0 || settled.staged == ask.Staged {
+		return false
+	}
+	next := h.bundleOf(settled.head.Staged)
+	if next == nil {
+		return false
+	}
+	reply.Staged = bundle.Slice(next.Sealed, next.Concerns(ask.Node, ask.Seats))
+	return true
+}
+
+// tellSightings adds what changed among the machines since the node last asked
+// this process.
+func (h *Helm) tellSightings(ask *wire.NewsRequest, reply *wire.NewsReply, concerns func(service string) bool) (fresh bool) {
+	since := ask.Roster
+	if ask.Keel != reply.Keel {
+		since = 0
+	} else if ask.Roster >= reply.Roster {
+		return false
+	}
+	for sighting := range h.member.View().Since(since) {
+		reply.Sightings = append(reply.Sightings, membership.Narrow(sighting, concerns))
 	}
-	return reply, fresh
+	return true
 }
 
 func lacking(slice *wire.Sealed, parts []string) bool {
--- a/helm/open.go
+++ b/helm/open.go
@@ -9,29 +9,28 @@
 	"curlewreach/proto/wire"
 )
 
-// The following ask keels, or one node, of an open fleet at their doors for mates.
-
+// KeelView returns the state of an open fleet's core process.
 func (c *Clerk) KeelView(ctx context.Context) (*wire.KeelView, error) {
-	reply := &wire.KeelView{}
-	return reply, c.ask(ctx, http.MethodGet, "/view", nil, reply)
+	return fetch[wire.KeelView](ctx, c, http.MethodGet, "/view", nil)
 }
 
+// NodeView returns the state of an open fleet's node.
 func (c *Clerk) NodeView(ctx context.Context) (*wire.NodeView, error) {
-	reply := &wire.NodeView{}
-	return reply, c.ask(ctx, http.MethodGet, "/view", nil, reply)
+	return fetch[wire.NodeView](ctx, c, http.MethodGet, "/view", nil)
 }
 
+// Chart returns the configuration in force in an open fleet.
 func (c *Clerk) Chart(ctx context.Context) (*wire.Chart, error) {
-	reply := &wire.Chart{}
-	return reply, c.ask(ctx, http.MethodGet, "/chart", nil, reply)
+	return fetch[wire.Chart](ctx, c, http.MethodGet, "/chart", nil)
 }
 
+// OpenOdds returns what was learned in an open fleet.
 func (c *Clerk) OpenOdds(ctx context.Context) (*wire.Learning, error) {
-	reply := &wire.Learning{}
-	return reply, c.ask(ctx, http.MethodGet, "/odds", nil, reply)
+	return fetch[wire.Learning](ctx, c, http.MethodGet, "/odds", nil)
 }
 
+// Journal returns the newest events about a subject, or all if that is empty,
+// from a process of an open fleet.
 func (c *Clerk) Journal(ctx context.Context, subject string, last int) (*wire.TellReply, error) {
-	reply := &wire.TellReply{}
-	return reply, c.ask(ctx, http.MethodGet, fmt.Sprintf("/journal?subject=%s&last=%d", url.QueryEscape(subject), last), nil, reply)
+	return fetch[wire.TellReply](ctx, c, http.MethodGet, fmt.Sprintf("/journal?subject=%s&last=%d", url.QueryEscape(subject), last), nil)
 }
--- a/helm/rollout.go
+++ b/helm/rollout.go
@@ -17,9 +17,15 @@
 )
 
 const (
-	stageRatio   = 0.5
+	// stageRatio, of the in-force bound, is how long a staged bundle may stand
+	// before another machine resolves it.
+	stageRatio = 0.5
+	// confirmRatio, of the in-force bound, is how long nodes have to confirm a
+	// staged bundle before it is withdrawn.
 	confirmRatio = 0.5
-	pollRatio    = 0.005
+	// pollRatio, of the in-force bound, is the pause between two looks at a
+	// roll-out.
+	pollRatio = 0.005
 )
 
 type confirm struct {
@@ -104,8 +110,13 @@
 			return base.Bounce(base.Alive, path, "%q asked for news %s ago", name, (now - confirmed.at).Round(time.Millisecond))
 		}
 	}
+	return h.answering(s, current, forsaken)
+}
+
+// answering returns an error if any of the machines still answers.
+func (h *Helm) answering(s base.Scope, current *bundle.Bundle, names []string) *base.Mishap {
 	var alive atomic.Pointer[string]
-	base.All(forsaken, func(name string) {
+	base.All(names, func(name string) {
 		if h.member.Reaches(s, current.Machine(name).Address) {
 			alive.Store(&name)
 		}
@@ -116,6 +127,8 @@
 	return nil
 }
 
+// Sign decides on a signed bundle. An outcome of verdict UNKNOWN says that it
+// isn't decided yet; the error is always nil.
 func (h *Helm) Sign(ctx context.Context, request *wire.SignRequest) (*wire.Outcome, error) {
 	manifest, mishap := h.vet(request)
 	if mishap != nil {
@@ -125,6 +138,8 @@
 	return h.decide(ctx, request, manifest), nil
 }
 
+// Status returns what became of a submission, and settles it if it was left
+// midway.
 func (h *Helm) Status(ctx context.Context, submission string) (*wire.Outcome, error) {
 	return h.decide(ctx, &wire.SignRequest{Submission: submission}, nil), nil
 }
@@ -164,7 +179,7 @@
 	return unknown
 }
 
-func (h *Helm) step(s base.Scope, request *wire.SignRequest, manifest *wire.Manifest) (outcome *wire.Outcome, err error) {
+func (h *Helm) step(s base.Scope, request *wire.SignRequest, manifest *wire.Manifest) (*wire.Outcome, error) {
 	if manifest == nil {
 		return h.lookUp(s, request.Submission)
 	}
@@ -174,7 +189,21 @@
 		}
 		return bounced(request.Submission, mishap), nil
 	}
-	mine := false
+	outcome, mine, err := h.stage(s, request, manifest.Base)
+	if err != nil || outcome != nil {
+		return outcome, err
+	}
+	if !mine {
+		_, _ = h.resolve(s, false)
+		return nil, nil
+	}
+	return h.resolve(s, true)
+}
+
+// stage makes the bundle handed in the staged one, unless the submission was
+// decided already or another is staged. It reports whether the staged one is
+// this submission's.
+func (h *Helm) stage(s base.Scope, request *wire.SignRequest, wanted uint64) (outcome *wire.Outcome, mine bool, err error) {
 	err = h.trove.Change(s, BundleKey, func(old []byte) ([]byte, error) {
 		head, err := headOf(old)
 		if err != nil {
@@ -183,12 +212,11 @@
 		if outcome = past(head, request.Submission); outcome != nil {
 			return nil, nil
 		}
-		committed := serialOf(head.Sealed)
 		if head.Staged != nil {
 			mine = head.Submission == request.Submission
 			return nil, nil
 		}
-		if manifest.Base != committed {
+		if committed := serialOf(head.Sealed); wanted != committed {
 			outcome = bounced(request.Submission, base.Bounce(base.StaleBase, "manifest.base", "the newest serial is %d", committed))
 			return nil, nil
 		}
@@ -200,14 +228,7 @@
 		}
 		return proto.Marshal(next)
 	})
-	if err != nil || outcome != nil {
-		return outcome, err
-	}
-	if !mine {
-		h.resolve(s, false)
-		return nil, nil
-	}
-	return h.resolve(s, true)
+	return outcome, mine, err
 }
 
 func past(head *wire.Head, submission string) *wire.Outcome {
