--- a/flow/answer.go
+++ b/flow/answer.go
@@ -47,6 +47,8 @@
 	}
 }
 
+// seal digests an answer with its head, so that the asking node can check that
+// it is whole and of its attempt.
 type seal struct{ hash hash.Hash }
 
 func newSeal(head *wire.CarryHead) seal {
--- a/flow/budget.go
+++ b/flow/budget.go
@@ -41,14 +41,19 @@
 	most  uint32
 }
 
+// Budget divides the spans that a node may record each second among the groups
+// by the weights of their shares. What a group left unused in a second is lent
+// to all in the next. It takes no lock.
 type Budget struct {
 	clock base.Clock
 	lent  meter
 	rows  atomic.Pointer[map[string]allowance]
 }
 
+// NewBudget returns a budget that grants nothing before Set.
 func NewBudget(clock base.Clock) *Budget { return &Budget{clock: clock} }
 
+// Set divides by a bundle's shares.
 func (b *Budget) Set(signed *bundle.Bundle) {
 	total := 0.0
 	shares := signed.Raw.GetCommon().GetShares()
@@ -68,6 +73,7 @@
 	b.rows.Store(&rows)
 }
 
+// Spend takes one span for a group, and reports whether there was one left.
 func (b *Budget) Spend(group string) bool {
 	rows := b.rows.Load()
 	if rows == nil {
@@ -91,6 +97,7 @@
 	return left
 }
 
+// Spent returns the spans granted so far, by group.
 func (b *Budget) Spent() map[string]uint64 {
 	spent := map[string]uint64{}
 	if rows := b.rows.Load(); rows != nil {
--- /dev/null
+++ b/flow/catch.go
@@ -0,0 +1,98 @@
+package flow
+
+import (
+	"bytes"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+// catch takes in the pieces of one attempt's answer, checks them, and holds
+// them back until the seal is checked or there are too many.
+type catch struct {
+	node    *Node
+	errand  *errand
+	attempt *Attempt
+	head    *wire.CarryHead
+	sealing seal
+	held    bytes.Buffer
+	size    uint64
+	flowing bool
+	roomy   int64
+	whole   bool
+	mishap  *base.Mishap
+}
+
+var errForeign = base.Bounce(base.Garbled, "", "a piece of another attempt's answer")
+
+func (c *catch) take(reply *wire.CarryReply) error {
+	switch piece := reply.Piece.(type) {
+	case *wire.CarryReply_Head:
+		if c.head != nil || piece.Head.Attempt != c.attempt.Name {
+			return errForeign
+		}
+		c.head, c.sealing = piece.Head, newSeal(piece.Head)
+	case *wire.CarryReply_Chunk:
+		return c.takeChunk(piece.Chunk)
+	case *wire.CarryReply_Tail:
+		return c.takeTail(piece.Tail)
+	case *wire.CarryReply_Mishap:
+		if piece.Mishap.Attempt != c.attempt.Name {
+			return errForeign
+		}
+		c.mishap = &base.Mishap{Kind: base.Kind(piece.Mishap.Kind), Reason: piece.Mishap.Reason, Run: piece.Mishap.Run, After: time.Duration(piece.Mishap.AfterUs) * time.Microsecond}
+	}
+	return nil
+}
+
+// takeChunk holds a piece of the body back, or passes it on with those held if
+// they are too many.
+func (c *catch) takeChunk(chunk []byte) error {
+	if c.head == nil || c.whole {
+		return errForeign
+	}
+	_, _ = c.sealing.Write(chunk)
+	c.size += uint64(len(chunk))
+	if c.flowing || c.held.Len()+len(chunk) > c.node.dials.Load().Held || !c.hold(len(chunk)) {
+		if err := c.flow(); err != nil {
+			return err
+		}
+	}
+	c.held.Write(chunk)
+	return nil
+}
+
+// takeTail checks the seal. Of an answer that is being streamed, the last piece
+// is passed on only now.
+func (c *catch) takeTail(tail *wire.CarryTail) error {
+	if c.head == nil || tail.Attempt != c.attempt.Name || tail.Size != c.size || !bytes.Equal(tail.Digest, c.sealing.sum()) {
+		return base.Bounce(base.Garbled, "", "the seal does not fit the answer")
+	}
+	c.whole = true
+	if c.flowing {
+		return c.flow()
+	}
+	return nil
+}
+
+func (c *catch) hold(size int) bool {
+	if !c.node.room.take(int64(size)) {
+		return false
+	}
+	c.roomy += int64(size)
+	return true
+}
+
+func (c *catch) flow() error {
+	c.node.room.give(c.roomy)
+	c.roomy = 0
+	if !c.flowing {
+		c.flowing = true
+		put(c.head.Headers, c.errand.w.Header())
+		c.errand.w.WriteHeader(int(c.head.Status))
+	}
+	_, err := c.errand.w.Write(c.held.Bytes())
+	c.held.Reset()
+	return err
+}
--- a/flow/claims.go
+++ b/flow/claims.go
@@ -14,20 +14,33 @@
 )
 
 const (
-	claimRatio  = 0.8
-	worryRatio  = 0.5
-	vouchRatio  = 0.35
+	// claimRatio, of the slide-back bound, is how long what core machines and
+	// nodes vouched for holds.
+	claimRatio = 0.8
+	// worryRatio, of that time, is how long before its end a node begins to ask
+	// other nodes.
+	worryRatio = 0.5
+	// vouchRatio, of that time, is the interval at which it asks them.
+	vouchRatio = 0.35
+	// behindRatio, of that time, is how long a request waits for the bundle in
+	// force.
 	behindRatio = 0.2
 
+	// backersSpare is how many more nodes are asked than a majority needs.
 	backersSpare = 1
 )
 
+// word is what a core machine or a node said of the newest bundle it knows, and
+// when.
 type word struct {
 	at       time.Duration
 	serial   uint64
 	definite bool
 }
 
+// Claims decides which bundle is in force on a node: the newest that a majority
+// of core machines, or of nodes, lately vouched for. A node that can't tell
+// serves nothing. It is safe for concurrent use.
 type Claims struct {
 	clock    base.Clock
 	length   time.Duration
@@ -46,16 +59,22 @@
 	cored    time.Duration
 }
 
+// NewClaims returns the claims of a node that was just started. They hold for
+// length; settling must pass before the node vouches to others; without the
+// core it goes on for alone at most, or without limit if that is 0.
 func NewClaims(clock base.Clock, self string, keels int, length, settling, alone time.Duration) *Claims {
 	return &Claims{alone: alone, cored: clock.Mono(), clock: clock, since: clock.Mono() + settling, self: self, keels: make([]word, keels), mates: map[string]word{}, length: length}
 }
 
+// Held returns the bundle held, the one staged, and the newest ballot heard.
 func (c *Claims) Held() (held, staged *bundle.Bundle, ballot *wire.Ballot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.held, c.staged, c.ballot
 }
 
+// Good reports whether the bundle of that serial number is held and sure to be
+// the newest.
 func (c *Claims) Good(serial uint64) bool { return c.goodIn(serial, 0) }
 
 func (c *Claims) goodIn(serial uint64, ahead time.Duration) bool {
@@ -99,6 +118,8 @@
 	return good >= signed.Vanes()/2+1
 }
 
+// Heard takes in news of a core machine that were asked for at the time given.
+// It returns the bundle held if that changed.
 func (c *Claims) Heard(keel int, asked time.Duration, news *wire.NewsReply, open func(*wire.Sealed) *bundle.Bundle) (risen *bundle.Bundle) {
 	slice, staged := open(news.Slice), open(news.Staged)
 	c.mu.Lock()
@@ -142,12 +163,16 @@
 	}
 }
 
+// Recall sets a bundle read from disk, which is held once a majority confirms
+// it.
 func (c *Claims) Recall(signed *bundle.Bundle) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recalled = signed
 }
 
+// Vouched takes in another node's word that was asked for at the time given. It
+// returns the bundle held if that changed.
 func (c *Claims) Vouched(asked time.Duration, reply *wire.VouchReply, open func(*wire.Sealed) *bundle.Bundle) (risen *bundle.Bundle) {
 	slice := open(reply.Slice)
 	c.mu.Lock()
@@ -163,6 +188,7 @@
 	return risen
 }
 
+// Vouch returns this node's word for another node.
 func (c *Claims) Vouch(ask *wire.VouchRequest) *wire.VouchReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -205,19 +231,22 @@
 		}
 		asked := s.Clock.Mono()
 		for _, machine := range n.claims.backers(known, serial) {
-			go func() {
-				ctx, cancel := context.WithTimeout(s, n.claims.length)
-				defer cancel()
-				reply, err := n.mate(machine.Address).Vouch(ctx, connect.NewRequest(&wire.VouchRequest{Node: n.self, Serial: serial, Odds: n.keeper.Serial()}))
-				if err == nil && reply.Msg.Node == machine.Name {
-					n.load(reply.Msg.Odds)
-					n.risen(n.claims.Vouched(asked, reply.Msg, n.open))
-				}
-			}()
+			go n.askVouch(s, machine, serial, asked)
 		}
 	})
 }
 
+// askVouch asks another node for its word.
+func (n *Node) askVouch(s base.Scope, machine *wire.Machine, serial uint64, asked time.Duration) {
+	ctx, cancel := context.WithTimeout(s, n.claims.length)
+	defer cancel()
+	reply, err := n.mate(machine.Address).Vouch(ctx, connect.NewRequest(&wire.VouchRequest{Node: n.self, Serial: serial, Odds: n.keeper.Serial()}))
+	if err == nil && reply.Msg.Node == machine.Name {
+		n.load(reply.Msg.Odds)
+		n.risen(n.claims.Vouched(asked, reply.Msg, n.open))
+	}
+}
+
 func (c *Claims) backers(known *bundle.Bundle, serial uint64) []*wire.Machine {
 	good := c.Good(serial)
 	c.mu.Lock()
--- a/flow/far.go
+++ b/flow/far.go
@@ -18,8 +18,10 @@
 	"curlewreach/proto/wire"
 )
 
+// chunkSize is the size in bytes of the pieces that answers are carried in.
 const chunkSize = 64 << 10
 
+// emit sends a piece of an answer to the asking node.
 type emit func(*wire.CarryReply) error
 
 func mishapPiece(attempt string, mishap *base.Mishap) *wire.CarryReply {
@@ -58,6 +60,13 @@
 	}
 	s, cancel := s.Within(left)
 	defer cancel()
+	return n.carryOn(s, ask, until, tell)
+}
+
+// carryOn carries an attempt that may run, under the bundle it was sent under:
+// in its turn at the upstream's gate, and apart from requests that it can't be
+// told from.
+func (n *Node) carryOn(s base.Scope, ask *wire.CarryRequest, until time.Duration, tell emit) *base.Mishap {
 	if mishap := n.abreast(s, ask.Serial); mishap != nil {
 		return mishap
 	}
@@ -155,12 +164,16 @@
 	return span
 }
 
+// ran returns an error about a request that may have run.
+func ran(kind base.Kind, format string, args ...any) *base.Mishap {
+	mishap := base.Bounce(kind, "", format, args...)
+	mishap.Run = true
+	return mishap
+}
+
+// exchange sends the request and passes the answer on. It returns the answer's
+// status, 0 if there was none.
 func (n *Node) exchange(s base.Scope, conn *http.ClientConn, request *http.Request, ask *wire.CarryRequest, tell emit) (int, *base.Mishap) {
-	ran := func(kind base.Kind, format string, args ...any) *base.Mishap {
-		mishap := base.Bounce(kind, "", format, args...)
-		mishap.Run = true
-		return mishap
-	}
 	response, err := conn.RoundTrip(request)
 	if err != nil {
 		if s.Err() != nil {
@@ -169,43 +182,55 @@
 		return 0, ran(base.Lost, "the upstream's answer was lost: %s", err)
 	}
 	defer response.Body.Close()
+	return response.StatusCode, relay(response, ask.Attempt, tell)
+}
+
+// relay passes an answer on under a seal over its head and body.
+func relay(response *http.Response, attempt string, tell emit) *base.Mishap {
 	digest, given := promised(response.Header)
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || given
 	if !framed || response.StatusCode == http.StatusSwitchingProtocols {
-		return response.StatusCode, ran(base.Garbled, "the upstream's answer has no certain end")
+		return ran(base.Garbled, "the upstream's answer has no certain end")
 	}
-	head := &wire.CarryHead{Attempt: ask.Attempt, Status: uint32(response.StatusCode), Headers: headersOf(response.Header), Size: response.ContentLength}
+	head := &wire.CarryHead{Attempt: attempt, Status: uint32(response.StatusCode), Headers: headersOf(response.Header), Size: response.ContentLength}
 	sealing, whole := newSeal(head), sha256.New()
-	size := uint64(0)
 	if err := tell(&wire.CarryReply{Piece: &wire.CarryReply_Head{Head: head}}); err != nil {
-		return response.StatusCode, ran(base.Lost, "the asking node went away")
+		return ran(base.Lost, "the asking node went away")
+	}
+	size, mishap := relayBody(response.Body, io.MultiWriter(sealing, whole), tell)
+	if mishap != nil {
+		return mishap
 	}
+	if given && !bytes.Equal(digest, whole.Sum(nil)) {
+		return ran(base.Garbled, "the upstream's answer does not fit its digest")
+	}
+	tail := &wire.CarryTail{Attempt: attempt, Digest: sealing.sum(), Size: size}
+	if err := tell(&wire.CarryReply{Piece: &wire.CarryReply_Tail{Tail: tail}}); err != nil {
+		return ran(base.Lost, "the asking node went away")
+	}
+	return nil
+}
+
+// relayBody passes a body on in pieces, also to the digests, and returns its
+// size in bytes.
+func relayBody(body io.Reader, digests io.Writer, tell emit) (size uint64, mishap *base.Mishap) {
 	chunk := make([]byte, chunkSize)
 	for {
-		got, err := response.Body.Read(chunk)
+		got, err := body.Read(chunk)
 		if got > 0 {
 			size += uint64(got)
-			_, _ = sealing.Write(chunk[:got])
-			_, _ = whole.Write(chunk[:got])
+			_, _ = digests.Write(chunk[:got])
 			if tell(&wire.CarryReply{Piece: &wire.CarryReply_Chunk{Chunk: bytes.Clone(chunk[:got])}}) != nil {
-				return response.StatusCode, ran(base.Lost, "the asking node went away")
+				return size, ran(base.Lost, "the asking node went away")
 			}
 		}
 		if err == io.EOF {
-			break
+			return size, nil
 		}
 		if err != nil {
-			return response.StatusCode, ran(base.Garbled, "the upstream's answer broke off: %s", err)
+			return size, ran(base.Garbled, "the upstream's answer broke off: %s", err)
 		}
 	}
-	if given && !bytes.Equal(digest, whole.Sum(nil)) {
-		return response.StatusCode, ran(base.Garbled, "the upstream's answer does not fit its digest")
-	}
-	tail := &wire.CarryTail{Attempt: ask.Attempt, Digest: sealing.sum(), Size: size}
-	if err := tell(&wire.CarryReply{Piece: &wire.CarryReply_Tail{Tail: tail}}); err != nil {
-		return response.StatusCode, ran(base.Lost, "the asking node went away")
-	}
-	return response.StatusCode, nil
 }
 
 type farServer struct{ node *Node }
--- a/flow/far_test.go
+++ b/flow/far_test.go
@@ -24,27 +24,29 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for round := 0; ; round++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if request.URL.Path == "/warm" {
-						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-						continue
-					}
-					seen.Add(1)
-					return
-				}
-			}()
+			go serveFlaky(conn, seen)
 		}
 	}()
 	return listener.Addr().String(), seen, func() { _ = listener.Close() }
 }
 
+// serveFlaky answers requests of /warm and breaks the connection at any other, which it counts.
+func serveFlaky(conn net.Conn, seen *atomic.Int64) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.URL.Path != "/warm" {
+			seen.Add(1)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
 var _ = ginkgo.Describe("the transport's silent retries", func() {
 	ask := func(trip http.RoundTripper, address, path string) {
 		request, err := http.NewRequest("GET", "http://"+address+path, nil)
--- a/flow/fences.go
+++ b/flow/fences.go
@@ -13,6 +13,9 @@
 	barred bool
 }
 
+// Fences keeps, for each attempt, whether its request may still be handed to
+// the upstream, so that no attempt runs twice and a caller can make sure that
+// it never will. It is safe for concurrent use.
 type Fences struct {
 	clock  base.Clock
 	keep   time.Duration
@@ -20,10 +23,13 @@
 	fences map[string]*fence
 }
 
+// NewFences returns fences that remember attempts for the time given, which
+// must be longer than any request takes.
 func NewFences(clock base.Clock, keep time.Duration) *Fences {
 	return &Fences{clock: clock, keep: keep, fences: map[string]*fence{}}
 }
 
+// Start notes a new attempt, and reports false if it was known.
 func (f *Fences) Start(attempt string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -34,6 +40,8 @@
 	return true
 }
 
+// Hand allows handing the request to the upstream, once and unless it was
+// barred.
 func (f *Fences) Hand(attempt string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -45,6 +53,7 @@
 	return true
 }
 
+// Bar forbids it, and reports whether it can't have been handed before.
 func (f *Fences) Bar(attempt string) (never bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -55,6 +64,7 @@
 	return true
 }
 
+// Sweep forgets old attempts.
 func (f *Fences) Sweep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -10,8 +10,12 @@
 )
 
 const (
+	// holdMemory is the weight of the newest request in the moving average of
+	// how long one holds its place.
 	holdMemory = 0.1
-	leastLeft  = 0.5
+	// leastLeft, of that average, is the time to its deadline that a waiter
+	// must have left to be let in.
+	leastLeft = 0.5
 )
 
 type waiter struct {
@@ -28,6 +32,9 @@
 	granted uint64
 }
 
+// Gate is the admission queue in front of an upstream or a node: a bounded
+// number of requests are inside, others wait. Groups get their turns by the
+// weights of their shares. It is safe for concurrent use.
 type Gate struct {
 	mu      sync.Mutex
 	clock   base.Clock
@@ -40,10 +47,12 @@
 	lanes   map[string]*lane
 }
 
+// NewGate returns a gate that lets limit requests in and bound wait.
 func NewGate(clock base.Clock, limit, bound int) *Gate {
 	return &Gate{clock: clock, limit: max(limit, 1), bound: bound, lanes: map[string]*lane{}}
 }
 
+// Resize sets how many requests may be inside.
 func (g *Gate) Resize(limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,12 +60,14 @@
 	g.advance()
 }
 
+// Flying returns how many requests are inside.
 func (g *Gate) Flying() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.flying
 }
 
+// Granted returns how many were let in so far, by group.
 func (g *Gate) Granted() map[string]uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,6 +78,9 @@
 	return granted
 }
 
+// Enter waits to be let in until the time given. The caller calls leave when
+// its request has ended. The error is of kind Crowded if it can't be let in in
+// time or the queue is full, and Expired if the time passed.
 func (g *Gate) Enter(s base.Scope, group string, weight float64, until time.Duration) (leave func(), mishap *base.Mishap) {
 	g.mu.Lock()
 	at := g.lanes[group]
--- a/flow/ledger.go
+++ b/flow/ledger.go
@@ -8,23 +8,34 @@
 	"curlewreach/internal/bundle"
 )
 
+// State is what became of an attempt.
 type State int
 
+// The states of an attempt.
 const (
+	// Running is an attempt without an outcome yet.
 	Running State = iota
+	// Answered is an attempt with a whole answer.
 	Answered
+	// NotRun is an attempt that surely didn't run.
 	NotRun
+	// Doubtful is an attempt that may have run.
 	Doubtful
 )
 
+// String returns the state's name.
 func (s State) String() string {
 	return [...]string{"running", "answered", "not run", "doubtful"}[s]
 }
 
+// Attempt is one try to carry a request to an instance.
 type Attempt struct {
-	Name      string
-	Node      string
-	Seat      string
+	Name string
+	Node string
+	// Seat is the instance's address.
+	Seat string
+	// Impatient attempts are turned back rather than kept waiting where such
+	// requests are kept apart.
 	Impatient bool
 	Started   time.Duration
 	Ended     time.Duration
@@ -32,27 +43,39 @@
 	Mishap    *base.Mishap
 }
 
+// Move is what to do next about a request.
 type Move int
 
+// The moves.
 const (
+	// Try makes another attempt.
 	Try Move = iota
+	// Relay passes on the answer.
 	Relay
+	// GiveUp tells the caller what is known.
 	GiveUp
 )
 
+// mostAttempts is the most attempts for one request, not counting those turned
+// back.
 const mostAttempts = 4
 
+// Ledger lists the attempts for one request. What to do next is read off it
+// alone.
 type Ledger struct {
-	Way      bundle.Way
+	Way bundle.Way
+	// Until is the request's deadline by the monotonic clock.
 	Until    time.Duration
 	Attempts []*Attempt
-	Patient  bool
+	// Patient lets the next attempts wait where such requests are kept apart.
+	Patient bool
 }
 
 func (a *Attempt) turnedBack() bool {
 	return a.Mishap != nil && (a.Mishap.Kind == base.Stale || a.Mishap.Kind == base.Apart && a.Impatient)
 }
 
+// Last returns the newest attempt, or nil.
 func (l *Ledger) Last() *Attempt {
 	if len(l.Attempts) == 0 {
 		return nil
@@ -60,8 +83,10 @@
 	return l.Attempts[len(l.Attempts)-1]
 }
 
+// Add appends an attempt.
 func (l *Ledger) Add(attempt *Attempt) { l.Attempts = append(l.Attempts, attempt) }
 
+// Doubtful reports whether any attempt may have run without an answer.
 func (l *Ledger) Doubtful() bool {
 	for _, attempt := range l.Attempts {
 		if attempt.State == Doubtful || attempt.State == Running {
@@ -71,6 +96,7 @@
 	return false
 }
 
+// Arrived reports whether any attempt may have reached an upstream.
 func (l *Ledger) Arrived() bool {
 	for _, attempt := range l.Attempts {
 		if attempt.State != NotRun {
@@ -80,10 +106,13 @@
 	return false
 }
 
+// Apart reports whether any attempt was turned back as such requests are kept
+// apart.
 func (l *Ledger) Apart() bool {
 	return slices.ContainsFunc(l.Attempts, func(a *Attempt) bool { return a.Mishap != nil && a.Mishap.Kind == base.Apart })
 }
 
+// Tried reports whether an instance was tried and needn't be again.
 func (l *Ledger) Tried(seat string) bool {
 	for _, attempt := range l.Attempts {
 		if attempt.Seat == seat && attempt.Mishap.Kind != base.Stale && !(l.Patient && attempt.turnedBack()) {
@@ -103,6 +132,8 @@
 	return count
 }
 
+// Next returns what to do now. A request that may have run is tried again only
+// if its route is repeatable.
 func (l *Ledger) Next(now time.Duration) Move {
 	last := l.Last()
 	switch {
@@ -118,6 +149,7 @@
 	return Try
 }
 
+// Verdict returns the error to tell the caller on giving up.
 func (l *Ledger) Verdict(now time.Duration) *base.Mishap {
 	verdict := base.Bounce(base.NoSeat, "", "no upstream of %s could be reached", l.Way.Service.Name)
 	if last := l.Last(); last != nil && last.Mishap != nil {
--- a/flow/near.go
+++ b/flow/near.go
@@ -1,18 +1,15 @@
 package flow
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/kit/endpoint"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
 	"curlewreach/internal/bundle"
@@ -21,6 +18,8 @@
 	"curlewreach/proto/wire/wireconnect"
 )
 
+// errand is a request to this node: of a visitor, or (inner) a further call of
+// an instance.
 type errand struct {
 	request *http.Request
 	inner   bool
@@ -90,28 +89,47 @@
 		return nil, mishap
 	}
 	defer leave()
+	body, give, mishap := n.body(e, way.Deadline())
+	if mishap != nil {
+		return nil, mishap
+	}
+	defer give()
+	return n.answerWith(s, e, signed, &Ledger{Way: way, Until: until}, body)
+}
+
+// body reads a request's body within the time given. The caller calls give when
+// it is no longer needed.
+func (n *Node) body(e *errand, within time.Duration) (body []byte, give func(), mishap *base.Mishap) {
 	longest := n.dials.Load().Longest
 	room := int64(longest) + 1
 	if e.request.ContentLength >= 0 {
 		room = min(room, e.request.ContentLength)
 	}
 	if !n.room.take(room) {
-		return nil, base.Bounce(base.Crowded, "", "no room in memory for the request's body")
+		return nil, nil, base.Bounce(base.Crowded, "", "no room in memory for the request's body")
 	}
-	defer n.room.give(room)
-	_ = http.NewResponseController(e.w).SetReadDeadline(time.Now().Add(way.Deadline()))
+	give = func() { n.room.give(room) }
+	_ = http.NewResponseController(e.w).SetReadDeadline(time.Now().Add(within))
 	body, err := io.ReadAll(io.LimitReader(e.request.Body, int64(longest)+1))
 	if err != nil {
-		return nil, base.Bounce(base.Malformed, "", "the request's body broke off")
+		give()
+		return nil, nil, base.Bounce(base.Malformed, "", "the request's body broke off")
 	}
 	_ = http.NewResponseController(e.w).SetReadDeadline(time.Time{})
 	if len(body) > longest {
-		return nil, base.Bounce(base.TooLarge, "", "%d bytes at most", longest)
+		give()
+		return nil, nil, base.Bounce(base.TooLarge, "", "%d bytes at most", longest)
 	}
+	return body, give, nil
+}
+
+// answerWith answers a request that was let in, and records a span of it if the
+// odds and the group's budget say so.
+func (n *Node) answerWith(s base.Scope, e *errand, signed *bundle.Bundle, ledger *Ledger, body []byte) (any, error) {
+	way := ledger.Way
 	trail, spent := n.trail(e, signed, way)
 	defer spent()
 	e.w.Header().Set(traceHeader, trail.Trace)
-	ledger := &Ledger{Way: way, Until: until}
 	if !trail.Sampled || !n.keeper.Keep(way.Identifier()) || !n.budget.Spend(way.Group) {
 		return n.settle(s, e, signed, ledger, body, trail)
 	}
@@ -125,37 +143,6 @@
 	return n.settle(s, e, signed, ledger, body, trail)
 }
 
-func (n *Node) watched(span *wire.Span, ledger *Ledger, began time.Duration) {
-	now := n.scope.Clock.Mono()
-	var tries []interval
-	for _, attempt := range ledger.Attempts {
-		ended := attempt.Ended
-		if attempt.State == Running {
-			ended = now
-		}
-		tries = append(tries, interval{attempt.Started, ended})
-		child := proto.Clone(span).(*wire.Span)
-		child.Id, child.Parent, child.Side, child.Seat = attempt.Name, span.Id, tracing.AttemptSide, attempt.Seat
-		child.Tags = map[string]string{"node": attempt.Node, "state": attempt.State.String()}
-		if attempt.Mishap != nil {
-			child.Tags["kind"] = string(attempt.Mishap.Kind)
-		}
-		n.timed(child, attempt.Started, ended, 0)
-		n.sink.Push(child)
-	}
-	span.Tags = map[string]string{"attempts": strconv.Itoa(len(ledger.Attempts))}
-	if last := ledger.Last(); last != nil {
-		span.Tags["state"] = last.State.String()
-	}
-	n.timed(span, began, now, union(tries, began, now))
-	n.sink.Push(span)
-}
-
-func (n *Node) timed(span *wire.Span, from, till, others time.Duration) {
-	span.StartedUs = n.scope.Clock.Wall().Add(from - n.scope.Clock.Mono()).UnixMicro()
-	span.DurationUs, span.SelfUs = uint64((till - from).Microseconds()), uint64((till - from - others).Microseconds())
-}
-
 func (n *Node) trail(e *errand, signed *bundle.Bundle, way bundle.Way) (*wire.Trail, func()) {
 	if e.inner {
 		tie := n.ties.Find(e.request, way, signed.Holes(way, e.request.URL.Path), signed.Tracing().GetHeader())
@@ -175,11 +162,11 @@
 	return &wire.Trail{Trace: n.scope.Rand.Name(16), Sampled: sampled}, func() {}
 }
 
+// settle makes attempts until there is an answer to relay or nothing more to try.
 func (n *Node) settle(s base.Scope, e *errand, signed *bundle.Bundle, ledger *Ledger, body []byte, trail *wire.Trail) (any, error) {
-	way, until := ledger.Way, ledger.Until
 	defer func() {
 		if ledger.Last() != nil && !ledger.Arrived() {
-			n.repeats.Refund(way.Service.Name)
+			n.repeats.Refund(ledger.Way.Service.Name)
 		}
 	}()
 	var got *answer
@@ -190,37 +177,67 @@
 		case GiveUp:
 			return nil, ledger.Verdict(s.Clock.Mono())
 		}
-		if last := ledger.Last(); last != nil && last.Mishap.Kind == base.Stale {
-			base.Await(s, time.Duration(float64(n.claims.length)*behindRatio/4), n.risenBell.Heard())
-			signed = n.slice.Load()
-			fresh, known := signed.Way(way.Service.Name, way.Route.Name)
-			if !known {
-				return nil, base.Bounce(base.NoRoute, "", "serial %d has no such route", signed.Serial)
-			}
-			way, ledger.Way = fresh, fresh
-		}
-		if ledger.Doubtful() && !n.repeats.Spend(way.Service.Name) {
-			return nil, ledger.Verdict(s.Clock.Mono())
-		}
-		picked, found := n.pick(signed, way, ledger)
-		if !found && !ledger.Patient && ledger.Apart() {
-			ledger.Patient = true
-			picked, found = n.pick(signed, way, ledger)
-		}
-		if !found {
-			return nil, ledger.Verdict(s.Clock.Mono())
+		fresh, picked, mishap := n.next(s, signed, ledger)
+		if mishap != nil {
+			return nil, mishap
 		}
+		signed = fresh
 		attempt := &Attempt{Name: n.scope.Rand.Name(8), Node: picked.node, Seat: picked.seat.Address, Started: s.Clock.Mono(), Impatient: !ledger.Patient}
 		if ledger.Last() == nil {
-			n.repeats.Earn(way.Service.Name)
+			n.repeats.Earn(ledger.Way.Service.Name)
 		}
 		ledger.Add(attempt)
-		got = n.attempt(s, e, signed, picked, attempt, way, until, body, trail, len(ledger.Attempts)-1, ledger.Patient)
+		got = n.attempt(s, e, signed, picked, attempt, ledger.Way, ledger.Until, body, trail, len(ledger.Attempts)-1, ledger.Patient)
 		attempt.Ended = s.Clock.Mono()
 		n.judge(picked, attempt)
 	}
 }
 
+// next picks an instance for the next attempt, under the bundle to use for it.
+// The error is what to tell the caller if there is none, or if no repeat is
+// left to spend.
+func (n *Node) next(s base.Scope, signed *bundle.Bundle, ledger *Ledger) (*bundle.Bundle, place, *base.Mishap) {
+	if last := ledger.Last(); last != nil && last.Mishap.Kind == base.Stale {
+		fresh, mishap := n.renew(s, ledger)
+		if mishap != nil {
+			return nil, place{}, mishap
+		}
+		signed = fresh
+	}
+	if ledger.Doubtful() && !n.repeats.Spend(ledger.Way.Service.Name) {
+		return nil, place{}, ledger.Verdict(s.Clock.Mono())
+	}
+	picked, found := n.pickPatiently(signed, ledger)
+	if !found {
+		return nil, place{}, ledger.Verdict(s.Clock.Mono())
+	}
+	return signed, picked, nil
+}
+
+// renew waits a moment for a newer bundle and looks the request's route up in
+// the one held then.
+func (n *Node) renew(s base.Scope, ledger *Ledger) (*bundle.Bundle, *base.Mishap) {
+	base.Await(s, time.Duration(float64(n.claims.length)*behindRatio/4), n.risenBell.Heard())
+	signed := n.slice.Load()
+	fresh, known := signed.Way(ledger.Way.Service.Name, ledger.Way.Route.Name)
+	if !known {
+		return nil, base.Bounce(base.NoRoute, "", "serial %d has no such route", signed.Serial)
+	}
+	ledger.Way = fresh
+	return signed, nil
+}
+
+// pickPatiently picks an instance. If all that is left would turn the request
+// back to keep it apart, the request waits there from now on.
+func (n *Node) pickPatiently(signed *bundle.Bundle, ledger *Ledger) (place, bool) {
+	picked, found := n.pick(signed, ledger.Way, ledger)
+	if found || ledger.Patient || !ledger.Apart() {
+		return picked, found
+	}
+	ledger.Patient = true
+	return n.pick(signed, ledger.Way, ledger)
+}
+
 type courier func(ctx context.Context, ask *wire.CarryRequest, tell emit) error
 
 func (n *Node) courier(picked place) courier {
@@ -252,79 +269,6 @@
 	return callee
 }
 
-type catch struct {
-	node    *Node
-	errand  *errand
-	attempt *Attempt
-	head    *wire.CarryHead
-	sealing seal
-	held    bytes.Buffer
-	size    uint64
-	flowing bool
-	roomy   int64
-	whole   bool
-	mishap  *base.Mishap
-}
-
-var errForeign = base.Bounce(base.Garbled, "", "a piece of another attempt's answer")
-
-func (c *catch) take(reply *wire.CarryReply) error {
-	switch piece := reply.Piece.(type) {
-	case *wire.CarryReply_Head:
-		if c.head != nil || piece.Head.Attempt != c.attempt.Name {
-			return errForeign
-		}
-		c.head, c.sealing = piece.Head, newSeal(piece.Head)
-	case *wire.CarryReply_Chunk:
-		if c.head == nil || c.whole {
-			return errForeign
-		}
-		_, _ = c.sealing.Write(piece.Chunk)
-		c.size += uint64(len(piece.Chunk))
-		if c.flowing || c.held.Len()+len(piece.Chunk) > c.node.dials.Load().Held || !c.hold(len(piece.Chunk)) {
-			if err := c.flow(); err != nil {
-				return err
-			}
-		}
-		c.held.Write(piece.Chunk)
-	case *wire.CarryReply_Tail:
-		if c.head == nil || piece.Tail.Attempt != c.attempt.Name || piece.Tail.Size != c.size || !bytes.Equal(piece.Tail.Digest, c.sealing.sum()) {
-			return base.Bounce(base.Garbled, "", "the seal does not fit the answer")
-		}
-		c.whole = true
-		if c.flowing {
-			return c.flow()
-		}
-	case *wire.CarryReply_Mishap:
-		if piece.Mishap.Attempt != c.attempt.Name {
-			return errForeign
-		}
-		c.mishap = &base.Mishap{Kind: base.Kind(piece.Mishap.Kind), Reason: piece.Mishap.Reason, Run: piece.Mishap.Run, After: time.Duration(piece.Mishap.AfterUs) * time.Microsecond}
-	}
-	return nil
-}
-
-func (c *catch) hold(size int) bool {
-	if !c.node.room.take(int64(size)) {
-		return false
-	}
-	c.roomy += int64(size)
-	return true
-}
-
-func (c *catch) flow() error {
-	c.node.room.give(c.roomy)
-	c.roomy = 0
-	if !c.flowing {
-		c.flowing = true
-		put(c.head.Headers, c.errand.w.Header())
-		c.errand.w.WriteHeader(int(c.head.Status))
-	}
-	_, err := c.errand.w.Write(c.held.Bytes())
-	c.held.Reset()
-	return err
-}
-
 func (n *Node) attempt(s base.Scope, e *errand, signed *bundle.Bundle, picked place, attempt *Attempt, way bundle.Way, until time.Duration, body []byte, trail *wire.Trail, ordinal int, patient bool) *answer {
 	caught := &catch{node: n, errand: e, attempt: attempt}
 	defer func() { n.room.give(caught.roomy) }()
--- a/flow/node.go
+++ b/flow/node.go
@@ -1,22 +1,18 @@
+// Package flow is the data path of fleets of listed machines: a node beside the
+// application's instances takes requests of visitors and further calls of
+// instances, chooses an instance of the service, and carries the request
+// through the node beside it. docs/flow.md has the ways weighed.
 package flow
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-	validation "github.com/go-ozzo/ozzo-validation/v4"
-	"google.golang.org/protobuf/proto"
-
 	"curlewreach/base"
 	"curlewreach/internal/bundle"
 	"curlewreach/internal/membership"
@@ -26,36 +22,53 @@
 )
 
 const (
-	ReportPath  = "/curlewreach/report"
-	beatRatio   = 0.1
+	// ReportPath is where instances report themselves.
+	ReportPath = "/curlewreach/report"
+	// beatRatio, of the leaving bound, is the interval between heartbeats.
+	beatRatio = 0.1
+	// oldestRatio, of the leaving bound, is how long an instance's report
+	// holds.
 	oldestRatio = 1.5
-	patience    = 0.25
-	wholeRatio  = 8
-	sliceFile   = "slice"
-	oddsFile    = "odds"
-
+	// patience, of the leaving bound, is how long another node may take to
+	// answer a short question, and how long an instance that failed is avoided.
+	patience = 0.25
+	// wholeRatio, times the in-force bound, is the interval at which a node
+	// asks for all of the news again.
+	wholeRatio = 8
+	// sliceFile and oddsFile are the files that a node starts from.
+	sliceFile = "slice"
+	oddsFile  = "odds"
+
+	// mostCapacity and mostWeight bound what an instance may report.
 	mostCapacity = 1 << 20
 	mostWeight   = 1 << 20
 )
 
+// outlook is what a core machine said of a machine, and when.
 type outlook struct {
 	sighting *wire.Sighting
 	heard    time.Duration
 }
 
+// Dials are the params that can change while a node runs.
 type Dials struct {
-	Held    int
+	// Held is the most bytes of an answer held back until its seal is checked;
+	// longer answers are streamed.
+	Held int
+	// Longest is the most bytes of a request's body.
 	Longest int
 	Trust   bundle.Trust
 }
 
+// Turn changes the params that can change while the node runs.
 func (n *Node) Turn(params *wire.VaneParams, trust bundle.Trust) {
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
 	n.gate.Resize(int(params.Flights))
 	n.scope.Note("params", "", "turned")
 }
 
-// Lock order: picking before any other; ties, seats, gates, fences and repeats never nest.
+// Node is the data path on one machine. Lock order: picking before any other;
+// ties, seats, gates, fences and repeats never nest.
 type Node struct {
 	scope     base.Scope
 	self      string
@@ -93,6 +106,7 @@
 	records   map[string]*record
 }
 
+// NewNode returns a node; Run makes it work.
 func NewNode(s base.Scope, web *http.Client, params *wire.VaneParams, trust bundle.Trust) *Node {
 	bounds := params.Bounds
 	leaving := bounds.Leaving.AsDuration()
@@ -132,6 +146,8 @@
 	return func() { n.flying.Add(-1) }
 }
 
+// Run follows the core machines' news and keeps the node's tables until the
+// scope ends.
 func (n *Node) Run(s base.Scope) {
 	n.recall()
 	var crew base.Crew
@@ -153,100 +169,8 @@
 	n.seats.Close()
 }
 
-func (n *Node) recallOdds() {
-	raw, err := n.scope.Disk.Read(oddsFile)
-	odds := &wire.Odds{}
-	if err != nil {
-		return
-	}
-	if err := base.Unframe(raw, odds); err != nil {
-		n.scope.Note("odds-bounced", "", "from disk: "+err.Error())
-		return
-	}
-	n.load(odds)
-}
-
-func (n *Node) load(odds *wire.Odds) {
-	if odds.GetSerial() <= n.keeper.Serial() {
-		return
-	}
-	if mishap := n.keeper.Load(odds); mishap != nil {
-		n.scope.Note("odds-bounced", "", mishap.Error())
-		return
-	}
-	n.member.Change(func(roster *wire.Roster) { roster.Odds = odds.Serial })
-	n.keptOdds.Ring()
-}
-
-func (n *Node) recall() {
-	n.recallOdds()
-	raw, err := n.scope.Disk.Read(sliceFile)
-	sealed := &wire.Sealed{}
-	if err != nil || proto.Unmarshal(raw, sealed) != nil {
-		return
-	}
-	if signed := n.open(sealed); signed != nil {
-		n.claims.Recall(signed)
-		n.scope.Note("recalled", "", "a slice from disk, in force once a majority confirms it")
-	}
-}
-
-func (n *Node) open(sealed *wire.Sealed) *bundle.Bundle {
-	if sealed == nil {
-		return nil
-	}
-	if _, mishap := n.dials.Load().Trust.Verify(sealed); mishap != nil {
-		n.scope.Note("slice-bounced", "", mishap.Error())
-		return nil
-	}
-	raw, mishap := bundle.Open(sealed)
-	if mishap != nil {
-		n.scope.Note("slice-bounced", "", mishap.Error())
-		return nil
-	}
-	return bundle.Index(sealed, raw)
-}
-
-func (n *Node) remember(s base.Scope) {
-	if !base.HasFolder(n.scope.Disk) {
-		return
-	}
-	var crew base.Crew
-	crew.Go(func() {
-		n.keepEach(s, &n.kept, sliceFile, func() ([]byte, error) {
-			signed := n.slice.Load()
-			if signed == nil {
-				return nil, nil
-			}
-			return proto.Marshal(signed.Sealed)
-		})
-	})
-	crew.Go(func() {
-		n.keepEach(s, &n.keptOdds, oddsFile, func() ([]byte, error) {
-			odds := n.keeper.Odds()
-			if odds == nil {
-				return nil, nil
-			}
-			return base.Frame(odds)
-		})
-	})
-	crew.Wait()
-}
-
-func (n *Node) keepEach(s base.Scope, bell *base.Bell, file string, body func() ([]byte, error)) {
-	for s.Err() == nil {
-		heard := bell.Heard()
-		raw, err := body()
-		if err == nil && raw != nil {
-			err = base.Keep(n.scope.Disk, file, raw)
-		}
-		if err != nil {
-			n.scope.Note(file+"-unkept", "", err.Error())
-		}
-		base.Await(s, time.Hour, heard)
-	}
-}
-
+// Stop says that the node is stopping, and waits until the requests inside have
+// ended or ctx has.
 func (n *Node) Stop(ctx context.Context, grace time.Duration) {
 	n.ends.Store(int64(n.scope.Clock.Mono() + grace))
 	n.stopping.Store(true)
@@ -258,11 +182,14 @@
 	}
 }
 
+// Ready reports whether the node would serve a request now.
 func (n *Node) Ready() bool {
 	_, _, ready := n.Serving()
 	return ready
 }
 
+// Serving returns the bundle held, by number and digest, and whether the node
+// would serve a request under it now.
 func (n *Node) Serving() (serial uint64, digest string, ready bool) {
 	signed := n.slice.Load()
 	if signed == nil {
@@ -271,175 +198,14 @@
 	return signed.Serial, bundle.Digest(signed.Sealed), n.claims.Good(signed.Serial) && !n.stopping.Load()
 }
 
+// Bundle returns the bundle held, nil before the first.
 func (n *Node) Bundle() *bundle.Bundle { return n.slice.Load() }
 
+// Keeper returns the odds in force.
 func (n *Node) Keeper() *tracing.Keeper { return n.keeper }
 
+// Incarnation returns the random name of this process.
 func (n *Node) Incarnation() string { return n.member.Incarnation() }
 
+// Watched returns the spans recorded so far, by group.
 func (n *Node) Watched() map[string]uint64 { return n.budget.Spent() }
-
-func (n *Node) follow(s base.Scope, index int, keel wireconnect.HelmClient) {
-	ask := &wire.NewsRequest{Node: n.self}
-	var concern string
-	var committed uint64
-	var whole time.Duration
-	for s.Err() == nil {
-		n.fill(ask)
-		if now := fmt.Sprint(ask.Serial, ask.Seats, committed); now != concern || s.Clock.Mono()-whole > wholeRatio*n.force {
-			concern, whole, ask.Keel = now, s.Clock.Mono(), ""
-		}
-		ask.Patient = n.spare(index)
-		asked := s.Clock.Mono()
-		bounded, cancel := s.Within(n.force)
-		reply, err := keel.News(bounded, connect.NewRequest(ask))
-		cancel()
-		if err != nil {
-			ask.Keel = ""
-			n.heard[index].Store(0)
-			base.Await(s, n.force/16)
-			continue
-		}
-		n.heard[index].Store(int64(s.Clock.Mono()))
-		n.risen(n.claims.Heard(index, asked, reply.Msg, n.open))
-		n.learn(reply.Msg)
-		ask.Keel, ask.Roster, committed = reply.Msg.Keel, reply.Msg.Roster, reply.Msg.Serial
-	}
-}
-
-func (n *Node) spare(index int) bool {
-	hearing := 0
-	for i := range n.keels {
-		at := (n.first + i) % len(n.keels)
-		if heard := time.Duration(n.heard[at].Load()); heard == 0 || n.scope.Clock.Mono()-heard > n.force/4 {
-			continue
-		}
-		if at == index {
-			return hearing > len(n.keels)/2
-		}
-		hearing++
-	}
-	return false
-}
-
-func (n *Node) fill(ask *wire.NewsRequest) {
-	ask.Odds = n.keeper.Serial()
-	ask.Parts, ask.Seats, ask.Serial, ask.Staged = nil, nil, 0, 0
-	signed, staged, ballot := n.claims.Held()
-	ask.Ballot = ballot
-	if staged != nil {
-		ask.Staged = staged.Serial
-	}
-	if signed != nil {
-		ask.Serial = signed.Serial
-		for _, part := range signed.Sealed.Parts {
-			ask.Parts = append(ask.Parts, part.Name)
-		}
-	}
-	for _, seat := range n.member.Roster().Seats {
-		if !slices.Contains(ask.Seats, seat.Service) {
-			ask.Seats = append(ask.Seats, seat.Service)
-		}
-	}
-}
-
-func (n *Node) learn(news *wire.NewsReply) {
-	n.load(news.Odds)
-	now := n.scope.Clock.Mono()
-	n.atlas.Change(func(rows map[string]outlook) {
-		for _, sighting := range news.Sightings {
-			name := sighting.Roster.Node
-			known, had := rows[name]
-			if had && known.sighting.Roster.Incarnation == sighting.Roster.Incarnation && known.sighting.Roster.Serial > sighting.Roster.Serial {
-				continue
-			}
-			rows[name] = outlook{sighting, now}
-		}
-	})
-}
-
-func (n *Node) risen(signed *bundle.Bundle) {
-	if signed == nil {
-		return
-	}
-	n.adopting.Lock()
-	defer n.adopting.Unlock()
-	if held := n.slice.Load(); held != nil && held.Serial > signed.Serial {
-		return
-	}
-	n.repeats.Set(signed)
-	n.budget.Set(signed)
-	n.member.Place(signed.Machines())
-	n.slice.Store(signed)
-	n.member.Change(func(roster *wire.Roster) { roster.Holding = signed.Serial })
-	n.scope.Note("in-force", "", strconv.FormatUint(signed.Serial, 10))
-	n.kept.Ring()
-	n.risenBell.Ring()
-}
-
-func (n *Node) Visitors() http.Handler { return n.door(false) }
-
-func (n *Node) Upstreams() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+ReportPath, n.report)
-	mux.Handle("/", n.door(true))
-	return mux
-}
-
-func (n *Node) Mates() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewFlowHandler(farServer{n}, base.Plain()))
-	mux.Handle(membership.Handler(n.member))
-	return mux
-}
-
-func (n *Node) Ops() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
-		status := http.StatusOK
-		serial, digest, ready := n.Serving()
-		if !ready {
-			status = http.StatusServiceUnavailable
-		}
-		base.Reply(w, status, map[string]any{"ready": ready, "name": n.self, "serial": serial, "digest": digest, "odds": n.keeper.Serial()})
-	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { base.Reply(w, http.StatusOK, n.scope.Journal.Counts()) })
-	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, r *http.Request) {
-		base.Reply(w, http.StatusOK, slices.Collect(n.scope.Journal.About(r.URL.Query().Get("subject"))))
-	})
-	return mux
-}
-
-func (n *Node) report(w http.ResponseWriter, r *http.Request) {
-	var said struct {
-		Service  string  `json:"service"`
-		Address  string  `json:"address"`
-		Zone     string  `json:"zone"`
-		Capacity uint32  `json:"capacity"`
-		Leaving  bool    `json:"leaving"`
-		Weight   float64 `json:"weight"`
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 4096))
-	if err == nil {
-		err = json.Unmarshal(body, &said)
-	}
-	if err == nil {
-		err = validation.Errors{
-			"service":  validation.Validate(said.Service, validation.Required, validation.Match(named)),
-			"address":  validation.Validate(said.Address, validation.Required, base.IsAddress),
-			"zone":     validation.Validate(said.Zone, validation.Match(named)),
-			"capacity": validation.Validate(said.Capacity, validation.Max(uint32(mostCapacity))),
-			"weight":   validation.Validate(said.Weight, validation.Min(0.0), validation.Max(float64(mostWeight))),
-		}.Filter()
-	}
-	if err != nil {
-		bounceTo(w, base.Bounce(base.Malformed, "", "%s", strings.Join(base.Mishaps(err), "; ")))
-		return
-	}
-	seat := &wire.Seat{Service: said.Service, Address: said.Address, Zone: said.Zone, Capacity: max(said.Capacity, 1), Leaving: said.Leaving, Weight: max(said.Weight, 0)}
-	if mishap := n.seats.Report(n.scope.Under(r.Context()), seat); mishap != nil {
-		bounceTo(w, mishap)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/flow/params.go
+++ b/flow/params.go
@@ -11,6 +11,7 @@
 
 var named = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
+// Usual sets the params that aren't set to their defaults.
 func Usual(p *wire.VaneParams) {
 	p.Bounds = base.UsualBounds(p.Bounds)
 	usual(&p.Held, 1<<20)
@@ -29,6 +30,7 @@
 	}
 }
 
+// Check returns validation errors that name each bad param.
 func Check(p *wire.VaneParams) error {
 	return validation.ValidateStruct(p,
 		validation.Field(&p.Name, validation.Required, validation.Match(named)),
--- a/flow/pick.go
+++ b/flow/pick.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"iter"
 	"time"
 
 	"curlewreach/base"
@@ -10,11 +11,16 @@
 )
 
 const (
-	elsewhere  = 0.5
-	cooling    = 4.0
+	// elsewhere is the cost added to an instance in another zone, as a part of
+	// its own.
+	elsewhere = 0.5
+	// cooling is the cost added to an instance that lately failed.
+	cooling = 4.0
+	// standingBy multiplies cooling for a machine that isn't well.
 	standingBy = 2.0
 )
 
+// place is an instance that a request may be carried to.
 type place struct {
 	node        string
 	address     string
@@ -24,37 +30,47 @@
 	seat        *wire.Seat
 }
 
+// record is what this node itself knows of a place.
 type record struct {
 	used   time.Duration
 	flying int
 	cool   time.Duration
 }
 
-func (n *Node) places(service string) func(yield func(place) bool) {
+// places iterates over the instances of a service: those beside this node,
+// then those beside others, by the nodes' names.
+func (n *Node) places(service string) iter.Seq[place] {
 	return func(yield func(place) bool) {
 		own := n.member.Roster()
-		for _, seat := range own.Seats {
-			if seat.Service == service && !seat.Leaving && !yield(place{node: n.self, incarnation: own.Incarnation, standing: membership.Well, seat: seat}) {
-				return
-			}
+		if !besides(own, service, place{node: n.self, incarnation: own.Incarnation, standing: membership.Well}, yield) {
+			return
 		}
 		for name, each := range n.atlas.All() {
-			if name == n.self || each.sighting.Roster.Stopping {
+			roster := each.sighting.Roster
+			if name == n.self || roster.Stopping {
 				continue
 			}
-			roster := each.sighting.Roster
-			for _, seat := range roster.Seats {
-				if seat.Service == service && !seat.Leaving && !yield(place{
-					node: name, address: roster.Address, incarnation: roster.Incarnation, standing: each.sighting.Standing, seat: seat,
-					offset: time.Duration(roster.ClockUs)*time.Microsecond - each.heard,
-				}) {
-					return
-				}
+			if !besides(roster, service, place{
+				node: name, address: roster.Address, incarnation: roster.Incarnation, standing: each.sighting.Standing,
+				offset: time.Duration(roster.ClockUs)*time.Microsecond - each.heard,
+			}, yield) {
+				return
 			}
 		}
 	}
 }
 
+// besides yields the instances of a service beside one node, at the place given.
+func besides(roster *wire.Roster, service string, at place, yield func(place) bool) bool {
+	for _, seat := range roster.Seats {
+		at.seat = seat
+		if seat.Service == service && !seat.Leaving && !yield(at) {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) pick(signed *bundle.Bundle, way bundle.Way, ledger *Ledger) (place, bool) {
 	var best place
 	lowest, found := 0.0, false
--- /dev/null
+++ b/flow/recall.go
@@ -0,0 +1,105 @@
+package flow
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/internal/bundle"
+	"curlewreach/proto/wire"
+)
+
+func (n *Node) recallOdds() {
+	raw, err := n.scope.Disk.Read(oddsFile)
+	odds := &wire.Odds{}
+	if err != nil {
+		return
+	}
+	if err := base.Unframe(raw, odds); err != nil {
+		n.scope.Note("odds-bounced", "", "from disk: "+err.Error())
+		return
+	}
+	n.load(odds)
+}
+
+func (n *Node) load(odds *wire.Odds) {
+	if odds.GetSerial() <= n.keeper.Serial() {
+		return
+	}
+	if mishap := n.keeper.Load(odds); mishap != nil {
+		n.scope.Note("odds-bounced", "", mishap.Error())
+		return
+	}
+	n.member.Change(func(roster *wire.Roster) { roster.Odds = odds.Serial })
+	n.keptOdds.Ring()
+}
+
+func (n *Node) recall() {
+	n.recallOdds()
+	raw, err := n.scope.Disk.Read(sliceFile)
+	sealed := &wire.Sealed{}
+	if err != nil || proto.Unmarshal(raw, sealed) != nil {
+		return
+	}
+	if signed := n.open(sealed); signed != nil {
+		n.claims.Recall(signed)
+		n.scope.Note("recalled", "", "a slice from disk, in force once a majority confirms it")
+	}
+}
+
+func (n *Node) open(sealed *wire.Sealed) *bundle.Bundle {
+	if sealed == nil {
+		return nil
+	}
+	if _, mishap := n.dials.Load().Trust.Verify(sealed); mishap != nil {
+		n.scope.Note("slice-bounced", "", mishap.Error())
+		return nil
+	}
+	raw, mishap := bundle.Open(sealed)
+	if mishap != nil {
+		n.scope.Note("slice-bounced", "", mishap.Error())
+		return nil
+	}
+	return bundle.Index(sealed, raw)
+}
+
+func (n *Node) remember(s base.Scope) {
+	if !base.HasFolder(n.scope.Disk) {
+		return
+	}
+	var crew base.Crew
+	crew.Go(func() {
+		n.keepEach(s, &n.kept, sliceFile, func() ([]byte, error) {
+			signed := n.slice.Load()
+			if signed == nil {
+				return nil, nil
+			}
+			return proto.Marshal(signed.Sealed)
+		})
+	})
+	crew.Go(func() {
+		n.keepEach(s, &n.keptOdds, oddsFile, func() ([]byte, error) {
+			odds := n.keeper.Odds()
+			if odds == nil {
+				return nil, nil
+			}
+			return base.Frame(odds)
+		})
+	})
+	crew.Wait()
+}
+
+func (n *Node) keepEach(s base.Scope, bell *base.Bell, file string, body func() ([]byte, error)) {
+	for s.Err() == nil {
+		heard := bell.Heard()
+		raw, err := body()
+		if err == nil && raw != nil {
+			err = base.Keep(n.scope.Disk, file, raw)
+		}
+		if err != nil {
+			n.scope.Note(file+"-unkept", "", err.Error())
+		}
+		base.Await(s, time.Hour, heard)
+	}
+}
--- a/flow/repeats.go
+++ b/flow/repeats.go
@@ -12,13 +12,18 @@
 	ratio  float64
 }
 
+// Repeats bounds repeated attempts for each service by tokens: each first
+// attempt earns a part of one, each repeat costs one. It is safe for concurrent
+// use.
 type Repeats struct {
 	mu     sync.Mutex
 	purses map[string]*purse
 }
 
+// NewRepeats returns a store of tokens that is empty.
 func NewRepeats() *Repeats { return &Repeats{purses: map[string]*purse{}} }
 
+// Set sets the ratios and the most that may be saved, by a bundle.
 func (r *Repeats) Set(signed *bundle.Bundle) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -34,6 +39,7 @@
 	}
 }
 
+// Earn adds what a first attempt earns.
 func (r *Repeats) Earn(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -42,6 +48,7 @@
 	}
 }
 
+// Refund takes it back, as the request didn't arrive.
 func (r *Repeats) Refund(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -50,6 +57,7 @@
 	}
 }
 
+// Spend takes the token for a repeat, and reports false if there is none.
 func (r *Repeats) Spend(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/flow/room.go
+++ b/flow/room.go
@@ -2,6 +2,7 @@
 
 import "sync/atomic"
 
+// room bounds the bytes of requests and answers held in memory.
 type room struct {
 	most int64
 	used atomic.Int64
--- a/flow/seats.go
+++ b/flow/seats.go
@@ -10,6 +10,9 @@
 	"curlewreach/proto/wire"
 )
 
+// seat is an instance beside this node. A probe connection to it is kept open,
+// and the identity of its listening socket (holder) noted, to tell it from a
+// successor at the same address.
 type seat struct {
 	report atomic.Pointer[wire.Seat]
 	at     time.Duration
@@ -22,6 +25,8 @@
 
 func (at *seat) said() *wire.Seat { return at.report.Load() }
 
+// Seats keeps the instances beside this node, by their reports. It is safe for
+// concurrent use.
 type Seats struct {
 	scope   base.Scope
 	oldest  time.Duration
@@ -32,10 +37,15 @@
 	closed  bool
 }
 
+// NewSeats returns a store without instances. A report holds for the time
+// oldest; queue bounds the admission queue of each instance, and changed is
+// told the instances after each change.
 func NewSeats(s base.Scope, oldest time.Duration, queue int, changed func([]*wire.Seat)) *Seats {
 	return &Seats{scope: s, oldest: oldest, queue: queue, changed: changed, seats: map[string]*seat{}}
 }
 
+// Report takes in an instance's report. A new one must accept a connection. The
+// error is of kind Unreachable.
 func (t *Seats) Report(s base.Scope, report *wire.Seat) *base.Mishap {
 	t.mu.Lock()
 	known := t.seats[report.Address]
@@ -105,8 +115,10 @@
 	return probe
 }
 
+// Held reports whether the same socket still listens at the instance's address.
 func (t *Seats) Held(at *seat) bool { return t.scope.Net.Holder(at.said().Address) == at.holder }
 
+// Void ends an instance, until it reports again.
 func (t *Seats) Void(at *seat, reason string) {
 	t.mu.Lock()
 	if at.void != "" {
@@ -124,6 +136,8 @@
 	return at.void == "" && t.scope.Clock.Mono()-at.at <= t.oldest
 }
 
+// Find returns the instance of a service at an address. The error is of kind
+// NoSeat.
 func (t *Seats) Find(service, address string) (*seat, *base.Mishap) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,6 +153,7 @@
 	return at, nil
 }
 
+// Sweep ends instances without a report in time.
 func (t *Seats) Sweep() {
 	t.mu.Lock()
 	var old []*seat
@@ -168,6 +183,7 @@
 	t.changed(rows)
 }
 
+// Close closes the probe connections.
 func (t *Seats) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/flow/servers.go
@@ -0,0 +1,88 @@
+package flow
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"curlewreach/base"
+	"curlewreach/internal/membership"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+// Visitors returns the handler of visitors' requests.
+func (n *Node) Visitors() http.Handler { return n.door(false) }
+
+// Upstreams returns the handler for instances beside this node: their reports
+// and further calls.
+func (n *Node) Upstreams() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+ReportPath, n.report)
+	mux.Handle("/", n.door(true))
+	return mux
+}
+
+// Mates returns the handler for other nodes.
+func (n *Node) Mates() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewFlowHandler(farServer{n}, base.Plain()))
+	mux.Handle(membership.Handler(n.member))
+	return mux
+}
+
+// Ops returns the handler for readiness and counts.
+func (n *Node) Ops() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		status := http.StatusOK
+		serial, digest, ready := n.Serving()
+		if !ready {
+			status = http.StatusServiceUnavailable
+		}
+		base.Reply(w, status, map[string]any{"ready": ready, "name": n.self, "serial": serial, "digest": digest, "odds": n.keeper.Serial()})
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { base.Reply(w, http.StatusOK, n.scope.Journal.Counts()) })
+	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, r *http.Request) {
+		base.Reply(w, http.StatusOK, slices.Collect(n.scope.Journal.About(r.URL.Query().Get("subject"))))
+	})
+	return mux
+}
+
+func (n *Node) report(w http.ResponseWriter, r *http.Request) {
+	var said struct {
+		Service  string  `json:"service"`
+		Address  string  `json:"address"`
+		Zone     string  `json:"zone"`
+		Capacity uint32  `json:"capacity"`
+		Leaving  bool    `json:"leaving"`
+		Weight   float64 `json:"weight"`
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 4096))
+	if err == nil {
+		err = json.Unmarshal(body, &said)
+	}
+	if err == nil {
+		err = validation.Errors{
+			"service":  validation.Validate(said.Service, validation.Required, validation.Match(named)),
+			"address":  validation.Validate(said.Address, validation.Required, base.IsAddress),
+			"zone":     validation.Validate(said.Zone, validation.Match(named)),
+			"capacity": validation.Validate(said.Capacity, validation.Max(uint32(mostCapacity))),
+			"weight":   validation.Validate(said.Weight, validation.Min(0.0), validation.Max(float64(mostWeight))),
+		}.Filter()
+	}
+	if err != nil {
+		bounceTo(w, base.Bounce(base.Malformed, "", "%s", strings.Join(base.Mishaps(err), "; ")))
+		return
+	}
+	seat := &wire.Seat{Service: said.Service, Address: said.Address, Zone: said.Zone, Capacity: max(said.Capacity, 1), Leaving: said.Leaving, Weight: max(said.Weight, 0)}
+	if mishap := n.seats.Report(n.scope.Under(r.Context()), seat); mishap != nil {
+		bounceTo(w, mishap)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/flow/span.go
@@ -0,0 +1,42 @@
+package flow
+
+import (
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/internal/tracing"
+	"curlewreach/proto/wire"
+)
+
+func (n *Node) watched(span *wire.Span, ledger *Ledger, began time.Duration) {
+	now := n.scope.Clock.Mono()
+	var tries []interval
+	for _, attempt := range ledger.Attempts {
+		ended := attempt.Ended
+		if attempt.State == Running {
+			ended = now
+		}
+		tries = append(tries, interval{attempt.Started, ended})
+		child := proto.Clone(span).(*wire.Span)
+		child.Id, child.Parent, child.Side, child.Seat = attempt.Name, span.Id, tracing.AttemptSide, attempt.Seat
+		child.Tags = map[string]string{"node": attempt.Node, "state": attempt.State.String()}
+		if attempt.Mishap != nil {
+			child.Tags["kind"] = string(attempt.Mishap.Kind)
+		}
+		n.timed(child, attempt.Started, ended, 0)
+		n.sink.Push(child)
+	}
+	span.Tags = map[string]string{"attempts": strconv.Itoa(len(ledger.Attempts))}
+	if last := ledger.Last(); last != nil {
+		span.Tags["state"] = last.State.String()
+	}
+	n.timed(span, began, now, union(tries, began, now))
+	n.sink.Push(span)
+}
+
+func (n *Node) timed(span *wire.Span, from, till, others time.Duration) {
+	span.StartedUs = n.scope.Clock.Wall().Add(from - n.scope.Clock.Mono()).UnixMicro()
+	span.DurationUs, span.SelfUs = uint64((till - from).Microseconds()), uint64((till - from - others).Microseconds())
+}
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -8,6 +8,8 @@
 	"curlewreach/proto/wire/wireconnect"
 )
 
+// unusedRatio, times the in-force bound, is how long what no bundle names is
+// remembered.
 const unusedRatio = 30
 
 func (n *Node) sweep() {
@@ -41,12 +43,14 @@
 	n.ties.Forget(signed)
 }
 
+// Forget drops groups that a bundle doesn't name.
 func (g *Gate) Forget(signed *bundle.Bundle) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	maps.DeleteFunc(g.lanes, func(group string, at *lane) bool { return at.waiting.Len() == 0 && signed.Share(group) == nil })
 }
 
+// Forget drops services that a bundle doesn't name.
 func (r *Repeats) Forget(signed *bundle.Bundle) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,12 +59,14 @@
 	})
 }
 
+// Forget drops routes that a bundle doesn't name.
 func (t *Ties) Forget(signed *bundle.Bundle) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.turns, func(identifier string, _ time.Duration) bool { return !signed.Names(identifier) })
 }
 
+// Sizes returns how many rows each table holds, to watch for leaks.
 func (n *Node) Sizes() map[string]int {
 	sizes := map[string]int{"mates": len(n.mates.Snapshot()), "atlas": len(n.atlas.Snapshot()), "journal": n.scope.Journal.Len(), "spans": len(n.sink.Waiting()), "room": int(n.room.used.Load())}
 	n.picking.Lock()
--- a/flow/tie.go
+++ b/flow/tie.go
@@ -17,6 +17,7 @@
 
 type interval struct{ from, till time.Duration }
 
+// flight is a request at an upstream, which may make further calls.
 type flight struct {
 	span      string
 	trail     *wire.Trail
@@ -47,13 +48,20 @@
 	return total
 }
 
+// turnstile lets one of the requests that are kept apart through at a time.
 type turnstile struct {
 	latch base.Latch
 	users int
 }
 
+// turnMemory is the weight of the newest request in the moving average of how
+// long a turn takes.
 const turnMemory = 0.2
 
+// Ties finds, for a further call of an instance, the request it is made for: by
+// the trace header if the instance passes it on, else by the route's declared
+// further calls and their key fields. Where these wouldn't tell, it keeps
+// requests apart. It is safe for concurrent use. docs/design.md tells why.
 type Ties struct {
 	clock   base.Clock
 	mu      sync.Mutex
@@ -62,10 +70,12 @@
 	turns   map[string]time.Duration
 }
 
+// NewTies returns ties without requests.
 func NewTies(clock base.Clock) *Ties {
 	return &Ties{clock: clock, flights: map[string]*flight{}, apart: map[string]*turnstile{}, turns: map[string]time.Duration{}}
 }
 
+// Board notes that a request is handed to the upstream.
 func (t *Ties) Board(f *flight) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,6 +83,8 @@
 	t.flights[f.span] = f
 }
 
+// Land notes that it has ended, and returns its self time and whether that is
+// uncertain.
 func (t *Ties) Land(f *flight) (self time.Duration, uncertain bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -102,12 +114,16 @@
 	}
 }
 
+// Tie is what was found out about a further call: its parent if it is Tied, or
+// the spans of the candidates if there are several.
 type Tie struct {
 	Parent     *flight
 	Candidates []string
 	Tied       bool
 }
 
+// Find ties a further call, given its route, its path's placeholders and the
+// name of the trace header.
 func (t *Ties) Find(r *http.Request, way bundle.Way, holes map[string]string, header string) Tie {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -140,6 +156,8 @@
 	return Tie{Candidates: names}
 }
 
+// Spent notes that a further call for parent took from the time given until
+// now.
 func (t *Ties) Spent(parent *flight, from time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,20 +207,11 @@
 	return "00-" + trail.Trace + "-" + span + "-" + flags
 }
 
+// Apart waits until no other request is at work whose further calls couldn't be
+// told from those of f. The caller calls leave when f has ended. An impatient
+// caller is turned back at once, with kind Apart.
 func (t *Ties) Apart(s base.Scope, f *flight, until time.Duration, patient bool) (leave func(), mishap *base.Mishap) {
-	keys := map[string]int{}
-	if !f.way.Route.Together && !t.passes(f.seat) {
-		for at, further := range f.way.Route.Further {
-			key := further.Service + "/" + further.Route
-			for _, match := range further.Keys {
-				key += "\x00" + match.Child + "=" + f.fields(match.Parent)
-			}
-			if _, twice := keys[key]; twice {
-				at = -1
-			}
-			keys[key] = at
-		}
-	}
+	keys := t.keysOf(f)
 	turns := map[int]func(){}
 	var kept []func()
 	leave = func() {
@@ -231,6 +240,27 @@
 	return leave, nil
 }
 
+// keysOf returns what must differ between f and other requests, for their
+// further calls to be told apart: for each key the further call it stands for,
+// by its index, or -1 if for several.
+func (t *Ties) keysOf(f *flight) map[string]int {
+	keys := map[string]int{}
+	if f.way.Route.Together || t.passes(f.seat) {
+		return keys
+	}
+	for at, further := range f.way.Route.Further {
+		key := further.Service + "/" + further.Route
+		for _, match := range further.Keys {
+			key += "\x00" + match.Child + "=" + f.fields(match.Parent)
+		}
+		if _, twice := keys[key]; twice {
+			at = -1
+		}
+		keys[key] = at
+	}
+	return keys
+}
+
 func (t *Ties) take(s base.Scope, key, identifier string, until time.Duration, patient bool) (drop func(), mishap *base.Mishap) {
 	at, ahead, usual := t.turn(key, identifier)
 	if ahead > 0 && !patient {
--- a/flow/vane.go
+++ b/flow/vane.go
@@ -13,7 +13,11 @@
 )
 
 const (
-	stopRatio     = 0.95
+	// stopRatio, of the grace, is the time to stop in; the rest is for the
+	// process to end.
+	stopRatio = 0.95
+	// visitorsDoors is the index, in the order they open, of the first server
+	// that takes requests.
 	visitorsDoors = 2
 )
 
@@ -22,6 +26,7 @@
 	handler http.Handler
 }
 
+// Vane is a running application machine: a node and its servers.
 type Vane struct {
 	Node   *Node
 	params *wire.VaneParams
@@ -30,6 +35,7 @@
 	crew   base.Crew
 }
 
+// Start starts an application machine. On an error nothing is left running.
 func Start(s base.Scope, params *wire.VaneParams) (*Vane, error) {
 	Usual(params)
 	if err := Check(params); err != nil {
@@ -59,6 +65,8 @@
 	return v, nil
 }
 
+// Reload puts the params in force that can change while running. It returns an
+// error if others differ that can't.
 func (v *Vane) Reload(params *wire.VaneParams) error {
 	Usual(params)
 	if err := Check(params); err != nil {
@@ -78,6 +86,8 @@
 	return nil
 }
 
+// Stop lets requests in flight end and ends the process's parts within the
+// grace.
 func (v *Vane) Stop() {
 	grace := time.Duration(float64(v.params.Bounds.Grace.AsDuration()) * stopRatio)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
@@ -92,6 +102,7 @@
 	v.Kill()
 }
 
+// Kill ends everything at once.
 func (v *Vane) Kill() {
 	v.cancel()
 	for _, door := range v.doors {
