--- a/fleet/scale/child.go
+++ b/fleet/scale/child.go
@@ -98,11 +98,7 @@
 		return err
 	}
 	defer end()
-	for {
-		var order Order
-		if err := from.Decode(&order); err != nil {
-			return nil
-		}
+	return answer(from, to, func(order Order) Stat {
 		if crowd != nil {
 			crowd.obey(order)
 		}
@@ -111,7 +107,18 @@
 		if crowd != nil {
 			stat.Crowd = crowd.stat()
 		}
-		if err := to.Encode(stat); err != nil {
+		return stat
+	})
+}
+
+// answer carries out orders until the input ends.
+func answer(from *json.Decoder, to *json.Encoder, obey func(Order) Stat) error {
+	for {
+		var order Order
+		if err := from.Decode(&order); err != nil {
+			return nil
+		}
+		if err := to.Encode(obey(order)); err != nil {
 			return errors.Wrap(err, "stat")
 		}
 	}
--- a/fleet/scale/measure_test.go
+++ b/fleet/scale/measure_test.go
@@ -71,23 +71,27 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		b.Run(fmt.Sprintf("adopt/routes=%d", routes), func(b *testing.B) {
-			b.ReportAllocs()
-			for b.Loop() {
-				read := &wire.Chart{}
-				if err := proto.Unmarshal(body, read); err != nil {
-					b.Fatal(err)
-				}
-				config.NewTable(read)
-			}
-		})
-		b.Run(fmt.Sprintf("judge/routes=%d", routes), func(b *testing.B) {
-			b.ReportAllocs()
-			for b.Loop() {
-				if faults := config.Check(config.Apply(whole, change)); len(faults) > 0 {
-					b.Fatal(faults)
-				}
-			}
-		})
+		b.Run(fmt.Sprintf("adopt/routes=%d", routes), func(b *testing.B) { adoptChart(b, body) })
+		b.Run(fmt.Sprintf("judge/routes=%d", routes), func(b *testing.B) { judgeChange(b, whole, change) })
+	}
+}
+
+func adoptChart(b *testing.B, body []byte) {
+	b.ReportAllocs()
+	for b.Loop() {
+		read := &wire.Chart{}
+		if err := proto.Unmarshal(body, read); err != nil {
+			b.Fatal(err)
+		}
+		config.NewTable(read)
+	}
+}
+
+func judgeChange(b *testing.B, whole *wire.Chart, change *wire.ChartChange) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if faults := config.Check(config.Apply(whole, change)); len(faults) > 0 {
+			b.Fatal(faults)
+		}
 	}
 }
--- a/fleet/scale/plot.go
+++ b/fleet/scale/plot.go
@@ -59,10 +59,14 @@
 			}
 		}
 	}
+	return write(canvas, folder, "scale-"+driver+".svg")
+}
+
+func write(canvas *vgsvg.Canvas, folder, name string) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return err
 	}
-	file, err := os.Create(filepath.Join(folder, "scale-"+driver+".svg"))
+	file, err := os.Create(filepath.Join(folder, name))
 	if err != nil {
 		return err
 	}
--- a/fleet/scale/report.go
+++ b/fleet/scale/report.go
@@ -180,37 +180,7 @@
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(out, "%s\nbegan %s, took %s, %d cores, load %s at first and %s at last\n", r.Command, r.Began.Format(time.RFC3339), r.Took.Round(time.Second), r.Cores, r.Load, r.LoadLast)
 	for _, driver := range r.drivers() {
-		fmt.Fprintf(out, "\n%s\t", driver)
-		var points []Result
-		for _, each := range r.Results {
-			if each.Driver != driver {
-				continue
-			}
-			if len(each.Missed) > 0 {
-				continue
-			}
-			points = append(points, each)
-			fmt.Fprintf(out, "%g\t", each.X)
-		}
-		fmt.Fprint(out, "slope\tbase\toff\tr2\tpower\t\n")
-		for _, figure := range r.figures(driver) {
-			if !slices.ContainsFunc(points, func(each Result) bool { return each.Figures[figure] != 0 }) {
-				continue
-			}
-			fmt.Fprintf(out, "%s\t", figure)
-			for _, each := range points {
-				if value, known := each.Figures[figure]; known {
-					fmt.Fprintf(out, "%.4g\t", value)
-				} else {
-					fmt.Fprint(out, "-\t")
-				}
-			}
-			if f, known := r.fit(driver, figure); known {
-				fmt.Fprintf(out, "%.4g\t%.4g\t%.0f%%\t%.3f\t%.2f\t\n", f.Slope, f.Base, 100*f.Off, f.R2, f.Power)
-			} else {
-				fmt.Fprint(out, "\t\t\t\t\t\n")
-			}
-		}
+		r.table(out, driver)
 	}
 	for _, each := range r.Results {
 		for _, why := range each.Missed {
@@ -219,3 +189,36 @@
 	}
 	return out.Flush()
 }
+
+func (r *Report) table(out io.Writer, driver string) {
+	fmt.Fprintf(out, "\n%s\t", driver)
+	var points []Result
+	for _, each := range r.Results {
+		if each.Driver == driver && len(each.Missed) == 0 {
+			points = append(points, each)
+			fmt.Fprintf(out, "%g\t", each.X)
+		}
+	}
+	fmt.Fprint(out, "slope\tbase\toff\tr2\tpower\t\n")
+	for _, figure := range r.figures(driver) {
+		if slices.ContainsFunc(points, func(each Result) bool { return each.Figures[figure] != 0 }) {
+			r.line(out, driver, figure, points)
+		}
+	}
+}
+
+func (r *Report) line(out io.Writer, driver, figure string, points []Result) {
+	fmt.Fprintf(out, "%s\t", figure)
+	for _, each := range points {
+		if value, known := each.Figures[figure]; known {
+			fmt.Fprintf(out, "%.4g\t", value)
+		} else {
+			fmt.Fprint(out, "-\t")
+		}
+	}
+	if f, known := r.fit(driver, figure); known {
+		fmt.Fprintf(out, "%.4g\t%.4g\t%.0f%%\t%.3f\t%.2f\t\n", f.Slope, f.Base, 100*f.Off, f.R2, f.Power)
+	} else {
+		fmt.Fprint(out, "\t\t\t\t\t\n")
+	}
+}
--- a/fleet/scale/settings.go
+++ b/fleet/scale/settings.go
@@ -108,26 +108,31 @@
 		seen[name] = true
 	}
 	for _, name := range []string{"nodes", "upstreams", "routes", "changes", "restarts", "spans", "odds"} {
-		values, bad := numbers(lists[name])
-		for _, each := range bad {
-			fault("--%s: %q is no number from 0 on", name, each)
-		}
-		if len(bad) == 0 && !slices.IsSorted(values) {
-			fault("--%s: sizes rise", name)
+		s.checkSizes(name, lists[name], fault)
+	}
+	return faults
+}
+
+// checkSizes tells the faults of one driver's list of sizes.
+func (s *Settings) checkSizes(name, list string, fault func(format string, args ...any)) {
+	values, bad := numbers(list)
+	for _, each := range bad {
+		fault("--%s: %q is no number from 0 on", name, each)
+	}
+	if len(bad) == 0 && !slices.IsSorted(values) {
+		fault("--%s: sizes rise", name)
+	}
+	for _, value := range values {
+		switch {
+		case name == "nodes" && (value < 2 || value > mostHollow):
+			fault("--nodes: %v is not within 2 and %d", value, mostHollow)
+		case (name == "upstreams" || name == "routes" || name == "odds") && value < 1:
+			fault("--%s: %v is below 1", name, value)
 		}
-		for _, value := range values {
-			switch {
-			case name == "nodes" && (value < 2 || value > mostHollow):
-				fault("--nodes: %v is not within 2 and %d", value, mostHollow)
-			case (name == "upstreams" || name == "routes" || name == "odds") && value < 1:
-				fault("--%s: %v is below 1", name, value)
-			}
-			if name == "nodes" && s.Each > 0 && s.Keels+s.Real+int(value)/s.Each+1 > mostProcesses {
-				fault("--each: %v nodes take more than %d processes", value, mostProcesses)
-			}
+		if name == "nodes" && s.Each > 0 && s.Keels+s.Real+int(value)/s.Each+1 > mostProcesses {
+			fault("--each: %v nodes take more than %d processes", value, mostProcesses)
 		}
 	}
-	return faults
 }
 
 func numbers(list string) (values []float64, bad []string) {
