--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,3 +1,8 @@
+// Package fleet runs a whole fleet of listed machines in memory: the real
+// processes over a simulated network, disks and clocks (fleet/rig) within a
+// testing/synctest bubble, with stand-in upstreams and visitors, and a history
+// that internal/testing/judge judges. Its tests are the stories of
+// docs/proof.md.
 package fleet
 
 import (
@@ -24,6 +29,8 @@
 )
 
 const (
+	// nearby, sameZone and crossZone are the usual times of a packet within a
+	// machine, within a zone and between zones.
 	nearby        = 20 * time.Microsecond
 	sameZone      = 200 * time.Microsecond
 	crossZone     = 1 * time.Millisecond
@@ -32,10 +39,13 @@
 	upstreamsPort = 7003
 	opsPort       = 7004
 	operatorsPort = 7005
-	journalBound  = 5000
-	reportEvery   = 500 * time.Millisecond
+	// journalBound is the number of events kept of each machine.
+	journalBound = 5000
+	// reportEvery is the interval of the upstreams' reports.
+	reportEvery = 500 * time.Millisecond
 )
 
+// Machine is a machine and the process running on it, if any.
 type Machine struct {
 	*wire.Machine
 	IP       string
@@ -53,25 +63,31 @@
 	cancel   context.CancelFunc
 }
 
+// At returns the address of a port on the machine.
 func (m *Machine) At(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
 func (m *Machine) owner() string { return fmt.Sprintf("%s life %d", m.Name, m.lives) }
 
+// Fleet is a fleet in memory and all that happened to it.
 type Fleet struct {
-	Scope    base.Scope
-	Seed     uint64
-	World    *rig.World
-	Keels    []*Machine
-	Vanes    []*Machine
-	Seats    []*standin.Upstream
-	History  *judge.History
-	Story    string
+	Scope   base.Scope
+	Seed    uint64
+	World   *rig.World
+	Keels   []*Machine
+	Vanes   []*Machine
+	Seats   []*standin.Upstream
+	History *judge.History
+	// Story tells what was done, for failure messages.
+	Story string
+	// Diskless starts application machines without a data folder.
 	Diskless bool
 	Key      ed25519.PrivateKey
 	Clerk    *helm.Clerk
-	Shape    *wire.Bundle
-	Habits   []standin.Habit
-	Plan     []standin.Habitual
+	// Shape is the first bundle to sign.
+	Shape  *wire.Bundle
+	Habits []standin.Habit
+	Plan   []standin.Habitual
+	// Tune and TuneKeel, if set, change the params that processes start with.
 	Tune     func(*wire.VaneParams)
 	TuneKeel func(*wire.KeelParams)
 	trusted  []string
@@ -83,6 +99,9 @@
 	sampling context.CancelFunc
 }
 
+// New returns a fleet of the shape's machines, none of them running. All that
+// is random follows from the seed. It must be called within a bubble, and ended
+// with End.
 func New(seed uint64, shape *wire.Bundle) *Fleet {
 	f := &Fleet{Seed: seed, Shape: proto.Clone(shape).(*wire.Bundle), born: time.Now()}
 	zones := map[string]string{}
@@ -138,6 +157,7 @@
 	}
 }
 
+// Raise starts a machine's process.
 func (f *Fleet) Raise(m *Machine) error {
 	m.lives++
 	m.mount = rig.NewMount(m.Disk)
@@ -178,11 +198,14 @@
 	return err
 }
 
+// Kill ends a machine's process at once.
 func (f *Fleet) Kill(m *Machine) {
 	f.down(m, "killed")
 	f.kill(m, false)
 }
 
+// PowerLoss ends a machine without a word to its peers; its disk loses what
+// wasn't synced.
 func (f *Fleet) PowerLoss(m *Machine) {
 	f.down(m, "power lost")
 	f.kill(m, true)
@@ -195,6 +218,7 @@
 	}
 }
 
+// Stop ends a machine's process as planned.
 func (f *Fleet) Stop(m *Machine) {
 	end := f.History.Spell(m.Name, "stop", true)
 	m.stopping.Store(true)
@@ -209,6 +233,8 @@
 	end()
 }
 
+// Freeze stops a machine's process where it is, with its network and disk,
+// until thaw.
 func (f *Fleet) Freeze(m *Machine) (thaw func()) {
 	end := f.Trouble(m.Name, "frozen")
 	life := m.owner()
@@ -227,6 +253,7 @@
 	return m.thaw
 }
 
+// Trouble notes in the history that a trouble begins; end notes its end.
 func (f *Fleet) Trouble(name, cause string) (end func()) { return f.History.Spell(name, cause, false) }
 
 func (f *Fleet) kill(m *Machine, silent bool) {
@@ -251,6 +278,7 @@
 	m.Keel, m.Vane, m.cancel = nil, nil, nil
 }
 
+// Seat starts an upstream beside a machine.
 func (f *Fleet) Seat(m *Machine, service string, port, capacity int) (*standin.Upstream, error) {
 	u := &standin.Upstream{
 		Scope:   f.scope(fmt.Sprintf("%s %s %d %d", m.Name, service, port, len(f.Seats)), m.IP, m.Disk, m.Clock, m.Journal),
@@ -260,6 +288,8 @@
 	return u, u.Start(reportEvery)
 }
 
+// Visit lets visitors make so many requests a second over the whole fleet,
+// until Leave.
 func (f *Fleet) Visit(rate float64) {
 	s, cancel := f.Scope.Child()
 	f.visiting = cancel
@@ -270,6 +300,7 @@
 	}
 }
 
+// Leave ends the visitors and waits for their answers.
 func (f *Fleet) Leave() {
 	if f.visiting != nil {
 		f.visiting()
@@ -278,6 +309,7 @@
 	}
 }
 
+// End ends everything, so that no goroutine is left in the bubble.
 func (f *Fleet) End() {
 	f.Leave()
 	f.sampling()
@@ -292,8 +324,11 @@
 	time.Sleep(time.Minute)
 }
 
+// Pass lets the time pass.
 func (f *Fleet) Pass(d time.Duration) { base.Await(f.Scope, d) }
 
+// Until lets the time pass until reached returns true, and reports whether it
+// did within the longest time.
 func (f *Fleet) Until(longest time.Duration, reached func() bool) bool {
 	for begun := time.Now(); time.Since(begun) < longest; f.Pass(5 * time.Millisecond) {
 		if reached() {
@@ -303,6 +338,7 @@
 	return reached()
 }
 
+// Ready reports whether all of the machines that run are ready.
 func (f *Fleet) Ready(machines []*Machine) bool {
 	for _, m := range machines {
 		if m.Keel != nil && !m.Keel.Helm.Ready() || m.Vane != nil && !m.Vane.Node.Ready() {
@@ -312,6 +348,8 @@
 	return true
 }
 
+// AllOn reports whether all application machines that run hold the bundle of
+// the serial or a newer one.
 func (f *Fleet) AllOn(serial uint64) bool {
 	for _, m := range f.Vanes {
 		if m.Vane != nil && (m.Vane.Node.Bundle() == nil || m.Vane.Node.Bundle().Serial < serial) {
@@ -321,6 +359,7 @@
 	return true
 }
 
+// Apply drafts, signs and hands in a change as an operator does.
 func (f *Fleet) Apply(submission string, request *wire.DraftRequest) (*wire.Outcome, error) {
 	outcome, err := f.Clerk.Apply(f.Scope, submission, request, f.Key)
 	if err == nil {
@@ -329,15 +368,19 @@
 	return outcome, err
 }
 
+// Cut cuts two machines off from each other, both ways.
 func (f *Fleet) Cut(a, b *Machine) {
 	f.World.Cut(a.IP, b.IP)
 	f.World.Cut(b.IP, a.IP)
 }
 
+// Bounds returns the bounds to judge by.
 func (f *Fleet) Bounds() judge.Bounds { return judge.Brief() }
 
+// Every returns all machines.
 func (f *Fleet) Every() []*Machine { return append(append([]*Machine{}, f.Vanes...), f.Keels...) }
 
+// Isolate cuts a machine off from all others.
 func (f *Fleet) Isolate(m *Machine) {
 	for _, other := range f.Every() {
 		if other != m {
--- a/fleet/soak_test.go
+++ b/fleet/soak_test.go
@@ -312,53 +312,66 @@
 	}
 }
 
+// badDay causes random troubles and tells which.
+type badDay struct {
+	*Fleet
+	rand *base.Rand
+	told []string
+}
+
+func (d *badDay) cause() (mend func()) {
+	chosen := troubles[d.rand.Below(len(troubles))]
+	d.told = append(d.told, fmt.Sprintf("%s %s", d.Scope.Clock.Mono(), chosen.name))
+	end := d.Trouble("day", chosen.name)
+	heal := chosen.cause(d.Fleet, d.rand)
+	return func() {
+		heal()
+		end()
+	}
+}
+
+// round causes up to three troubles that overlap, and mends them.
+func (d *badDay) round() {
+	var mends []func()
+	for range 1 + d.rand.Below(3) {
+		mends = append(mends, d.cause())
+		d.Pass(time.Duration(d.rand.Below(600)) * time.Millisecond)
+	}
+	d.Pass(time.Duration(500+d.rand.Below(2500)) * time.Millisecond)
+	for _, mend := range mends {
+		mend()
+	}
+	d.Pass(time.Duration(d.rand.Below(2000)) * time.Millisecond)
+}
+
+func (d *badDay) heal() {
+	d.World.HealAll()
+	for _, m := range d.Every() {
+		raise(d.Fleet, m)()
+	}
+}
+
 func soak(f *Fleet) {
-	rand := f.rand("troubles")
+	day := &badDay{Fleet: f, rand: f.rand("troubles")}
 	raised(f)
 	f.Visit(50)
 	stop := f.pusher()
-	var told []string
-	cause := func() func() {
-		chosen := troubles[rand.Below(len(troubles))]
-		told = append(told, fmt.Sprintf("%s %s", f.Scope.Clock.Mono(), chosen.name))
-		end := f.Trouble("day", chosen.name)
-		mend := chosen.cause(f, rand)
-		return func() {
-			mend()
-			end()
-		}
-	}
-	heal := func() {
-		f.World.HealAll()
-		for _, m := range f.Every() {
-			raise(f, m)()
-		}
-	}
 	for range soakRounds {
-		var mends []func()
-		for range 1 + rand.Below(3) {
-			mends = append(mends, cause())
-			f.Pass(time.Duration(rand.Below(600)) * time.Millisecond)
-		}
-		f.Pass(time.Duration(500+rand.Below(2500)) * time.Millisecond)
-		for _, mend := range mends {
-			mend()
-		}
-		f.Pass(time.Duration(rand.Below(2000)) * time.Millisecond)
+		day.round()
 	}
-	heal()
+	day.heal()
 	f.History.Returned()
 	f.Pass(recoverTime + 2*time.Second)
 	stop()
 	back := f.Scope.Clock.Mono()
 	f.Pass(3 * time.Second)
-	last := cause()
+	last := day.cause()
 	f.Pass(700 * time.Millisecond)
 	f.Leave()
 	last()
-	heal()
+	day.heal()
 	f.Pass(recoverTime)
-	f.Story = fmt.Sprintf("seed %d: %s", f.Seed, strings.Join(told, "; "))
+	f.Story = fmt.Sprintf("seed %d: %s", f.Seed, strings.Join(day.told, "; "))
 	f.learnOutcomes(f.Story)
 	f.ReadBack()
 	sound(f, judge.RanTwice, judge.Whole, judge.Allowed, judge.InForce, judge.SlideBack, judge.OneAck, judge.ReadBack, judge.Returns)
--- a/fleet/tap.go
+++ b/fleet/tap.go
@@ -8,7 +8,10 @@
 )
 
 const (
+	// readEvery is the interval at which the history samples what each node
+	// would serve.
 	readEvery = 50 * time.Millisecond
+	// calmAfter is how long after the last trouble all is calm.
 	calmAfter = 4 * time.Second
 )
 
@@ -52,6 +55,8 @@
 	})
 }
 
+// ReadBack notes in the history what each core machine's disk has of the
+// bundle.
 func (f *Fleet) ReadBack() {
 	for _, m := range f.Keels {
 		if m.Keel == nil || !m.Keel.Helm.Ready() {
--- a/proto/compat/compat_test.go
+++ b/proto/compat/compat_test.go
@@ -63,33 +63,16 @@
 	return faults
 }
 
+// filled sets every field of a message, nested ones down to a depth.
 func filled(message protoreflect.Message, depth int) {
 	fields := message.Descriptor().Fields()
 	for i := range fields.Len() {
 		field := fields.Get(i)
 		switch {
 		case field.IsMap():
-			value := message.NewField(field).Map()
-			held := value.NewValue()
-			if field.MapValue().Kind() != protoreflect.MessageKind {
-				held = scalar(field.MapValue())
-			}
-			value.Set(protoreflect.ValueOfString("key").MapKey(), held)
-			message.Set(field, protoreflect.ValueOfMap(value))
+			message.Set(field, filledMap(message, field))
 		case field.IsList():
-			list := message.NewField(field).List()
-			for range 2 {
-				if field.Kind() == protoreflect.MessageKind {
-					item := list.NewElement()
-					if depth > 0 {
-						filled(item.Message(), depth-1)
-					}
-					list.Append(item)
-				} else {
-					list.Append(scalar(field))
-				}
-			}
-			message.Set(field, protoreflect.ValueOfList(list))
+			message.Set(field, filledList(message, field, depth))
 		case field.Kind() == protoreflect.MessageKind:
 			if depth > 0 {
 				filled(message.Mutable(field).Message(), depth-1)
@@ -100,6 +83,32 @@
 	}
 }
 
+func filledMap(message protoreflect.Message, field protoreflect.FieldDescriptor) protoreflect.Value {
+	value := message.NewField(field).Map()
+	held := value.NewValue()
+	if field.MapValue().Kind() != protoreflect.MessageKind {
+		held = scalar(field.MapValue())
+	}
+	value.Set(protoreflect.ValueOfString("key").MapKey(), held)
+	return protoreflect.ValueOfMap(value)
+}
+
+func filledList(message protoreflect.Message, field protoreflect.FieldDescriptor, depth int) protoreflect.Value {
+	list := message.NewField(field).List()
+	for range 2 {
+		if field.Kind() != protoreflect.MessageKind {
+			list.Append(scalar(field))
+			continue
+		}
+		item := list.NewElement()
+		if depth > 0 {
+			filled(item.Message(), depth-1)
+		}
+		list.Append(item)
+	}
+	return protoreflect.ValueOfList(list)
+}
+
 func scalar(field protoreflect.FieldDescriptor) protoreflect.Value {
 	switch field.Kind() {
 	case protoreflect.BoolKind:
