--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -30,7 +30,6 @@
 	machine *Machine
 	life    int
 	disk    *wire.ReplicaState
-	dark    bool
 	full    bool
 }
 
@@ -148,13 +147,6 @@
 	}
 }
 
-type simCall struct {
-	from *simNode
-	life int
-	id   uint64
-}
-
-var simCalls = map[uint64]simCall{}
 var simLastCall uint64
 
 func (s *sim) send(n *simNode, life int, request Request) {
