--- a/internal/quorum/recover.go
+++ b/internal/quorum/recover.go
@@ -10,6 +10,13 @@
 	"curlewreach/proto/wire"
 )
 
+// fetchTries is how often a key is asked for under a higher epoch before the
+// next step of recovery tries again.
+const fetchTries = 8
+
+// Recover brings the disk into a state in which it may vote, trying again after
+// each interval until it is done or the scope ends: a blank disk founds a new
+// set with the others, a lost or damaged one fetches what the others have.
 func (t *Trove) Recover(s base.Scope, every time.Duration) {
 	if t.joining && t.store.Phase() == wire.Phase_BLANK {
 		// Whoever still counts on a promise of the lost self has given up by then.
@@ -22,6 +29,8 @@
 	}
 }
 
+// Adopt makes one try to recover with fewer other disks than needed to rule out
+// that something is lost. An operator orders it after two disks are lost.
 func (t *Trove) Adopt(s base.Scope) bool { return t.step(s, true) }
 
 func (t *Trove) step(s base.Scope, adopting bool) (done bool) {
@@ -29,24 +38,7 @@
 	if phase == wire.Phase_FOUNDED && len(t.store.Sick()) == 0 {
 		return true
 	}
-	replies := poll(s, t.others(), len(t.disks)-1, t.round, func(ctx context.Context, d disk) (*wire.KeysReply, error) {
-		reply, err := d.Keys(ctx, connect.NewRequest(&wire.KeysRequest{}))
-		if err != nil {
-			return nil, err
-		}
-		return reply.Msg, nil
-	})
-	counts := map[wire.Phase]int{}
-	keys := map[string]bool{}
-	for _, reply := range replies {
-		if reply.err != nil {
-			continue
-		}
-		counts[reply.body.Phase]++
-		for _, key := range reply.body.Keys {
-			keys[key] = true
-		}
-	}
+	counts, keys := t.askOthers(s)
 	others := len(t.disks) - 1
 	switch {
 	case phase == wire.Phase_BLANK && t.blank(counts) == others:
@@ -66,6 +58,29 @@
 	return false
 }
 
+// askOthers returns how many of the other disks are in each phase, and all keys
+// that any of them has.
+func (t *Trove) askOthers(s base.Scope) (counts map[wire.Phase]int, keys map[string]bool) {
+	replies := poll(s, t.others(), len(t.disks)-1, t.round, func(ctx context.Context, d disk) (*wire.KeysReply, error) {
+		reply, err := d.Keys(ctx, connect.NewRequest(&wire.KeysRequest{}))
+		if err != nil {
+			return nil, err
+		}
+		return reply.Msg, nil
+	})
+	counts, keys = map[wire.Phase]int{}, map[string]bool{}
+	for _, reply := range replies {
+		if reply.err != nil {
+			continue
+		}
+		counts[reply.body.Phase]++
+		for _, key := range reply.body.Keys {
+			keys[key] = true
+		}
+	}
+	return counts, keys
+}
+
 // Any majority that the lost self was part of has one of so many others in it.
 func (t *Trove) witnesses() int { return len(t.disks) - t.majority() + 1 }
 
@@ -105,25 +120,11 @@
 
 func (t *Trove) fetchKey(s base.Scope, key string, need int) bool {
 	promised, _ := t.store.Peek(key)
-	for range 8 {
+	for range fetchTries {
 		epoch := &wire.Epoch{Number: promised.GetNumber() + 1, Keel: place(t.mates[t.self].Address)}
 		replies := t.promises(s, t.others(), len(t.disks)-1, &wire.PromiseRequest{Key: key, Epoch: epoch})
-		granted := 0
-		var highest *wire.Entry
-		for _, reply := range replies {
-			if reply.err != nil {
-				continue
-			}
-			if compareEpochs(reply.body.Promised, promised) > 0 {
-				promised = reply.body.Promised
-			}
-			if reply.body.Granted {
-				granted++
-				if reply.body.Entry != nil && compareEntries(reply.body.Entry, highest) > 0 {
-					highest = reply.body.Entry
-				}
-			}
-		}
+		granted, beaten, highest := counted(replies, promised)
+		promised = beaten
 		if granted >= need {
 			return t.store.restore(s, key, epoch, highest) == nil
 		}
--- a/internal/quorum/register.go
+++ b/internal/quorum/register.go
@@ -1,3 +1,8 @@
+// Package quorum keeps a few keyed values on the disks of a fixed set of core
+// machines, so that a change is known once a majority of disks has it. Each key
+// is a register with an owner: an epoch, numbered and named by its owner, is
+// promised by a majority before values are accepted under it (Paxos, one
+// register a key). docs/quorum.md has the ways weighed.
 package quorum
 
 import (
@@ -16,11 +21,14 @@
 	"curlewreach/proto/wire/wireconnect"
 )
 
+// Mate is a core machine of the set.
 type Mate struct {
 	Name    string
 	Address string
 }
 
+// disk is a machine's disk as this one reaches it: its own directly, others by
+// calls.
 type disk interface {
 	Promise(context.Context, *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error)
 	Accept(context.Context, *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error)
@@ -29,6 +37,8 @@
 	Keys(context.Context, *connect.Request[wire.KeysRequest]) (*connect.Response[wire.KeysReply], error)
 }
 
+// hold is what this machine knows of a key as its owner. A nil epoch means that
+// it isn't.
 type hold struct {
 	latch  base.Latch
 	epoch  *wire.Epoch
@@ -36,6 +46,8 @@
 	value  []byte
 }
 
+// Trove is one core machine's part of the set: its disk, and changes and reads
+// by majority. It is safe for concurrent use.
 type Trove struct {
 	scope   base.Scope
 	store   *Store
@@ -52,11 +64,14 @@
 	joining bool
 }
 
+// Option changes how a Trove starts.
 type Option func(*Trove)
 
 // Joining says that a blank disk here was wiped and is no new fleet's.
 func Joining(t *Trove) { t.joining = true }
 
+// New returns the part of the machine self, which is one of mates. A disk that
+// doesn't answer within round counts as lost for that round.
 func New(s base.Scope, store *Store, web *http.Client, self string, mates []Mate, round time.Duration, options ...Option) *Trove {
 	mates = slices.Clone(mates)
 	slices.SortFunc(mates, func(a, b Mate) int { return strings.Compare(a.Name, b.Name) })
@@ -81,14 +96,21 @@
 	return hash.Sum32()
 }
 
+// Store returns this machine's disk.
 func (t *Trove) Store() *Store { return t.store }
 
+// News returns a channel that closes when a newer value is known to be settled.
 func (t *Trove) News() <-chan struct{} { return t.news.Heard() }
 
+// Ready reports whether this machine's disk may vote.
 func (t *Trove) Ready() bool { return t.store.Phase() == wire.Phase_FOUNDED }
 
+// Settled returns the newest entry of a key known to be on a majority of disks.
+// A newer one may be.
 func (t *Trove) Settled(key string) (*wire.Entry, bool) { return t.settled.Get(key) }
 
+// Owner returns the machine whose epoch of a key this disk has promised, and
+// that epoch.
 func (t *Trove) Owner(key string) (Mate, *wire.Epoch, bool) {
 	promised, _ := t.store.Peek(key)
 	for _, mate := range t.mates {
@@ -99,11 +121,13 @@
 	return Mate{}, promised, false
 }
 
+// Mine reports whether this machine owns a key, by its own disk's knowledge.
 func (t *Trove) Mine(key string) bool {
 	owner, _, known := t.Owner(key)
 	return known && owner.Name == t.mates[t.self].Name
 }
 
+// Hears reports whether another machine answered lately.
 func (t *Trove) Hears(mate Mate, lately time.Duration) bool {
 	at, known := t.heard.Get(mate.Name)
 	return known && t.scope.Clock.Mono()-at <= lately
@@ -122,12 +146,15 @@
 	return at
 }
 
+// Reply is one disk's answer.
 type Reply[T any] struct {
 	disk int
 	body *T
 	err  error
 }
 
+// poll asks all disks at a time and returns their answers once enough are
+// without an error, or all have come.
 func poll[T any](s base.Scope, disks []disk, need int, round time.Duration, ask func(context.Context, disk) (*T, error)) []Reply[T] {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.Context), round)
 	replies := make(chan Reply[T], len(disks))
@@ -198,23 +225,7 @@
 		return base.Bounce(base.Outranked, key, "a higher epoch came first")
 	}
 	replies := t.promises(s, t.disks, t.majority(), &wire.PromiseRequest{Key: key, Epoch: epoch})
-	granted := 0
-	var highest *wire.Entry
-	beaten := epoch
-	for _, reply := range replies {
-		if reply.err != nil {
-			continue
-		}
-		if compareEpochs(reply.body.Promised, beaten) > 0 {
-			beaten = reply.body.Promised
-		}
-		if reply.body.Granted {
-			granted++
-			if reply.body.Entry != nil && compareEntries(reply.body.Entry, highest) > 0 {
-				highest = reply.body.Entry
-			}
-		}
-	}
+	granted, beaten, highest := counted(replies, epoch)
 	if granted < t.majority() {
 		if beaten != epoch {
 			_, _, _, _ = t.store.Promise(s, key, &wire.Epoch{Number: beaten.Number, Keel: beaten.Keel})
@@ -230,6 +241,28 @@
 	return t.accept(s, key, at, at.serial, at.value)
 }
 
+// counted returns how many disks granted a promise, the highest epoch promised
+// by any (at least the one given), and the highest entry of those that granted.
+func counted(replies []Reply[wire.PromiseReply], epoch *wire.Epoch) (granted int, promised *wire.Epoch, highest *wire.Entry) {
+	promised = epoch
+	for _, reply := range replies {
+		if reply.err != nil {
+			continue
+		}
+		if compareEpochs(reply.body.Promised, promised) > 0 {
+			promised = reply.body.Promised
+		}
+		if !reply.body.Granted {
+			continue
+		}
+		granted++
+		if reply.body.Entry != nil && compareEntries(reply.body.Entry, highest) > 0 {
+			highest = reply.body.Entry
+		}
+	}
+	return granted, promised, highest
+}
+
 func (t *Trove) accept(s base.Scope, key string, at *hold, serial uint64, value []byte) error {
 	entry := &wire.Entry{Key: key, Epoch: at.epoch, Serial: serial, Value: value}
 	replies := poll(s, t.disks, t.majority(), t.round, func(ctx context.Context, d disk) (*wire.AcceptReply, error) {
@@ -281,6 +314,10 @@
 	}
 }
 
+// Change replaces a key's value by what change makes of the newest one, nil if
+// there is none. A nil result changes nothing. It returns nil once a majority
+// of disks has the value. After an error of kind Outranked another machine owns
+// the key; of kind Uncertain, the value may or may not get in force.
 func (t *Trove) Change(s base.Scope, key string, change func(old []byte) ([]byte, error)) error {
 	at := t.hold(key)
 	if !at.latch.Take(s) {
@@ -304,6 +341,8 @@
 	return t.accept(s, key, at, at.serial+1, value)
 }
 
+// Read returns the newest value of a key, nil if there is none, once a majority
+// has it.
 func (t *Trove) Read(s base.Scope, key string) ([]byte, error) {
 	at := t.hold(key)
 	if !at.latch.Take(s) {
@@ -320,12 +359,15 @@
 	return at.value, t.accept(s, key, at, at.serial, at.value)
 }
 
+// Refresh is Survey without the second answer.
 func (t *Trove) Refresh(s base.Scope, key string) (settled bool) {
 	settled, _ = t.Survey(s, key)
 	return settled
 }
 
-// Survey refreshes and says whether a majority of disks answered; settled and agreed together make a majority read.
+// Survey asks all disks for a key's newest entry and takes it in. It reports
+// whether that is settled (or there is none), and whether a majority of disks
+// answered; both together make a majority read.
 func (t *Trove) Survey(s base.Scope, key string) (settled, agreed bool) {
 	_, mine := t.store.Peek(key)
 	replies := t.promises(s, t.disks, len(t.disks), &wire.PromiseRequest{Key: key, Have: mine.GetEpoch(), HaveSerial: mine.GetSerial()})
@@ -363,11 +405,14 @@
 	return true, agreed
 }
 
+// Copies returns how many disks had the settled entry of a key at the last
+// Survey.
 func (t *Trove) Copies(key string) int {
 	count, _ := t.copies.Get(key)
 	return count
 }
 
+// HandOver gives the keys that this machine owns to others that will take them.
 func (t *Trove) HandOver(s base.Scope) {
 	for _, key := range t.store.Keys() {
 		if !t.Mine(key) {
@@ -387,6 +432,7 @@
 
 type server struct{ trove *Trove }
 
+// Handler returns the path and handler of this machine's disk.
 func Handler(t *Trove) (string, http.Handler) {
 	return wireconnect.NewTroveHandler(server{t}, base.Plain())
 }
--- a/internal/quorum/store.go
+++ b/internal/quorum/store.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// brandFile holds the disk's phase, rollPrefix begins the files that list
+	// which files count, keyFolder holds a folder for each key, badSuffix ends
+	// files that can't be read, and rollsKept is the number of lists kept.
 	brandFile  = "brand"
 	rollPrefix = "roll-"
 	keyFolder  = "keys"
@@ -30,6 +33,7 @@
 	entry    *wire.Entry
 }
 
+// slot is the state of one key; shown is its copy for readers who don't wait.
 type slot struct {
 	latch    base.Latch
 	promised *wire.Epoch
@@ -46,7 +50,9 @@
 
 func (at *slot) show() { at.shown.Store(&shown{at.promised, at.entry}) }
 
-// Lock order: a slot's latch, then rolled, then mu; only mu is never held across I/O.
+// Store is one machine's disk: the promise and the newest entry of each key, in
+// files that the newest roll lists. Lock order: a slot's latch, then rolled,
+// then mu; only mu is never held across I/O.
 type Store struct {
 	scope  base.Scope
 	kept   int
@@ -57,6 +63,8 @@
 	rolled base.Latch
 }
 
+// OpenStore returns what the disk holds. It keeps so many past values of each
+// key.
 func OpenStore(s base.Scope, kept int) (*Store, error) {
 	store := &Store{scope: s, kept: max(kept, 2), rolled: base.NewLatch(), slots: map[string]*slot{}, roll: &wire.Roll{Lines: map[string]*wire.Line{}}}
 	if err := s.Disk.MakeFolder(keyFolder); err != nil {
@@ -118,20 +126,7 @@
 		t.scope.Note("blank", "", "no brand")
 		return nil
 	}
-	found := false
-	for _, name := range names {
-		if strings.HasPrefix(name, rollPrefix) && !strings.HasSuffix(name, base.Aside) && !strings.HasSuffix(name, badSuffix) {
-			roll := &wire.Roll{}
-			if t.read(name, roll) == nil {
-				if roll.Lines == nil {
-					roll.Lines = map[string]*wire.Line{}
-				}
-				t.roll, found = roll, true
-			}
-			break
-		}
-	}
-	if !found {
+	if !t.loadRoll(names) {
 		t.scope.Note("blank", "", "no roll")
 		return nil
 	}
@@ -142,6 +137,26 @@
 	return nil
 }
 
+// loadRoll reads the newest roll of the names, which are in descending order. An
+// older one is never taken in place of one that can't be read.
+func (t *Store) loadRoll(names []string) bool {
+	at := slices.IndexFunc(names, func(name string) bool {
+		return strings.HasPrefix(name, rollPrefix) && !strings.HasSuffix(name, base.Aside) && !strings.HasSuffix(name, badSuffix)
+	})
+	if at < 0 {
+		return false
+	}
+	roll := &wire.Roll{}
+	if t.read(names[at], roll) != nil {
+		return false
+	}
+	if roll.Lines == nil {
+		roll.Lines = map[string]*wire.Line{}
+	}
+	t.roll = roll
+	return true
+}
+
 func (t *Store) loadSlot(key string, line *wire.Line) *slot {
 	at := newSlot()
 	defer at.show()
@@ -173,6 +188,7 @@
 	return at
 }
 
+// Phase returns how far the disk is in becoming one that votes.
 func (t *Store) Phase() wire.Phase {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -194,6 +210,7 @@
 	return nil
 }
 
+// Keys returns all keys in order.
 func (t *Store) Keys() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -205,8 +222,11 @@
 	return keys
 }
 
+// IsSick reports whether a file of the key was lost or bad, so that the disk
+// can't vote on it.
 func (t *Store) IsSick(key string) bool { return t.slot(key).sick.Load() }
 
+// Sick returns all such keys.
 func (t *Store) Sick() []string {
 	var sick []string
 	for _, key := range t.Keys() {
@@ -217,6 +237,8 @@
 	return sick
 }
 
+// Peek returns a key's promise and entry without waiting for a change under
+// way.
 func (t *Store) Peek(key string) (promised *wire.Epoch, entry *wire.Entry) {
 	at := t.slot(key).shown.Load()
 	return at.promised, at.entry
@@ -258,6 +280,8 @@
 	return nil
 }
 
+// Promise grants an epoch unless a higher one is promised, and keeps that on
+// disk before it returns.
 func (t *Store) Promise(ctx context.Context, key string, epoch *wire.Epoch) (granted bool, promised *wire.Epoch, entry *wire.Entry, mishap error) {
 	at := t.slot(key)
 	if !at.latch.Take(ctx) {
@@ -301,6 +325,8 @@
 	return nil
 }
 
+// Accept stores an entry unless a higher epoch is promised or a newer entry is
+// there. It is on disk when Accept returns.
 func (t *Store) Accept(ctx context.Context, entry *wire.Entry) (granted bool, promised *wire.Epoch, mishap error) {
 	at := t.slot(entry.Key)
 	if !at.latch.Take(ctx) {
@@ -361,6 +387,8 @@
 	return names
 }
 
+// Past iterates over the values of a key that are still on disk, the newest
+// first.
 func (t *Store) Past(key string) func(yield func(*wire.Entry) bool) {
 	names := t.values(key)
 	slices.Reverse(names)
