--- a/base/check.go
+++ b/base/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"regexp"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/pkg/errors"
@@ -19,3 +20,16 @@
 	}
 	return nil
 })
+
+// IsName is a validation rule: a string must be empty or a name of a machine,
+// zone, service or route, as operators write them: small letters, digits and
+// hyphens, at most 63, a letter first.
+var IsName = validation.Match(regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`))
+
+// SetDefault sets a value that isn't set, that is, has its type's zero value.
+func SetDefault[T comparable](at *T, usual T) {
+	var zero T
+	if *at == zero {
+		*at = usual
+	}
+}
--- a/flow/params.go
+++ b/flow/params.go
@@ -1,40 +1,28 @@
 package flow
 
 import (
-	"regexp"
-
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
 	"curlewreach/base"
 	"curlewreach/proto/wire"
 )
 
-var named = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Usual sets the params that aren't set to their defaults.
 func Usual(p *wire.VaneParams) {
 	p.Bounds = base.UsualBounds(p.Bounds)
-	usual(&p.Held, 1<<20)
-	usual(&p.Longest, 4<<20)
-	usual(&p.Flights, 1024)
-	usual(&p.Queue, 4096)
-	usual(&p.Room, 256<<20)
-	if p.Log == "" {
-		p.Log = "info"
-	}
-}
-
-func usual(at *uint32, value uint32) {
-	if *at == 0 {
-		*at = value
-	}
+	base.SetDefault(&p.Held, 1<<20)
+	base.SetDefault(&p.Longest, 4<<20)
+	base.SetDefault(&p.Flights, 1024)
+	base.SetDefault(&p.Queue, 4096)
+	base.SetDefault(&p.Room, 256<<20)
+	base.SetDefault(&p.Log, "info")
 }
 
 // Check returns validation errors that name each bad param.
 func Check(p *wire.VaneParams) error {
 	return validation.ValidateStruct(p,
-		validation.Field(&p.Name, validation.Required, validation.Match(named)),
-		validation.Field(&p.Zone, validation.Required, validation.Match(named)),
+		validation.Field(&p.Name, validation.Required, base.IsName),
+		validation.Field(&p.Zone, validation.Required, base.IsName),
 		validation.Field(&p.Mates, validation.Required, base.IsAddress),
 		validation.Field(&p.Visitors, validation.Required, base.IsAddress),
 		validation.Field(&p.Upstreams, validation.Required, base.IsAddress),
--- a/flow/servers.go
+++ b/flow/servers.go
@@ -68,9 +68,9 @@
 	}
 	if err == nil {
 		err = validation.Errors{
-			"service":  validation.Validate(said.Service, validation.Required, validation.Match(named)),
+			"service":  validation.Validate(said.Service, validation.Required, base.IsName),
 			"address":  validation.Validate(said.Address, validation.Required, base.IsAddress),
-			"zone":     validation.Validate(said.Zone, validation.Match(named)),
+			"zone":     validation.Validate(said.Zone, base.IsName),
 			"capacity": validation.Validate(said.Capacity, validation.Max(uint32(mostCapacity))),
 			"weight":   validation.Validate(said.Weight, validation.Min(0.0), validation.Max(float64(mostWeight))),
 		}.Filter()
--- a/helm/keel.go
+++ b/helm/keel.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"regexp"
 	"slices"
 	"time"
 
@@ -32,30 +31,20 @@
 	changesEach = 3
 )
 
-var named = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Usual sets the params that aren't set to their defaults.
 func Usual(p *wire.KeelParams) {
 	p.Bounds = base.UsualBounds(p.Bounds)
-	usual(&p.Serials, 16)
-	usual(&p.Bundle, 16<<20)
-	usual(&p.Traces, 50000)
-	if p.Log == "" {
-		p.Log = "info"
-	}
-}
-
-func usual(at *uint32, value uint32) {
-	if *at == 0 {
-		*at = value
-	}
+	base.SetDefault(&p.Serials, 16)
+	base.SetDefault(&p.Bundle, 16<<20)
+	base.SetDefault(&p.Traces, 50000)
+	base.SetDefault(&p.Log, "info")
 }
 
 // Check returns validation errors that name each bad param.
 func Check(p *wire.KeelParams) error {
 	return validation.ValidateStruct(p,
-		validation.Field(&p.Name, validation.Required, validation.Match(named)),
-		validation.Field(&p.Zone, validation.Required, validation.Match(named)),
+		validation.Field(&p.Name, validation.Required, base.IsName),
+		validation.Field(&p.Zone, validation.Required, base.IsName),
 		validation.Field(&p.Mates, validation.Required, base.IsAddress),
 		validation.Field(&p.Operators, validation.Required, base.IsAddress),
 		validation.Field(&p.Seeds, validation.Required, validation.Length(1, 3), validation.Each(base.IsAddress)),
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -65,7 +65,6 @@
 func (l Limits) Usual() time.Duration { return time.Duration(float64(l.Grace) * usualDeadline) }
 
 var (
-	named  = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 	method = regexp.MustCompile(`^[A-Z]{1,16}$`)
 	header = regexp.MustCompile(`^[A-Za-z0-9-]{0,64}$`)
 	field  = regexp.MustCompile(`^(path|query|header):[A-Za-z0-9_.-]{1,64}$`)
@@ -81,21 +80,21 @@
 		b.Common.Tracing = &wire.Tracing{}
 	}
 	t := b.Common.Tracing
-	fill(&t.Sample, 1)
-	fill(&t.Percentile, 0.75)
-	fill(&t.Epsilon, 0.05)
-	fill(&t.Draws, 1000)
-	fill(&t.Memory, 0.3)
-	fill(&t.Budget, 400)
-	fill(&t.Evidence, 20)
-	fill(&t.Utility, "variance")
-	fill(&t.Header, "traceparent")
+	base.SetDefault(&t.Sample, 1)
+	base.SetDefault(&t.Percentile, 0.75)
+	base.SetDefault(&t.Epsilon, 0.05)
+	base.SetDefault(&t.Draws, 1000)
+	base.SetDefault(&t.Memory, 0.3)
+	base.SetDefault(&t.Budget, 400)
+	base.SetDefault(&t.Evidence, 20)
+	base.SetDefault(&t.Utility, "variance")
+	base.SetDefault(&t.Header, "traceparent")
 	if t.Cycle == nil {
 		t.Cycle = durationpb.New(5 * time.Second)
 	}
 	for _, service := range b.Services {
-		fill(&service.Repeats, mostRepeats)
-		fill(&service.Allowance, uint32(vanes(b)))
+		base.SetDefault(&service.Repeats, mostRepeats)
+		base.SetDefault(&service.Allowance, uint32(vanes(b)))
 		for _, route := range service.Routes {
 			if route.Deadline == nil {
 				route.Deadline = durationpb.New(limits.Usual())
@@ -104,13 +103,6 @@
 	}
 }
 
-func fill[T comparable](at *T, usual T) {
-	var zero T
-	if *at == zero {
-		*at = usual
-	}
-}
-
 func vanes(b *wire.Bundle) int {
 	count := 0
 	for _, machine := range b.GetCommon().GetMachines() {
@@ -137,7 +129,7 @@
 }
 
 func (q *inquest) once(seen map[string]bool, path, name string) {
-	q.value(path, name, validation.Required, validation.Match(named))
+	q.value(path, name, validation.Required, base.IsName)
 	if seen[name] {
 		q.bounce(base.Duplicate, path, "%q is named twice", name)
 	}
@@ -172,7 +164,7 @@
 	for i, machine := range machines {
 		path := fmt.Sprintf("common.machines[%d]", i)
 		q.once(names, path+".name", machine.Name)
-		q.value(path+".zone", machine.Zone, validation.Required, validation.Match(named))
+		q.value(path+".zone", machine.Zone, validation.Required, base.IsName)
 		if _, err := netip.ParseAddrPort(machine.Address); err != nil {
 			q.bounce(base.OutOfRange, path+".address", "%q is not an IP number and port", machine.Address)
 		}
--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -4,11 +4,11 @@
 
 import (
 	"fmt"
-	"regexp"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/pkg/errors"
 
+	"curlewreach/base"
 	"curlewreach/proto/wire"
 )
 
@@ -38,8 +38,6 @@
 	mostWeight = 1 << 20
 )
 
-var named = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Check returns validation.Errors with the first fault of each field of the
 // plan, by the field's path, or nil if there is none.
 func Check(plan *wire.PerchPlan) error {
@@ -78,7 +76,7 @@
 }
 
 func (c *check) once(seen map[string]bool, path, name string) {
-	c.add(path, validation.Validate(name, validation.Required, validation.Match(named)))
+	c.add(path, validation.Validate(name, validation.Required, base.IsName))
 	if seen[name] {
 		c.add(path, errors.Errorf("%q is named twice", name))
 	}
@@ -87,7 +85,7 @@
 
 func (c *check) machine(path string, machine *wire.PerchMachine) {
 	c.once(c.machines, path+".name", machine.Name)
-	c.add(path+".zone", validation.Validate(machine.Zone, validation.Required, validation.Match(named)))
+	c.add(path+".zone", validation.Validate(machine.Zone, validation.Required, base.IsName))
 	c.add(path+".capacity", validation.Validate(machine.Capacity, validation.Required, validation.Max(uint32(mostWeight))))
 }
 
