--- a/internal/config/chart_test.go
+++ b/internal/config/config_test.go
@@ -10,9 +10,9 @@
 	"curlewreach/proto/wire"
 )
 
-func TestChart(t *testing.T) {
+func TestConfig(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "chart")
+	ginkgo.RunSpecs(t, "config")
 }
 
 func example() *wire.Chart {
--- a/internal/placement/perch_test.go
+++ b/internal/placement/placement_test.go
@@ -11,9 +11,9 @@
 	"curlewreach/proto/wire"
 )
 
-func TestPerch(t *testing.T) {
+func TestPlacement(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "perch")
+	ginkgo.RunSpecs(t, "placement")
 }
 
 func plan(rules string) *wire.PerchPlan {
--- a/internal/tracing/lens_test.go
+++ b/internal/tracing/lens_test.go
@@ -11,9 +11,9 @@
 	"curlewreach/proto/wire"
 )
 
-func TestLens(t *testing.T) {
+func TestTracing(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "lens")
+	ginkgo.RunSpecs(t, "tracing")
 }
 
 func every(string) bool { return true }
