--- a/cmd/mime/main.go
+++ b/cmd/mime/main.go
@@ -1,3 +1,4 @@
+// Command mime stands in for an upstream or for visitors, to try a fleet.
 package main
 
 import (
@@ -8,9 +9,9 @@
 
 	"github.com/alexflint/go-arg"
 
-	"curlewreach/assay"
 	"curlewreach/base"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/judge"
+	"curlewreach/internal/testing/standin"
 )
 
 type upstream struct {
@@ -50,7 +51,7 @@
 	if err != nil {
 		base.Complain("mime", err)
 	}
-	s.Clock = mime.MachineClock()
+	s.Clock = standin.MachineClock()
 	switch {
 	case a.Upstream != nil:
 		err = a.Upstream.run(s)
@@ -78,7 +79,7 @@
 }
 
 func (u *upstream) run(s base.Scope) error {
-	stand := &mime.Upstream{Scope: s, Service: u.Service, Address: u.Address, Zone: u.Zone, Capacity: u.Capacity, Reports: u.Reports}
+	stand := &standin.Upstream{Scope: s, Service: u.Service, Address: u.Address, Zone: u.Zone, Capacity: u.Capacity, Reports: u.Reports}
 	if err := read(u.Habits, &stand.Habits); err != nil {
 		return err
 	}
@@ -88,7 +89,7 @@
 			return err
 		}
 		defer file.Close()
-		stand.History = assay.NewHistory(s.Clock)
+		stand.History = judge.NewHistory(s.Clock)
 		stand.History.Spill = file
 	}
 	if err := stand.Start(500 * time.Millisecond); err != nil {
@@ -103,8 +104,8 @@
 }
 
 func (v *visitors) run(s base.Scope) error {
-	history := assay.NewHistory(s.Clock)
-	stand := &mime.Visitors{Scope: s, Name: v.Name, To: v.To, Rate: v.Rate, History: history}
+	history := judge.NewHistory(s.Clock)
+	stand := &standin.Visitors{Scope: s, Name: v.Name, To: v.To, Rate: v.Rate, History: history}
 	if err := read(v.Plan, &stand.Habits); err != nil {
 		return err
 	}
--- a/fleet/scale/measure_test.go
+++ b/fleet/scale/measure_test.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/config"
 	"curlewreach/internal/tracing"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
@@ -45,7 +45,7 @@
 
 func BenchmarkLearn(b *testing.B) {
 	usual := &wire.Bundle{Common: &wire.Common{Tracing: &wire.Tracing{Cycle: durationpb.New(5 * time.Second)}}}
-	pact.Normalise(usual, pact.UsualLimits(6*time.Second))
+	bundle.Normalise(usual, bundle.UsualLimits(6*time.Second))
 	for _, size := range []struct{ routes, spans int }{{40, 5000}, {300, 5000}, {1000, 5000}, {3000, 5000}, {300, 15000}, {300, 45000}} {
 		_, c, m := measured(20, size.routes)
 		var spans []*wire.Span
@@ -71,23 +71,27 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		b.Run(fmt.Sprintf("adopt/routes=%d", routes), func(b *testing.B) {
-			b.ReportAllocs()
-			for b.Loop() {
-				read := &wire.Chart{}
-				if err := proto.Unmarshal(body, read); err != nil {
-					b.Fatal(err)
-				}
-				config.NewTable(read)
-			}
-		})
-		b.Run(fmt.Sprintf("judge/routes=%d", routes), func(b *testing.B) {
-			b.ReportAllocs()
-			for b.Loop() {
-				if faults := config.Check(config.Apply(whole, change)); len(faults) > 0 {
-					b.Fatal(faults)
-				}
-			}
-		})
+		b.Run(fmt.Sprintf("adopt/routes=%d", routes), func(b *testing.B) { adoptChart(b, body) })
+		b.Run(fmt.Sprintf("judge/routes=%d", routes), func(b *testing.B) { judgeChange(b, whole, change) })
+	}
+}
+
+func adoptChart(b *testing.B, body []byte) {
+	b.ReportAllocs()
+	for b.Loop() {
+		read := &wire.Chart{}
+		if err := proto.Unmarshal(body, read); err != nil {
+			b.Fatal(err)
+		}
+		config.NewTable(read)
+	}
+}
+
+func judgeChange(b *testing.B, whole *wire.Chart, change *wire.ChartChange) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if faults := config.Check(config.Apply(whole, change)); len(faults) > 0 {
+			b.Fatal(faults)
+		}
 	}
 }
--- a/fleet/soak_test.go
+++ b/fleet/soak_test.go
@@ -11,10 +11,10 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
-	"curlewreach/assay"
 	"curlewreach/base"
 	"curlewreach/fleet/rig"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/judge"
+	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
@@ -126,9 +126,9 @@
 	}},
 	{"faulty upstream", func(f *Fleet, rand *base.Rand) func() {
 		u := f.Seats[rand.Below(len(f.Seats))]
-		faults := []mime.Fault{mime.LoseAfter, mime.Truncate, mime.Garble, mime.Unframed, mime.Stuck, mime.Nonsense}
+		faults := []standin.Fault{standin.LoseAfter, standin.Truncate, standin.Garble, standin.Unframed, standin.Stuck, standin.Nonsense}
 		u.SetFault(faults[rand.Below(len(faults))])
-		return func() { u.SetFault(mime.Sound) }
+		return func() { u.SetFault(standin.Sound) }
 	}},
 	{"full disk", func(f *Fleet, rand *base.Rand) func() {
 		m := f.Keels[rand.Below(len(f.Keels))]
@@ -303,7 +303,7 @@
 	var crew base.Crew
 	for _, m := range f.Vanes {
 		each := f.scope(fmt.Sprint("crowd ", m.Name, f.Scope.Clock.Mono()), m.IP, m.Disk, m.Clock, m.Journal)
-		visitors := &mime.Visitors{Scope: each, Name: fmt.Sprint("crowd-", m.Name), To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
+		visitors := &standin.Visitors{Scope: each, Name: fmt.Sprint("crowd-", m.Name), To: m.At(visitorsPort), Rate: rate / float64(len(f.Vanes)), Habits: f.Plan, History: f.History}
 		crew.Go(func() { visitors.Run(each.Under(s)) })
 	}
 	return func() {
@@ -312,57 +312,70 @@
 	}
 }
 
+// badDay causes random troubles and tells which.
+type badDay struct {
+	*Fleet
+	rand *base.Rand
+	told []string
+}
+
+func (d *badDay) cause() (mend func()) {
+	chosen := troubles[d.rand.Below(len(troubles))]
+	d.told = append(d.told, fmt.Sprintf("%s %s", d.Scope.Clock.Mono(), chosen.name))
+	end := d.Trouble("day", chosen.name)
+	heal := chosen.cause(d.Fleet, d.rand)
+	return func() {
+		heal()
+		end()
+	}
+}
+
+// round causes up to three troubles that overlap, and mends them.
+func (d *badDay) round() {
+	var mends []func()
+	for range 1 + d.rand.Below(3) {
+		mends = append(mends, d.cause())
+		d.Pass(time.Duration(d.rand.Below(600)) * time.Millisecond)
+	}
+	d.Pass(time.Duration(500+d.rand.Below(2500)) * time.Millisecond)
+	for _, mend := range mends {
+		mend()
+	}
+	d.Pass(time.Duration(d.rand.Below(2000)) * time.Millisecond)
+}
+
+func (d *badDay) heal() {
+	d.World.HealAll()
+	for _, m := range d.Every() {
+		raise(d.Fleet, m)()
+	}
+}
+
 func soak(f *Fleet) {
-	rand := f.rand("troubles")
+	day := &badDay{Fleet: f, rand: f.rand("troubles")}
 	raised(f)
 	f.Visit(50)
 	stop := f.pusher()
-	var told []string
-	cause := func() func() {
-		chosen := troubles[rand.Below(len(troubles))]
-		told = append(told, fmt.Sprintf("%s %s", f.Scope.Clock.Mono(), chosen.name))
-		end := f.Trouble("day", chosen.name)
-		mend := chosen.cause(f, rand)
-		return func() {
-			mend()
-			end()
-		}
-	}
-	heal := func() {
-		f.World.HealAll()
-		for _, m := range f.Every() {
-			raise(f, m)()
-		}
-	}
 	for range soakRounds {
-		var mends []func()
-		for range 1 + rand.Below(3) {
-			mends = append(mends, cause())
-			f.Pass(time.Duration(rand.Below(600)) * time.Millisecond)
-		}
-		f.Pass(time.Duration(500+rand.Below(2500)) * time.Millisecond)
-		for _, mend := range mends {
-			mend()
-		}
-		f.Pass(time.Duration(rand.Below(2000)) * time.Millisecond)
+		day.round()
 	}
-	heal()
+	day.heal()
 	f.History.Returned()
 	f.Pass(recoverTime + 2*time.Second)
 	stop()
 	back := f.Scope.Clock.Mono()
 	f.Pass(3 * time.Second)
-	last := cause()
+	last := day.cause()
 	f.Pass(700 * time.Millisecond)
 	f.Leave()
 	last()
-	heal()
+	day.heal()
 	f.Pass(recoverTime)
-	f.Story = fmt.Sprintf("seed %d: %s", f.Seed, strings.Join(told, "; "))
+	f.Story = fmt.Sprintf("seed %d: %s", f.Seed, strings.Join(day.told, "; "))
 	f.learnOutcomes(f.Story)
 	f.ReadBack()
-	sound(f, assay.RanTwice, assay.Whole, assay.Allowed, assay.InForce, assay.SlideBack, assay.OneAck, assay.ReadBack, assay.Returns)
-	var late []assay.Call
+	sound(f, judge.RanTwice, judge.Whole, judge.Allowed, judge.InForce, judge.SlideBack, judge.OneAck, judge.ReadBack, judge.Returns)
+	var late []judge.Call
 	for _, call := range f.History.Calls() {
 		if call.Begun > back && call.Begun < back+2500*time.Millisecond {
 			late = append(late, call)
--- a/fleet/tap.go
+++ b/fleet/tap.go
@@ -3,17 +3,20 @@
 import (
 	"time"
 
-	"curlewreach/assay"
 	"curlewreach/base"
+	"curlewreach/internal/testing/judge"
 )
 
 const (
+	// readEvery is the interval at which the history samples what each node
+	// would serve.
 	readEvery = 50 * time.Millisecond
+	// calmAfter is how long after the last trouble all is calm.
 	calmAfter = 4 * time.Second
 )
 
 type tap struct {
-	history *assay.History
+	history *judge.History
 	node    string
 }
 
@@ -47,11 +50,13 @@
 				continue
 			}
 			serial, digest, ready := m.Vane.Node.Serving()
-			f.History.Read(assay.Reading{At: now, Node: m.Name, Serial: serial, Digest: digest, Ready: ready, Calm: now-calm > calmAfter})
+			f.History.Read(judge.Reading{At: now, Node: m.Name, Serial: serial, Digest: digest, Ready: ready, Calm: now-calm > calmAfter})
 		}
 	})
 }
 
+// ReadBack notes in the history what each core machine's disk has of the
+// bundle.
 func (f *Fleet) ReadBack() {
 	for _, m := range f.Keels {
 		if m.Keel == nil || !m.Keel.Helm.Ready() {
