--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -140,6 +140,16 @@
 		}, "keel core-1 does not agree with a majority of disks; it last did 2.5s ago", "keel core-1 does not hear keel 10.0.0.2:7", "keel core-1 is on serial 4, the newest is 5"),
 		ginkgo.Entry("too few copies", func(l *look) { l.keels["10.0.0.1:7"].Keys[0].Copies = 1 }, "the newest chart is on 1 of 2 disks"),
 		ginkgo.Entry("a blank disk", func(l *look) { l.keels["10.0.0.2:7"].Phase = "blank" }, "keel core-2 has not recovered its disk: blank"),
+		ginkgo.Entry("a keel without a vote", func(l *look) {
+			l.keels["10.0.0.2:7"].Phase, l.keels["10.0.0.2:7"].Generation = catchingUp, 4
+		}, "keel core-2 has no vote, and generation 4 has its voters"),
+		ginkgo.Entry("no voter to spare", func(l *look) {
+			k := l.keels["10.0.0.1:7"]
+			k.Mates = append(k.Mates, &wire.KeelMate{Address: "10.0.0.3:7"})
+			k.Generation, k.Sealed, k.Keys = 3, true, nil
+			k.Learners = []*wire.KeelLearner{{Address: "10.0.0.4:7"}, {Address: "10.0.0.5:7", CaughtUp: true}}
+		}, "keel core-1 hears so few of the 3 voters of generation 3 that one more lost would stop changes",
+			"keel core-1 has ended generation 3 and waits for the next", "keel core-1 sees 10.0.0.4:7 still catching up"),
 		ginkgo.Entry("a node behind", func(l *look) { l.views["app-1"].Serial = 4 }, "node app-1 is on serial 4, the newest is 5"),
 		ginkgo.Entry("a node seen by one keel", func(l *look) {
 			l.sights["app-1"].there, l.sights["app-1"].absent = []string{"core-1"}, []string{"core-2"}
--- a/cmd/quiz/opentables.go
+++ b/cmd/quiz/opentables.go
@@ -155,7 +155,7 @@
 	if a.JSON {
 		return printAll(map[string][]proto.Message{"keels": messages(l.keels)}, l.silent)
 	}
-	t := tableOf("KEEL", "ADDRESS", "ZONE", "PHASE", "SETTLED", "AGREED", "SERIAL", "OWNER", "LEARNER", "NODES", "ABSENT", "KEYS")
+	t := tableOf("KEEL", "ADDRESS", "ZONE", "PHASE", "GENERATION", "SPARE", "SETTLED", "AGREED", "SERIAL", "OWNER", "LEARNER", "NODES", "ABSENT", "KEYS")
 	for _, address := range slices.Sorted(maps.Keys(l.keels)) {
 		keel := l.keels[address]
 		agreed, absent, keys := "never", 0, []string{}
@@ -174,7 +174,7 @@
 			}
 			keys = append(keys, fmt.Sprintf("%s:%d%s", key.Key, key.Serial, sick))
 		}
-		t.add(keel.Keel, address, keel.Zone, keel.Phase, keel.Settled, agreed, keel.Serial, keel.Owner, keel.Learner, len(keel.Nodes), absent, strings.Join(keys, " "))
+		t.add(keel.Keel, address, keel.Zone, keel.Phase, keel.Generation, keel.Spare, keel.Settled, agreed, keel.Serial, keel.Owner, keel.Learner, len(keel.Nodes), absent, strings.Join(keys, " "))
 	}
 	t.print(a.Sort, a.Filter)
 	for _, address := range l.silent {
--- a/cmd/quiz/openwrong.go
+++ b/cmd/quiz/openwrong.go
@@ -12,7 +12,10 @@
 
 const (
 	wholePhase = "founded"
-	muchBehind = 100
+	catchingUp = "catching-up"
+	// fewestSpared is the least number of voters that can bear a loss.
+	fewestSpared = 3
+	muchBehind   = 100
 )
 
 // wrong says in plain words what is wrong now; chart is nil if no keel could tell it.
@@ -70,7 +73,11 @@
 
 func (l *look) keelWrong(keel *wire.KeelView, newest uint64, add func(string, ...any)) {
 	name := keel.Keel
-	if keel.Phase != wholePhase {
+	switch keel.Phase {
+	case wholePhase:
+	case catchingUp:
+		add("keel %s has no vote, and generation %d has its voters", name, keel.Generation)
+	default:
 		add("keel %s has not recovered its disk: %s", name, keel.Phase)
 	}
 	if !keel.Settled {
@@ -92,11 +99,27 @@
 		}
 	}
 	keelRepairs(keel, add)
+	keelMembers(keel, add)
 	if newest > 0 && keel.Phase == wholePhase && keel.Learner == "" {
 		add("keel %s knows of nobody who learns the odds", name)
 	}
 }
 
+// keelMembers tells what stands between a keel's voters and the next loss.
+func keelMembers(keel *wire.KeelView, add func(string, ...any)) {
+	if keel.Phase == wholePhase && len(keel.Mates) >= fewestSpared && keel.Spare < 1 {
+		add("keel %s hears so few of the %d voters of generation %d that one more lost would stop changes", keel.Keel, len(keel.Mates), keel.Generation)
+	}
+	if keel.Sealed {
+		add("keel %s has ended generation %d and waits for the next", keel.Keel, keel.Generation)
+	}
+	for _, learner := range keel.Learners {
+		if !learner.CaughtUp {
+			add("keel %s sees %s still catching up", keel.Keel, learner.Address)
+		}
+	}
+}
+
 func keelRepairs(keel *wire.KeelView, add func(string, ...any)) {
 	for _, key := range keel.Keys {
 		if key.Sick {
