Requests that may run once go on connections that are certain

Cause: a kept connection that its upstream closes just then is reset under the request; for what may run once that is doubt and ends in 502. A request that may run once now takes a kept connection only within half of the longest rest after which one was found open; a broken rest is forgotten. A connection that takes no byte of a request is replaced. One that brought anything nobody asked for goes after its answer; 101 is no answer. The idle look no longer waits for a reader of the same connection. Ruled out: always a new connection, a fixed rest, the whole longest rest.

--- a/internal/dataplane/line.go
+++ b/internal/dataplane/line.go
@@ -21,16 +21,21 @@
 	lineBuffer  = 4 << 10
 	surplusMost = 4
 	linesKept   = 64
+	linesSpare  = 4
 )
 
-var errNotDialled = errors.New("not dialled")
+var (
+	errNotDialled = errors.New("not dialled")
+	errSwitched   = errors.New("the peer switched to another protocol, which nobody asked for")
+)
 
 type message struct {
-	method string
-	target string
-	host   string
-	header http.Header
-	body   []byte
+	method  string
+	target  string
+	host    string
+	header  http.Header
+	body    []byte
+	certain bool // only on a connection that is certain to be open: the request may run once
 }
 
 // line is one kept connection; what it says of a request is exact: nothing is ever sent twice.
@@ -38,12 +43,23 @@
 	conn   net.Conn
 	in     *bufio.Reader
 	idle   time.Duration
+	rested time.Duration // since when it is idle
 	until  time.Duration
 	passed int
+	odd    bool // something came on it that no request here asked for
+	wrote  bool // a byte of the present request may have left
+}
+
+// Write notes whether a byte of the request left this machine.
+func (l *line) Write(data []byte) (int, error) {
+	n, err := l.conn.Write(data)
+	l.wrote = l.wrote || n > 0
+	return n, err
 }
 
 func (l *line) send(m *message) error {
-	out := bufio.NewWriterSize(l.conn, lineBuffer)
+	l.wrote = false
+	out := bufio.NewWriterSize(l, lineBuffer)
 	_, _ = out.WriteString(m.method + " " + m.target + " HTTP/1.1\r\nHost: " + m.host + "\r\n")
 	if len(m.body) > 0 || m.method != http.MethodGet && m.method != http.MethodHead {
 		_, _ = out.WriteString("Content-Length: " + strconv.Itoa(len(m.body)) + "\r\n")
@@ -64,20 +80,24 @@
 func (l *line) read(method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(l.in, &http.Request{Method: method})
-		if err != nil || response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || response.StatusCode >= 200 {
 			return response, err
 		}
+		l.odd = true
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
 	}
 }
 
-func (l *line) quiet() bool {
-	if l.in.Buffered() > 0 {
-		return false
-	}
-	if told, ok := l.conn.(interface{ Quiet() bool }); ok {
+func (l *line) quiet() bool { return l.in.Buffered() == 0 && quiet(l.conn) }
+
+// quiet tells that nothing waits to be read on a connection: no byte, no end, no reset.
+func quiet(conn net.Conn) bool {
+	if told, ok := conn.(interface{ Quiet() bool }); ok {
 		return told.Quiet()
 	}
-	tcp, ok := l.conn.(*net.TCPConn)
+	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return true
 	}
@@ -87,10 +107,10 @@
 	}
 	silent := false
 	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	// Control and not Read: another goroutine may be waiting in a read, whose lock Read would wait for.
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		silent = err == unix.EAGAIN || err == unix.EWOULDBLOCK
-		return true
 	})
 	return err == nil && silent
 }
@@ -118,32 +138,70 @@
 	silent time.Duration
 	mu     sync.Mutex
 	kept   map[string][]*line
+	rests  restsKept
 	dialed uint64
 }
 
 // NewLines keeps connections idle for at most idle, dials for at most dial, and gives a peer up whose machine acknowledges nothing for silent.
 func NewLines(net base.Net, clock base.Clock, idle, dial, silent time.Duration) *Lines {
-	return &Lines{net: net, clock: clock, idle: idle, dial: dial, silent: silent, kept: map[string][]*line{}}
+	return &Lines{net: net, clock: clock, idle: idle, dial: dial, silent: silent, kept: map[string][]*line{}, rests: restsKept{}}
 }
 
-func (p *Lines) take(ctx context.Context, address string) (*line, error) {
+// take gives a connection to write one request on: the one idle for the shortest time, if it is still open, else a new one.
+// With certain, an idle one is taken only within a rest that this peer has been seen to keep.
+func (p *Lines) take(ctx context.Context, address string, certain bool) (*line, error) {
 	for {
-		p.mu.Lock()
-		kept := p.kept[address]
-		if len(kept) == 0 {
-			p.mu.Unlock()
+		at := p.takeKept(address, certain)
+		if at == nil {
 			return p.fresh(ctx, address)
 		}
-		at := kept[len(kept)-1]
-		p.kept[address] = kept[:len(kept)-1]
-		p.mu.Unlock()
-		if p.clock.Mono() < at.until && at.quiet() {
+		if at.quiet() {
 			return at, nil
 		}
+		p.distrust(address)
 		_ = at.conn.Close()
 	}
 }
 
+// takeKept takes an idle connection out of the pool; nil if there is none to use.
+func (p *Lines) takeKept(address string, certain bool) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Mono()
+	for {
+		kept := p.kept[address]
+		if len(kept) == 0 {
+			return nil
+		}
+		youngest := kept[len(kept)-1]
+		if certain && now-youngest.rested > p.rests.certain(address) {
+			p.makeRoom(address)
+			return nil
+		}
+		p.kept[address] = kept[:len(kept)-1]
+		if now < youngest.until {
+			return youngest
+		}
+		_ = youngest.conn.Close()
+	}
+}
+
+// makeRoom bounds what is dialled beside connections that aren't certain. The few left show by resting on for how long
+// their peer keeps a rest.
+func (p *Lines) makeRoom(address string) {
+	if kept := p.kept[address]; len(kept) >= linesSpare {
+		_ = kept[0].conn.Close()
+		p.kept[address] = kept[1:]
+	}
+}
+
+// distrust forgets what was learned about a peer that broke a rest.
+func (p *Lines) distrust(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests.broke(address)
+}
+
 func (p *Lines) fresh(ctx context.Context, address string) (*line, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dial)
 	defer cancel()
@@ -160,7 +218,7 @@
 }
 
 func (p *Lines) give(address string, at *line, response *http.Response) {
-	if response.Close || at.in.Buffered() > 0 {
+	if response.Close || at.odd || at.in.Buffered() > 0 {
 		_ = at.conn.Close()
 		return
 	}
@@ -173,7 +231,8 @@
 	}
 	_ = at.conn.SetDeadline(time.Time{})
 	at.passed++
-	at.until = p.clock.Mono() + at.idle
+	at.rested = p.clock.Mono()
+	at.until = at.rested + at.idle
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.kept[address]) >= linesKept {
@@ -197,7 +256,7 @@
 	return 0, false
 }
 
-// Sweep closes what has been idle for too long.
+// Sweep closes what has been idle for too long or has been closed by its peer, and learns from both for how long peers keep a rest.
 func (p *Lines) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,7 +264,11 @@
 	for address, kept := range p.kept {
 		var left []*line
 		for _, at := range kept {
-			if now < at.until {
+			switch {
+			case !at.quiet():
+				p.rests.broke(address)
+			case now < at.until:
+				p.rests.held(address, now-at.rested, now)
 				left = append(left, at)
 				continue
 			}
@@ -217,6 +280,7 @@
 		}
 		p.kept[address] = left
 	}
+	p.rests.sweep(now, p.idle)
 }
 
 // Forget closes the idle connections to an address.
@@ -239,35 +303,59 @@
 }
 
 // exchange sends one request on one connection and reads the head of its answer. sent tells whether a byte may have left.
+// A connection that takes no byte of the request is replaced: nothing was sent on it.
 func (p *Lines) exchange(ctx context.Context, address string, m *message, own func(*http.Response) bool) (r *reply, sent bool, err error) {
-	at, err := p.take(ctx, address)
-	if err != nil {
-		return nil, false, err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = at.conn.SetDeadline(time.Unix(1, 0)) })
-	broken := func(err error) (*reply, bool, error) {
+	for {
+		at, err := p.take(ctx, address, m.certain)
+		if err != nil {
+			return nil, false, err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = at.conn.SetDeadline(time.Unix(1, 0)) })
+		response, err := p.ask(at, m, own)
+		if err == nil {
+			return &reply{Response: response, lines: p, line: at, address: address, stop: stop}, true, nil
+		}
 		stop()
 		_ = at.conn.Close()
-		return nil, true, err
+		if at.passed > 0 && ctx.Err() == nil {
+			p.distrust(address)
+		}
+		if at.wrote {
+			return nil, true, err
+		}
+		if at.passed == 0 || ctx.Err() != nil {
+			return nil, false, errors.Wrap(errNotDialled, err.Error())
+		}
 	}
+}
+
+// ask writes a request and reads answers until its own; those to other requests are skipped.
+func (p *Lines) ask(at *line, m *message, own func(*http.Response) bool) (*http.Response, error) {
 	if err := at.send(m); err != nil {
-		return broken(err)
+		return nil, err
 	}
 	for range surplusMost {
 		response, err := at.read(m.method)
 		if err != nil {
-			return broken(err)
+			return nil, err
 		}
 		if own(response) {
-			return &reply{Response: response, lines: p, line: at, address: address, stop: stop}, true, nil
+			return response, nil
 		}
+		at.odd = true
 		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-			return broken(errors.New("an answer to another request, and none after it"))
+			return nil, errors.New("an answer to another request, and none after it")
 		}
 	}
-	return broken(errors.New("answers to other requests only"))
+	return nil, errors.New("answers to other requests only")
 }
 
+// first tells that nothing came on the connection before this answer, so that it can only belong to this request.
+func (r *reply) first() bool { return r.line.passed == 0 && !r.line.odd }
+
+// distrust lets the connection go after this answer.
+func (r *reply) distrust() { r.line.odd = true }
+
 // whole ends a reply whose body was read to its end.
 func (r *reply) whole() {
 	if r.ended {
--- /dev/null
+++ b/internal/dataplane/line_test.go
@@ -0,0 +1,150 @@
+package dataplane
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+)
+
+// idleUpstream closes each connection after so long a rest, as some upstreams do without a word.
+func (s *stand) idleUpstream(address string, rest time.Duration) *http.Server {
+	listener, err := s.scope(host(address)).Net.Listen(address)
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{IdleTimeout: rest, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+	s.aside(func() { _ = server.Serve(listener) })
+	s.after(func() { _ = server.Close() })
+	return server
+}
+
+func anyAnswer(*http.Response) bool { return true }
+
+// exchanged tells whether a request was answered, or its fate is not known.
+func exchanged(lines *Lines, address string, certain bool) (answered, doubtful bool) {
+	r, sent, err := lines.exchange(context.Background(), address, &message{method: http.MethodGet, target: "/", host: "books.example", certain: certain}, anyAnswer)
+	if err != nil {
+		return false, sent
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	r.whole()
+	return true, false
+}
+
+var _ = ginkgo.Describe("kept connections", func() {
+	const address = "10.9.2.1:8080"
+	const rest = 320 * time.Millisecond
+	story("given an upstream that closes connections after a short rest, when requests come that may run once, then none is in doubt, and many still use kept connections", func(s *stand) {
+		s.idleUpstream(address, rest)
+		scope := s.scope(otherBox)
+		lines := NewLines(scope.Net, s.clock, upIdle, time.Second, time.Second)
+		s.aside(func() { base.Tick(scope, sweepEvery, func(base.Scope) { lines.Sweep() }) })
+		rand := base.SeededRand(3)
+		const asked = 4000
+		doubts, fails := 0, 0
+		for range asked {
+			answered, doubtful := exchanged(lines, address, true)
+			if doubtful {
+				doubts++
+			}
+			if !answered {
+				fails++
+			}
+			time.Sleep(time.Duration(rand.Float64() * rand.Float64() * float64(2*rest)))
+		}
+		share := float64(lines.dialed) / asked
+		ginkgo.AddReportEntry("new connections a request", share)
+		Expect(doubts).To(BeZero())
+		Expect(fails).To(BeZero())
+		Expect(share).To(BeNumerically("<", 0.8))
+	})
+
+	story("given an upstream that keeps connections, when requests that may run once come at a steady pace, then hardly any needs a new connection", func(s *stand) {
+		s.idleUpstream(address, time.Hour)
+		scope := s.scope(otherBox)
+		lines := NewLines(scope.Net, s.clock, upIdle, time.Second, time.Second)
+		s.aside(func() { base.Tick(scope, sweepEvery, func(base.Scope) { lines.Sweep() }) })
+		rand := base.SeededRand(3)
+		const asked = 1000
+		for range asked {
+			exchanged(lines, address, true)
+			time.Sleep(time.Duration(2 * rand.Float64() * float64(rest)))
+		}
+		ginkgo.AddReportEntry("new connections a request", float64(lines.dialed)/asked)
+		Expect(lines.dialed).To(BeNumerically("<", 10))
+	})
+
+	story("given a peer that broke a rest, when a request that may run once comes, then it takes a new connection, and few are left idle", func(s *stand) {
+		s.idleUpstream(address, time.Hour)
+		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		exchanged(lines, address, false)
+		lines.rests.held(address, time.Minute, s.clock.Mono())
+		time.Sleep(time.Second)
+		exchanged(lines, address, true)
+		Expect(lines.dialed).To(BeEquivalentTo(1))
+		for range 2 * linesSpare {
+			lines.distrust(address)
+			time.Sleep(upIdle / 20)
+			exchanged(lines, address, true)
+		}
+		Expect(lines.dialed).To(BeEquivalentTo(1 + 2*linesSpare))
+		Expect(lines.kept[address]).To(HaveLen(linesSpare))
+	})
+
+	story("given a kept connection that takes no byte, when a request is written on it, then it goes once on a new one", func(s *stand) {
+		asked := &tally{}
+		s.serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			asked.add("asked", 1)
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		exchanged(lines, address, true)
+		kept := lines.kept[address][0]
+		kept.conn = deaf{kept.conn}
+		lines.rests.held(address, time.Minute, s.clock.Mono())
+		answered, _ := exchanged(lines, address, true)
+		Expect(answered).To(BeTrue())
+		Expect(asked.add("asked", 0)).To(Equal(2))
+		Expect(lines.dialed).To(BeEquivalentTo(2))
+	})
+
+	story("given a connection that breaks after a part of the request, when it is written, then it is in doubt and sent no second time", func(s *stand) {
+		asked := &tally{}
+		s.serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { asked.add("asked", 1) }))
+		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		exchanged(lines, address, true)
+		kept := lines.kept[address][0]
+		kept.conn = cutShort{kept.conn}
+		lines.rests.held(address, time.Minute, s.clock.Mono())
+		answered, doubtful := exchanged(lines, address, true)
+		Expect(answered).To(BeFalse())
+		Expect(doubtful).To(BeTrue())
+		Expect(asked.add("asked", 0)).To(Equal(1))
+		Expect(lines.dialed).To(BeEquivalentTo(1))
+	})
+
+	ginkgo.It("given a keep-alive time that an upstream tells, when a connection rests, then it is used up to half a second before that", func() {
+		told, known := keepAlive(http.Header{"Keep-Alive": {"timeout=" + strconv.Itoa(5) + ", max=100"}})
+		Expect(known).To(BeTrue())
+		Expect(told).To(Equal(4500 * time.Millisecond))
+	})
+})
+
+// deaf looks open and takes no byte: a reset is on its way up from the kernel.
+type deaf struct{ net.Conn }
+
+func (deaf) Quiet() bool               { return true }
+func (deaf) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// cutShort takes one byte and breaks.
+type cutShort struct{ net.Conn }
+
+func (cutShort) Quiet() bool               { return true }
+func (cutShort) Write([]byte) (int, error) { return 1, syscall.ECONNRESET }
--- a/internal/dataplane/way.go
+++ b/internal/dataplane/way.go
@@ -43,6 +43,7 @@
 	Route    string
 	Rank     int
 	Repeat   bool
+	Once     bool
 	Patience time.Duration
 	Aim      time.Duration
 	Stay     time.Duration
@@ -60,7 +61,7 @@
 
 func (w Way) text() string {
 	return strings.Join([]string{
-		url.QueryEscape(w.Service), url.QueryEscape(w.Berth), url.QueryEscape(w.Route), strconv.Itoa(w.Rank), flag(w.Repeat) + flag(w.Sampled),
+		url.QueryEscape(w.Service), url.QueryEscape(w.Berth), url.QueryEscape(w.Route), strconv.Itoa(w.Rank), flag(w.Repeat) + flag(w.Sampled) + flag(w.Once),
 		millis(w.Patience), millis(w.Aim), millis(w.Stay), strconv.FormatUint(w.Serial, 10), w.Trace,
 	}, ";")
 }
@@ -69,7 +70,7 @@
 
 func readWay(text string) (w Way, ok bool) {
 	parts := strings.Split(text, ";")
-	if len(parts) != 10 || len(parts[4]) != 2 {
+	if len(parts) != 10 || len(parts[4]) != 3 {
 		return w, false
 	}
 	sound := true
@@ -85,7 +86,7 @@
 	}
 	spell := func(i int) time.Duration { return time.Duration(number(i)) * time.Millisecond }
 	w = Way{
-		Service: words(0), Berth: words(1), Route: words(2), Rank: int(number(3)), Repeat: parts[4][0] == '1', Sampled: parts[4][1] == '1',
+		Service: words(0), Berth: words(1), Route: words(2), Rank: int(number(3)), Repeat: parts[4][0] == '1', Sampled: parts[4][1] == '1', Once: parts[4][2] == '1',
 		Patience: spell(5), Aim: spell(6), Stay: spell(7), Serial: uint64(number(8)), Trace: parts[9],
 	}
 	return w, sound
