Idle connections of clients stay open as long as any limit promised

Cause: the node's idle limit stood at 30 s whatever the configuration says, and clients come back after up to four fifths of its limit, also while a node stops or a new limit comes. A limit now ends a rest only once none in force since the rest began promises it, with the bound of being in force for one under way; closed at the second look, never with bytes on it.

--- /dev/null
+++ b/internal/dataplane/client_connections_test.go
@@ -0,0 +1,155 @@
+package dataplane
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/internal/config"
+	"curlewreach/proto/wire"
+)
+
+// comebackRatio is the part of the idle limit after which clients still come back.
+const comebackRatio = 0.8
+
+func limitIdle(n *Node, serial uint64, idle time.Duration) {
+	chart := aChart(serial)
+	chart.Limits = &wire.ChartLimits{IdleMs: float64(idle.Milliseconds())}
+	n.table.Store(config.NewTable(chart))
+}
+
+// resting is a client's connection in a bubble.
+type resting struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (s *stand) resting(n *Node) *resting {
+	conn, err := s.scope(otherBox).Net.Dial(context.Background(), "tcp", n.params.Outward)
+	Expect(err).NotTo(HaveOccurred())
+	return &resting{conn, bufio.NewReader(conn)}
+}
+
+func (c *resting) ask(id string) (*http.Response, error) {
+	if _, err := c.conn.Write([]byte("GET /search/x HTTP/1.1\r\nHost: books.example\r\n" + Plain.Attempt + ": " + id + "\r\n" + Plain.Left + ": 3000\r\n\r\n")); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.in, nil)
+	if err == nil {
+		err = response.Body.Close()
+	}
+	return response, err
+}
+
+var _ = ginkgo.Describe("an idle connection of a client", func() {
+	const long, short = 60 * time.Second, 5 * time.Second
+	rest := time.Duration(comebackRatio * float64(long))
+	var n *Node
+	var client *resting
+	begin := func(s *stand, idle time.Duration) {
+		seeds, _, _ := s.standKeels(1, 0)
+		n = s.node(1, seeds)
+		limitIdle(n, 1, idle)
+		s.seat(n, 4, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("pages")) })
+		client = s.resting(n)
+		response, err := client.ask("one")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	}
+	comesBack := func() {
+		response, err := client.ask("two")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	}
+	story("given a limit of a minute, when the client comes back after four fifths of it, then it is answered", func(s *stand) {
+		begin(s, long)
+		time.Sleep(rest)
+		comesBack()
+	})
+	story("given a limit that is lowered while the connection rests, when the client comes back after four fifths of the old one, then it is answered", func(s *stand) {
+		begin(s, long)
+		time.Sleep(rest / 2)
+		limitIdle(n, 2, short)
+		time.Sleep(rest / 2)
+		comesBack()
+	})
+	story("given a limit that is raised while the connection rests, when the client comes back after four fifths of the new one, then it is answered", func(s *stand) {
+		begin(s, short)
+		time.Sleep(short / 2)
+		limitIdle(n, 2, long)
+		time.Sleep(rest - short/2)
+		comesBack()
+	})
+	story("given a raised limit that reaches this node late, when it comes within the bound of being in force, then the connection is still open", func(s *stand) {
+		begin(s, short)
+		time.Sleep(short + n.params.InForce.AsDuration())
+		limitIdle(n, 2, long)
+		time.Sleep(rest - short - n.params.InForce.AsDuration())
+		comesBack()
+	})
+	story("given a node that is told to stop, when the client comes back after four fifths of the limit while it stops, then it is answered and told to go elsewhere", func(s *stand) {
+		begin(s, long)
+		other := s.node(2, noKeels)
+		limitIdle(other, 1, long)
+		s.seat(other, 4, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("pages")) })
+		time.Sleep(rest - time.Second)
+		n.roster.Heard("keel", true, []*wire.Sight{{Post: other.post()}})
+		s.aside(n.Stop)
+		time.Sleep(time.Second)
+		response, err := client.ask("two")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(response.Close).To(BeTrue())
+	})
+	story("given a client that never comes back, when the limit is over, then the connection is closed within the slack and two looks", func(s *stand) {
+		begin(s, short)
+		time.Sleep(short + n.params.InForce.AsDuration() + 3*sweepEvery)
+		_, err := client.ask("two")
+		Expect(err).To(HaveOccurred())
+	})
+
+	ginkgo.It("given real sockets, when a connection is overdue, then one with a request on it is left alone and a quiet one closed at the second look", func() {
+		clock := &stepped{now: time.Hour}
+		connections := NewClientConnections(clock, time.Second, func() time.Duration { return 10 * time.Second })
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		var states = make(chan http.ConnState, 16)
+		var served net.Conn
+		server := &http.Server{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+			ConnState: func(conn net.Conn, state http.ConnState) {
+				connections.Changed(conn, state)
+				served = conn
+				states <- state
+			},
+		}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		Eventually(states).Should(Receive(Equal(http.StateIdle)))
+		clock.now += 11500 * time.Millisecond
+		connections.Sweep()
+		Expect(connections.idle).To(HaveKey(served))
+		other, there := net.Pipe()
+		defer func() { _ = other.Close() }()
+		connections.Changed(spoken{there}, http.StateIdle)
+		clock.now += 11500 * time.Millisecond
+		connections.Sweep()
+		Eventually(states).Should(Receive(Equal(http.StateClosed)))
+		connections.Sweep()
+		Expect(connections.idle).To(HaveKey(net.Conn(spoken{there})), "something has come on it")
+	})
+})
+
+// spoken is a connection on which something has come that nobody has read.
+type spoken struct{ net.Conn }
+
+func (spoken) Quiet() bool { return false }
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -20,6 +20,7 @@
 	headBytes    = 64 << 10
 	headTime     = 5 * time.Second
 	idleTime     = 30 * time.Second
+	longestIdle  = 24 * time.Hour
 	mateIdle     = 20 * time.Second
 	upIdle       = 8 * time.Second
 	dialRatio    = 0.15
@@ -66,6 +67,7 @@
 	keels       map[string]*caller
 	counts      base.Table[*atomic.Uint64]
 	lengths     [len(classes)]base.Histogram
+	clients     *ClientConnections
 	doors       []*base.Door
 	cancel      context.CancelFunc
 	crew        base.Crew
@@ -123,16 +125,24 @@
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
 	n.sink = tracing.NewSink(s, n.web, p.Seeds, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
+	n.clients = NewClientConnections(s.Clock, force, n.clientIdle)
 	n.openViews(s)
+	usual := func(server *http.Server) {
+		server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = headBytes, headTime, idleTime
+	}
+	forClients := func(server *http.Server) {
+		usual(server)
+		server.IdleTimeout, server.ConnState = 0, n.clients.Changed
+	}
 	for _, each := range []struct {
 		address string
 		handler http.Handler
+		set     func(*http.Server)
 	}{
-		{p.Inward, http.HandlerFunc(n.inward)}, {p.Control, control(n)}, {p.Ready, http.HandlerFunc(n.readiness)}, {p.Outward, http.HandlerFunc(n.outward)},
+		{p.Inward, http.HandlerFunc(n.inward), usual}, {p.Control, control(n), usual}, {p.Ready, http.HandlerFunc(n.readiness), usual},
+		{p.Outward, http.HandlerFunc(n.outward), forClients},
 	} {
-		door, err := base.OpenWith(s, each.address, each.handler, func(server *http.Server) {
-			server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = headBytes, headTime, idleTime
-		})
+		door, err := base.OpenWith(s, each.address, each.handler, each.set)
 		if err != nil {
 			n.Kill()
 			return nil, err
@@ -144,6 +154,7 @@
 	n.crew.Go(func() { n.sink.Run(s, spanEvery) })
 	n.crew.Go(func() {
 		base.Tick(s, sweepEvery, func(base.Scope) {
+			n.clients.Sweep()
 			n.dock.Sweep()
 			n.roster.Own(n.post())
 			n.across.Sweep()
@@ -235,11 +246,11 @@
 	n.Kill()
 }
 
-// Kill ends a node at once.
+// Kill ends a node at once. Connections close first, so that no answer of this node's own stands in for one that was on its way.
 func (n *Node) Kill() {
-	n.cancel()
 	for _, door := range n.doors {
 		door.Slam()
 	}
+	n.cancel()
 	n.crew.Wait()
 }
