A table of what happens to requests, played over real sockets

Faults found by it, mended: - an upstream's 501, 502, 503, 408 and 429 went back as 502 with its seal.

--- a/internal/dataplane/far.go
+++ b/internal/dataplane/far.go
@@ -59,6 +59,9 @@
 	if mishap != nil {
 		return bounced(mishap)
 	}
+	if repeatable, _, _ := n.repeatableNow(way, m); way.Repeat && !way.Once && !repeatable {
+		return bounced(base.Bounce(base.Crowded, "", "the route's requests may run once by now"))
+	}
 	now := n.scope.Clock.Mono()
 	further := false
 	if caller := m.header.Get(n.speech.Caller); caller != "" {
@@ -84,6 +87,7 @@
 	}
 	m.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	m.header[n.speech.Target] = []string{berth.Id}
+	m.certain = way.Once
 	f := n.ties.board(way, until, left)
 	own := func(r *http.Response) bool {
 		id := r.Header.Get(n.speech.Attempt)
@@ -108,7 +112,14 @@
 		return doubt(base.Lost, err.Error())
 	}
 	status := r.StatusCode
-	if r.Header.Get(n.speech.NotRun) != "" || status == http.StatusMisdirectedRequest {
+	turnedAway := status >= http.StatusBadRequest && r.Header.Get(n.speech.NotRun) != "" || status == http.StatusMisdirectedRequest
+	if turnedAway && r.Header.Get(n.speech.Attempt) == "" && !r.first() {
+		r.broken()
+		land(0)
+		n.scope.Note("answer-unowned", berth.Id, "")
+		return doubt(base.Garbled, "a refusal without an id, perhaps of another request")
+	}
+	if turnedAway {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, farHeld))
 		r.broken()
 		land(0)
@@ -120,8 +131,12 @@
 		o.arrived = status != http.StatusMisdirectedRequest
 		return o
 	}
+	sealed := status >= 300 || r.Header.Get(n.speech.Seal) != ""
+	if !sealed {
+		r.distrust()
+	}
 	a, err := take(r, farHeld, func(bool) { land(status) })
-	if err != nil || status >= 200 && status < 300 && r.Header.Get(n.speech.Seal) == "" {
+	if err != nil || !sealed {
 		r.broken()
 		land(0)
 		n.ills.Saw(berth.Id, false)
@@ -129,14 +144,7 @@
 		return doubt(base.Garbled, "the upstream's answer was not whole")
 	}
 	n.ills.Saw(berth.Id, status < 500)
-	state := Answered
-	if status >= 500 || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout {
-		state = Failed
-		if status != http.StatusInternalServerError && status != http.StatusGatewayTimeout {
-			a.status = http.StatusBadGateway
-		}
-	}
-	return outcome{state: state, arrived: true, answer: a, waited: waited, further: further}
+	return outcome{state: stateOf(status), arrived: true, answer: a, waited: waited, further: further}
 }
 
 func (n *Node) gateWait(gate *Gate) time.Duration {
@@ -262,6 +270,9 @@
 		n.behind.Ring()
 	}
 	said, isOutcome := readOutcome(r.Header.Get(outcomeHeader))
+	if !weighed {
+		r.distrust()
+	}
 	a, err := take(r, nearHeld, func(bool) {})
 	if err != nil {
 		r.broken()
@@ -276,9 +287,5 @@
 		said.weight = &weight
 		return said
 	}
-	state := Answered
-	if a.status >= 500 {
-		state = Failed
-	}
-	return outcome{state: state, arrived: true, answer: a, weight: &weight, waited: time.Duration(weight.Waited) * time.Millisecond}
+	return outcome{state: stateOf(a.status), arrived: true, answer: a, weight: &weight, waited: time.Duration(weight.Waited) * time.Millisecond}
 }
--- a/internal/dataplane/ledger.go
+++ b/internal/dataplane/ledger.go
@@ -103,6 +103,14 @@
 	return nil
 }
 
+// Narrow takes a configuration that came midway: what either forbids is forbidden.
+func (l *Ledger) Narrow(repeatable bool, tries int) {
+	l.repeatable = l.repeatable && repeatable
+	if tries > 0 {
+		l.tries = min(l.tries, tries)
+	}
+}
+
 // Next derives the move.
 func (l *Ledger) Next(now time.Duration) Move {
 	switch {
--- a/internal/dataplane/near.go
+++ b/internal/dataplane/near.go
@@ -42,6 +42,7 @@
 	ledger  *Ledger
 	ended   chan landed
 	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 type landed struct {
@@ -92,7 +93,7 @@
 	part := n.usual.Part(route.Name(), left)
 	limit := min(left, route.Cutoff())
 	if limit <= 0 {
-		n.refuse(w, base.Expired, "no time was left", 0, 0)
+		n.refuse(w, base.Crowded, "no time was left", startingWait, 0)
 		return
 	}
 	most := int64(table.Chart().GetLimits().GetBodyBytes())
@@ -117,28 +118,36 @@
 	v := &visit{
 		node: n, route: route, attempt: attemptId, began: began, until: began + limit, left: left, part: part,
 		m:      &message{method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: body},
-		way:    Way{Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Serial: table.Serial(), Sampled: true, Trace: n.parent(route, began, left)},
+		way:    Way{Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Once: !route.Repeatable(), Serial: table.Serial(), Sampled: true, Trace: n.parent(route, began, left)},
 		usual:  n.usual.Mean(route.Name(), time.Duration(float64(route.Aim())*firstGuess)),
 		ledger: &Ledger{repeatable: route.Repeatable(), tries: route.Tries(), until: began + limit},
 		ended:  make(chan landed, mostBounces+1),
 	}
 	n.purse.Earn(service)
-	ctx, cancel := context.WithTimeout(n.scope.Context, limit)
+	ctx, cancel := context.WithTimeout(n.scope.Context, v.until-v.now())
 	gone := context.AfterFunc(r.Context(), cancel)
 	defer gone()
-	v.ctx = ctx
+	v.ctx, v.cancel = ctx, cancel
+	defer v.finish()
 	v.run(w, r.Context())
 	n.ties.inner(v.way.Trace, began, v.now())
 	n.took(v)
+}
+
+// finish frees what the visit still holds, however it ended: answers that were not passed on, and attempts still running.
+func (v *visit) finish() {
+	for _, each := range v.ledger.attempts {
+		each.answer.drop()
+	}
 	if v.ledger.running() == 0 {
-		cancel()
-	} else {
-		go v.rest(cancel)
+		v.cancel()
+		return
 	}
+	go v.rest()
 }
 
-func (v *visit) rest(cancel context.CancelFunc) {
-	defer cancel()
+func (v *visit) rest() {
+	defer v.cancel()
 	for v.ledger.running() > 0 {
 		each := <-v.ended
 		v.settle(each)
@@ -245,6 +254,7 @@
 	late := time.NewTimer(v.until - v.now())
 	defer late.Stop()
 	for {
+		v.narrow()
 		switch v.ledger.Next(v.now()) {
 		case Relay:
 			best := v.ledger.best()
@@ -252,7 +262,7 @@
 				best = v.ledger.failed()
 			}
 			n.tally("answered")
-			relay(w, best.answer)
+			v.pass(w, best.answer)
 			return
 		case GiveUp:
 			v.giveUp(w, nil)
@@ -262,7 +272,7 @@
 			if repeat && !n.purse.Spend(v.way.Service) {
 				n.tally("repeat-unpaid")
 				if failed := v.ledger.failed(); failed != nil {
-					relay(w, failed.answer)
+					v.pass(w, failed.answer)
 					return
 				}
 				v.giveUp(w, nil)
@@ -274,7 +284,7 @@
 					n.purse.Refund(v.way.Service)
 				}
 				if failed := v.ledger.failed(); failed != nil {
-					relay(w, failed.answer)
+					v.pass(w, failed.answer)
 					return
 				}
 				v.giveUp(w, mishap)
@@ -288,7 +298,7 @@
 		case each := <-v.ended:
 			v.settle(each)
 		case <-hedge.C:
-			if v.ledger.running() == 1 && v.ledger.arrivals() < v.ledger.tries {
+			if v.mayHedge() {
 				if to, way, mishap := v.next(true); mishap == nil && n.purse.Spend(v.way.Service) {
 					way.Repeat = true
 					n.tally("hedged")
@@ -307,8 +317,22 @@
 	}
 }
 
+// pass sends an upstream's answer back as it is. A status that would promise more than is known is replaced, with no
+// seal, by an answer of this node's own.
+func (v *visit) pass(w http.ResponseWriter, a *answer) {
+	if passable(a, v.ledger.repeatable) {
+		relay(w, a)
+		return
+	}
+	a.drop()
+	v.node.refuse(w, base.Lost, "the upstream failed; the request may have run", 0, 0)
+}
+
 // abandon ends a visit without an answer: one that merely returned would look like an empty success.
-func (v *visit) abandon() { panic(http.ErrAbortHandler) }
+func (v *visit) abandon() {
+	v.cancel()
+	panic(http.ErrAbortHandler)
+}
 
 func (v *visit) giveUp(w http.ResponseWriter, mishap *base.Mishap) {
 	n := v.node
--- /dev/null
+++ b/internal/dataplane/standin_test.go
@@ -0,0 +1,409 @@
+package dataplane
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"curlewreach/base"
+	"curlewreach/internal/config"
+	"curlewreach/proto/wire"
+)
+
+const (
+	sealText     = "whole"
+	routeCutoff  = 600 * time.Millisecond
+	clientTime   = 5 * time.Second
+	firstPort    = 20000
+	portsPerPair = 20
+	largeBody    = 1 << 20
+)
+
+// event is what a stand-in does with one request; it tells whether the connection stays open for another.
+type event func(t *turn) (keep bool)
+
+// turn is one request on one connection of a stand-in. The head has been read, the body has not.
+type turn struct {
+	standIn *standIn
+	conn    *net.TCPConn
+	in      *bufio.Reader
+	request *http.Request
+	id      string
+}
+
+// standIn is an upstream, or the node beside one, that does exactly what a row of the table says. It serves on a real socket.
+type standIn struct {
+	name     string
+	address  string
+	asMate   bool
+	listener net.Listener
+	mu       sync.Mutex
+	opened   int
+	open     map[net.Conn]bool
+	does     map[string]event
+	ran      map[string]int
+	refused  map[string]int
+	usedBy   map[string]int
+	headers  map[string]http.Header
+	idle     time.Duration
+	closed   chan struct{}
+	crew     sync.WaitGroup
+}
+
+func newStandIn(name, address string, asMate bool) *standIn {
+	s := &standIn{
+		name: name, address: address, asMate: asMate, open: map[net.Conn]bool{}, does: map[string]event{}, ran: map[string]int{}, refused: map[string]int{},
+		usedBy: map[string]int{}, headers: map[string]http.Header{}, closed: make(chan struct{}),
+	}
+	s.listen()
+	return s
+}
+
+func (s *standIn) listen() {
+	listener, err := net.Listen("tcp", s.address)
+	Expect(err).NotTo(HaveOccurred())
+	s.listener = listener
+	s.crew.Add(1)
+	go func() {
+		defer s.crew.Done()
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.opened++
+			number := s.opened
+			s.open[conn] = true
+			s.mu.Unlock()
+			s.crew.Add(1)
+			go func() {
+				defer s.crew.Done()
+				s.serve(conn.(*net.TCPConn), number)
+			}()
+		}
+	}()
+}
+
+func (s *standIn) close() {
+	close(s.closed)
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.crew.Wait()
+}
+
+// on sets what happens with the request of an id.
+func (s *standIn) on(id string, does event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.does[id] = does
+}
+
+func (s *standIn) serve(conn *net.TCPConn, number int) {
+	defer func() {
+		_ = conn.Close()
+		s.mu.Lock()
+		delete(s.open, conn)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(conn)
+	for {
+		if s.idle > 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(s.idle))
+		}
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_ = conn.SetReadDeadline(time.Time{})
+		id := request.Header.Get(Plain.Attempt)
+		s.mu.Lock()
+		s.usedBy[id] = number
+		s.headers[id] = request.Header
+		does := s.does[id]
+		s.mu.Unlock()
+		if does == nil {
+			does = sound
+		}
+		if !does(&turn{s, conn, in, request, id}) {
+			return
+		}
+	}
+}
+
+// run takes the request whole and begins to work on it.
+func (t *turn) run() {
+	_, _ = io.Copy(io.Discard, t.request.Body)
+	t.standIn.mu.Lock()
+	defer t.standIn.mu.Unlock()
+	t.standIn.ran[t.id]++
+}
+
+func (t *turn) refuse() {
+	_, _ = io.Copy(io.Discard, t.request.Body)
+	t.standIn.mu.Lock()
+	defer t.standIn.mu.Unlock()
+	t.standIn.refused[t.id]++
+}
+
+func (t *turn) write(text string) {
+	_, _ = io.WriteString(t.conn, text)
+}
+
+func (t *turn) reset() bool {
+	_ = t.conn.SetLinger(0)
+	_ = t.conn.Close()
+	return false
+}
+
+// wait stands still until the other side is gone or the row is over.
+func (t *turn) wait() bool {
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_, _ = t.in.ReadByte()
+	}()
+	select {
+	case <-gone:
+	case <-t.standIn.closed:
+	}
+	return false
+}
+
+func bodyOf(id, by string) string { return "the answer to " + id + " by " + by }
+
+func (t *turn) body() string { return bodyOf(t.id, t.standIn.name) }
+
+// head makes an answer's head. lines are added to it.
+func (t *turn) head(status int, id string, size int, lines ...string) string {
+	head := []string{fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status))}
+	if id != "" {
+		head = append(head, Plain.Attempt+": "+id)
+	}
+	if size >= 0 {
+		head = append(head, "Content-Length: "+strconv.Itoa(size))
+	}
+	if t.standIn.asMate {
+		head = append(head, weightHeader+": "+Weight{Limit: 4}.text())
+	}
+	return strings.Join(append(head, lines...), "\r\n") + "\r\n\r\n"
+}
+
+func sealLine() string { return Plain.Seal + ": " + sealText }
+
+func (t *turn) answer(status int) string {
+	return t.head(status, t.id, len(t.body()), sealLine()) + t.body()
+}
+
+func sound(t *turn) bool {
+	t.run()
+	t.write(t.answer(http.StatusOK))
+	return true
+}
+
+// answers runs the request and answers with a status of the upstream's own, sealed.
+func answers(status int, lines ...string) event {
+	return func(t *turn) bool {
+		t.run()
+		t.write(t.head(status, t.id, len(t.body()), append(lines, sealLine())...) + t.body())
+		return true
+	}
+}
+
+// turnsAway answers without running the request.
+func turnsAway(status int, lines ...string) event {
+	return func(t *turn) bool {
+		t.refuse()
+		t.write(t.head(status, t.id, 0, lines...))
+		return true
+	}
+}
+
+// writes runs the request and sends just this.
+func writes(text func(t *turn) string, keep bool) event {
+	return func(t *turn) bool {
+		t.run()
+		t.write(text(t))
+		return keep
+	}
+}
+
+var pairs atomic.Int64
+
+// pair is a node that a client talks to, with a stand-in that does what a row says, and a second node whose upstream is sound.
+type pair struct {
+	near   *Node
+	far    *Node
+	first  *standIn
+	second *standIn
+	ends   []func()
+}
+
+func realScope(name string) (base.Scope, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := base.Scope{
+		Context: ctx, Node: name, Clock: base.RealClock(), Net: base.RealNet(), Disk: base.NoDisk(),
+		Rand: base.SeededRand(1), Log: hclog.NewNullLogger(), Journal: base.NewJournal(400),
+	}
+	return s, cancel
+}
+
+func (p *pair) node(name, zone string, address func() string) *Node {
+	scope, cancel := realScope(name)
+	params := &wire.FordParams{
+		Name: name, Zone: zone, Service: books, Outward: address(), Inward: address(), Ready: address(), Control: address(), Seeds: []string{address()},
+		Beat: durationpb.New(time.Hour), Leaving: durationpb.New(2 * time.Second), InForce: durationpb.New(600 * time.Millisecond), Grace: durationpb.New(time.Second),
+		RepeatRatio: 0.2, RepeatWindow: durationpb.New(10 * time.Second), RepeatSlack: 64,
+	}
+	n, err := Start(scope, params, Plain, func(*Node) http.Handler { return http.NotFoundHandler() })
+	Expect(err).NotTo(HaveOccurred())
+	p.ends = append(p.ends, n.Kill, cancel)
+	return n
+}
+
+func requestChart(serial uint64) *wire.Chart {
+	c := &wire.Chart{Serial: serial, Services: []*wire.ChartService{{Name: books, Probe: "/health", ConnLimit: 130, Protocol: "h1"}}}
+	for name, repeat := range map[string]wire.Repeat{once: wire.Repeat_ONCE, repeatable: wire.Repeat_REPEATABLE, bulk: wire.Repeat_BULK} {
+		c.Routes = append(c.Routes, &wire.ChartRoute{
+			Name: name, Host: "books.example", Prefix: "/" + name + "/", Repeat: repeat, CutoffMs: float64(routeCutoff.Milliseconds()), AimMs: 200, Rank: 1, Tries: 2,
+			Service: proto.String(books),
+		})
+	}
+	return c
+}
+
+const (
+	once       = "once"
+	repeatable = "repeatable"
+	bulk       = "bulk"
+)
+
+// newPair puts the first stand-in beside the near node, or, with asMate, in the place of a node in the near node's zone.
+func newPair(asMate bool) *pair {
+	number := int(pairs.Add(1))
+	pid := os.Getpid()
+	ip, port := fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 1+pid&127), firstPort+number*portsPerPair
+	address := func() string {
+		port++
+		return fmt.Sprintf("%s:%d", ip, port)
+	}
+	p := &pair{}
+	p.first, p.second = newStandIn("first", address(), asMate), newStandIn("second", address(), false)
+	p.near, p.far = p.node("near", "a", address), p.node("far", "b", address)
+	for _, n := range []*Node{p.near, p.far} {
+		n.table.Store(config.NewTable(requestChart(1)))
+	}
+	// The second counts as slow, so that requests go to the first however busy the machine is.
+	warm := map[string]uint64{"second": uint64(time.Hour.Milliseconds())}
+	berth := func(at *standIn, zone string) *wire.Berth {
+		return &wire.Berth{Id: "i-" + at.name, Service: books, Address: at.address, Zone: zone, Capacity: 4, WarmMs: warm[at.name]}
+	}
+	Expect(p.far.Beat(berth(p.second, "b"))).To(BeNil())
+	sights := []*wire.Sight{{Post: p.far.post()}}
+	if asMate {
+		sights = append(sights, &wire.Sight{Post: &wire.Post{
+			Node: "mate", Incarnation: "one", Number: 1, Inward: p.first.address, Zone: "a", Service: books, Berth: berth(p.first, "a"),
+		}})
+	} else {
+		Expect(p.near.Beat(berth(p.first, "a"))).To(BeNil())
+	}
+	p.near.roster.Heard("keel", true, sights)
+	return p
+}
+
+func (p *pair) close() {
+	p.first.close()
+	p.second.close()
+	for _, end := range p.ends {
+		end()
+	}
+}
+
+// client is one connection of a client.
+type client struct {
+	conn *net.TCPConn
+	in   *bufio.Reader
+}
+
+func (p *pair) client() *client {
+	conn, err := net.Dial("tcp", p.near.params.Outward)
+	Expect(err).NotTo(HaveOccurred())
+	p.ends = append(p.ends, func() { _ = conn.Close() })
+	return &client{conn.(*net.TCPConn), bufio.NewReader(conn)}
+}
+
+// got is what a client gets.
+type got struct {
+	status int
+	sealed bool
+	id     string
+	body   string
+	again  time.Duration
+	closes bool
+	err    error
+}
+
+func requestText(id, route string, body []byte) string {
+	method := http.MethodGet
+	length := ""
+	if body != nil {
+		method, length = http.MethodPost, fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: books.example\r\n%s: %s\r\n%s: %s\r\n%s\r\n%s", method, route, Plain.Attempt, id, Plain.Left, millis(clientTime), length, body)
+}
+
+func (c *client) send(id, route string, body []byte) {
+	_, err := io.Copy(c.conn, strings.NewReader(requestText(id, route, body)))
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (c *client) receive() got {
+	_ = c.conn.SetReadDeadline(time.Now().Add(clientTime))
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return got{err: err}
+	}
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	again, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return got{
+		status: response.StatusCode, sealed: response.Header.Get(Plain.Seal) != "", id: response.Header.Get(Plain.Attempt), body: body.String(),
+		again: time.Duration(again * float64(time.Second)), closes: response.Close, err: err,
+	}
+}
+
+func (c *client) ask(id, route string, body []byte) got {
+	c.send(id, route, body)
+	return c.receive()
+}
+
+// mateAsks sends a request as the node beside a client does.
+func (p *pair) mateAsks(id, route string, way Way) got {
+	conn, err := net.Dial("tcp", p.far.params.Inward)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	c := &client{conn.(*net.TCPConn), bufio.NewReader(conn)}
+	text := strings.Replace(requestText(id, route, nil), "\r\n\r\n", "\r\n"+wayHeader+": "+way.text()+"\r\n\r\n", 1)
+	_, err = io.WriteString(conn, text)
+	Expect(err).NotTo(HaveOccurred())
+	return c.receive()
+}
--- /dev/null
+++ b/internal/dataplane/status.go
@@ -0,0 +1,26 @@
+package dataplane
+
+import "net/http"
+
+// stateOf tells what the status of an upstream's own answer makes of an attempt. Answers that turn a request away
+// unrun are told apart before.
+func stateOf(status int) State {
+	switch {
+	case status >= http.StatusInternalServerError, promises(status):
+		return Failed
+	}
+	return Answered
+}
+
+// promises tells the statuses by which visitors know that a request has not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passable tells whether an upstream's answer may go back as it is. A failure keeps the upstream's status or loses its
+// seal: a status that promises what the upstream did not promise can't go back for a request that may run once.
+func passable(a *answer, repeatable bool) bool { return repeatable || !promises(a.status) }
