--- a/internal/dataplane/client_connections_test.go
+++ b/internal/dataplane/client_connections_test.go
@@ -118,7 +118,7 @@
 		connections := NewClientConnections(clock, time.Second, func() time.Duration { return 10 * time.Second })
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		var states = make(chan http.ConnState, 16)
+		states := make(chan http.ConnState, 16)
 		var served net.Conn
 		server := &http.Server{
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -139,7 +139,9 @@
 		handler http.Handler
 		set     func(*http.Server)
 	}{
-		{p.Inward, http.HandlerFunc(n.inward), usual}, {p.Control, control(n), usual}, {p.Ready, http.HandlerFunc(n.readiness), usual},
+		{p.Inward, http.HandlerFunc(n.inward), usual},
+		{p.Control, control(n), usual},
+		{p.Ready, http.HandlerFunc(n.readiness), usual},
 		{p.Outward, http.HandlerFunc(n.outward), forClients},
 	} {
 		door, err := base.OpenWith(s, each.address, each.handler, each.set)
--- a/internal/dataplane/requests_test.go
+++ b/internal/dataplane/requests_test.go
@@ -59,7 +59,6 @@
 	once   result
 	again  result
 	next   string
-	idless bool
 }
 
 func (t *turn) withLines(lines ...string) string {
