First charts are confirmed by a majority read that began after the question

A control machine said "settled" for three quarters of the in-force bound after its last majority, so one just cut off, or frozen in between, confirmed an old chart to a node in its first 1.5 s. A hail that asks for confirmation now waits for a majority read numbered after it; reads are shared by all that wait. The node counts the round trip on its own steady clock and takes a confirmation older than half the in-force bound for none. An unconfirmed chart waits aside until half the contact bound is over, then serves marked so, until confirmed.

Whom a node asks is kept in a bounded directory: those that heard a majority latest, out of the newest lists, the seeds again when nobody has one. Traces go to the live ones, odds only rise by serial, dials that hang end.

--- a/base/web.go
+++ b/base/web.go
@@ -80,9 +80,19 @@
 
 // Wire returns an HTTP client for calls between the project's own processes
 // over the scope's network.
-func Wire(s Scope) *http.Client {
+func Wire(s Scope) *http.Client { return WireWithin(s, longestDial) }
+
+// WireWithin returns such a client that gives a connection up unless it comes up
+// in time. A transport goes on dialling after the call that wanted the connection
+// has ended: without such a bound each call to a dark machine leaves a dial behind.
+func WireWithin(s Scope, longest time.Duration) *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, longest)
+		defer cancel()
+		return s.Net.Dial(ctx, network, address)
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         s.Net.Dial,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleWait,
 		DisableCompression:  true,
@@ -103,3 +113,6 @@
 // compressFrom is the size in bytes from which answers are compressed: below,
 // the bytes saved are worth less than the time.
 const compressFrom = 64 << 10
+
+// longestDial is how long a connection may take to come up.
+const longestDial = 3 * time.Second
--- a/flow/node.go
+++ b/flow/node.go
@@ -117,7 +117,7 @@
 		outward: outwards(s.Net),
 		fences:  NewFences(s.Clock, 2*bounds.Grace.AsDuration()), ties: NewTies(s.Clock),
 		gate: NewGate(s.Clock, int(params.Flights), int(params.Queue)), repeats: NewRepeats(), budget: NewBudget(s.Clock),
-		keeper: tracing.NewKeeper(s.Rand), sink: tracing.NewSink(s, web, params.Seeds, int(params.Queue)), records: map[string]*record{},
+		keeper: tracing.NewKeeper(s.Rand), sink: tracing.NewSink(s, web, tracing.Always(params.Seeds), int(params.Queue)), records: map[string]*record{},
 	}
 	n.claims = NewClaims(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*claimRatio), bounds.InForce.AsDuration(), bounds.Alone.AsDuration())
 	n.dials.Store(&Dials{Held: int(params.Held), Longest: int(params.Longest), Trust: trust})
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -52,6 +52,7 @@
 	learning    atomic.Pointer[learning]
 	stopping    atomic.Bool
 	started     time.Duration
+	reads       *chartReads
 }
 
 // Start opens the doors of a keel; it joins its mates in the background.
@@ -61,7 +62,7 @@
 		return nil, err
 	}
 	s, cancel := s.Child()
-	m := &Moor{scope: s, self: p.Mates, incarnation: s.Rand.Name(8), web: base.Wire(s), cancel: cancel, roster: newRoster(s.Clock)}
+	m := &Moor{scope: s, self: p.Mates, incarnation: s.Rand.Name(8), web: base.Wire(s), cancel: cancel, roster: newRoster(s.Clock), reads: newChartReads()}
 	m.started = s.Clock.Mono()
 	m.params.Store(p)
 	m.view.Store(&view{})
--- a/internal/controlplane/hail.go
+++ b/internal/controlplane/hail.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"curlewreach/base"
 	"curlewreach/proto/wire"
@@ -21,10 +22,14 @@
 		m.scope.Note("back", ask.Post.Node, "")
 	}
 	s := m.scope.Under(ctx)
-	began, hold := s.Clock.Mono(), min(time.Duration(min(ask.WaitMs, 1<<20))*time.Millisecond, longestHold)
+	hold := min(time.Duration(min(ask.WaitMs, 1<<20))*time.Millisecond, longestHold)
+	if confirms(ask) {
+		return m.answerConfirmed(s, ask, hold)
+	}
+	began := s.Clock.Mono()
 	for {
 		news, moved := m.news.Heard(), m.roster.bell.Heard()
-		reply, fresh := m.tell(ask)
+		reply, fresh := m.tell(ask, m.view.Load())
 		held := s.Clock.Mono() - began
 		if fresh || held >= hold || m.stopping.Load() {
 			return connect.NewResponse(reply), nil
@@ -36,17 +41,18 @@
 	}
 }
 
-func (m *Moor) tell(ask *wire.HailRequest) (reply *wire.HailReply, fresh bool) {
-	seen := m.view.Load()
-	reply = &wire.HailReply{Keel: m.incarnation, Settled: m.Settled(), Serial: seen.serial(), Whole: ask.Keel != m.incarnation}
+// tell answers a hail with the chart seen and all else that is news to the node; fresh says whether anything is.
+func (m *Moor) tell(ask *wire.HailRequest, seen *view) (reply *wire.HailReply, fresh bool) {
+	reply = &wire.HailReply{Keel: m.incarnation, Serial: seen.serial(), Whole: ask.Keel != m.incarnation}
+	if age, known := m.majorityAge(); known {
+		reply.MajorityMs = proto.Uint64(ms(age))
+	}
 	if c := m.core.Load(); c != nil {
 		reply.Keels = c.replica.Voters()
 	}
-	if reply.Serial > ask.Serial {
-		fresh = true
-		if ask.Wants {
-			reply.Chart = seen.head.GetChart()
-		}
+	fresh = reply.Serial > ask.Serial
+	if ask.Wants && (fresh || confirms(ask) && reply.Serial != ask.Serial) {
+		reply.Chart = seen.head.GetChart()
 	}
 	if odds := m.learning.Load().said.GetOdds(); odds.GetSerial() > ask.Odds {
 		reply.Odds, fresh = odds, true
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -9,6 +9,7 @@
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
 	"curlewreach/internal/config"
@@ -57,6 +58,10 @@
 	keeper      *tracing.Keeper
 	sink        *tracing.Sink
 	table       atomic.Pointer[config.Table]
+	vouched     atomic.Bool
+	candidate   *wire.Chart // guarded by mu
+	patience    time.Duration
+	directory   *directory
 	stopping    atomic.Bool
 	closed      atomic.Bool
 	inside      atomic.Int64
@@ -79,6 +84,9 @@
 	if p.RepeatRatio == 0 {
 		p.RepeatRatio = 0.2
 	}
+	if p.Contact.AsDuration() == 0 {
+		p.Contact = durationpb.New(portion(p.InForce.AsDuration(), contactPerBase))
+	}
 }
 
 // Check lists every fault of params.
@@ -110,18 +118,19 @@
 		return nil, err
 	}
 	s, cancel := s.Child()
-	force := p.InForce.AsDuration()
-	portion := func(ratio float64) time.Duration { return time.Duration(float64(force) * ratio) }
+	force, contact := p.InForce.AsDuration(), p.Contact.AsDuration()
 	n := &Node{
-		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.Wire(s),
-		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
-		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
+		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.WireWithin(s, portion(contact, dialPatience)),
+		across: NewLines(s.Net, s.Clock, mateIdle, portion(force, dialRatio), portion(force, silentRatio)),
+		upward: NewLines(s.Net, s.Clock, upIdle, portion(force, dialRatio), portion(force, silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
 		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
-	n.sink = tracing.NewSink(s, n.web, p.Seeds, spansBound)
+	n.patience = portion(contact, patienceRatio)
+	n.directory = newDirectory(s.Clock, s.Rand, contact, p.Seeds)
+	n.sink = tracing.NewSink(s, n.web, n.directory.live, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
 	n.openViews(s)
 	for _, each := range []struct {
@@ -139,7 +148,8 @@
 		}
 		n.doors = append(n.doors, door)
 	}
-	n.enlist(p.Seeds)
+	n.crew.Go(func() { n.search(s) })
+	n.crew.Go(func() { n.serveUnconfirmed(s) })
 	n.crew.Go(func() { n.watchDock(s) })
 	n.crew.Go(func() { n.sink.Run(s, spanEvery) })
 	n.crew.Go(func() {
@@ -206,7 +216,7 @@
 	if err := Check(p); err != nil {
 		return err
 	}
-	n.enlist(p.Seeds)
+	n.directory.setSeeds(p.Seeds)
 	return nil
 }
 
@@ -215,17 +225,16 @@
 func (n *Node) Stop() {
 	began := n.scope.Clock.Mono()
 	grace := n.params.Grace.AsDuration()
-	portion := func(ratio float64) time.Duration { return time.Duration(float64(grace) * ratio) }
 	n.scope.Log.Info("stopping")
 	n.stopping.Store(true)
 	n.turns.Add(1)
 	n.rehail()
 	outward := n.doors[len(n.doors)-1]
-	base.Await(n.scope, portion(lameRatio))
+	base.Await(n.scope, portion(grace, lameRatio))
 	outward.Fold()
-	base.Await(n.scope, portion(farLameRatio))
+	base.Await(n.scope, portion(grace, farLameRatio))
 	n.closed.Store(true)
-	for quiet := 0; quiet < quietLooks && n.scope.Clock.Mono()-began < portion(lastRatio); quiet++ {
+	for quiet := 0; quiet < quietLooks && n.scope.Clock.Mono()-began < portion(grace, lastRatio); quiet++ {
 		base.Await(n.scope, 20*time.Millisecond)
 		if n.inside.Load() > 0 {
 			quiet = -1
--- /dev/null
+++ b/internal/dataplane/directory.go
@@ -0,0 +1,263 @@
+package dataplane
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+const (
+	hailsMost = 3  // control machines asked at once
+	knownMost = 64 // control machines remembered
+
+	// Ratios of the contact bound.
+	lagRatio        = 0.5  // a majority heard longer ago than that makes a control machine a laggard
+	silencePatience = 0.5  // patience with a silent one
+	hurryPatience   = 0.25 // the same while this node has no confirmed chart
+	searchRatio     = 0.25 // pause between two looks at who is asked
+	hurrySearch     = 1.0 / 16
+	patienceRatio   = 0.5 // a node without a confirmed chart waits so long before it serves an unconfirmed one
+	dialPatience    = 0.5 // a connection that does not come up
+	contactPerBase  = 1.5 // of the in-force bound, where the contact bound is not told
+
+	never = -time.Duration(1 << 62)
+)
+
+// controlMachine is what a node knows of one control machine. All times are by the node's steady clock.
+type controlMachine struct {
+	listed   time.Duration // a list last named it
+	chosen   time.Duration // the node last began to ask it
+	answered time.Duration // it last answered
+	majority time.Duration // it last heard a majority, as far as it told
+	hailed   bool
+}
+
+// directory knows the control machines that a node was told of and decides which of them it asks: those that heard a
+// majority latest. Its size is bounded; seeds are always in it.
+type directory struct {
+	clock   base.Clock
+	rand    *base.Rand
+	contact time.Duration
+	mu      sync.Mutex
+	seeds   []string
+	rows    map[string]*controlMachine
+	newest  time.Duration // when the newest list came
+}
+
+func newDirectory(clock base.Clock, rand *base.Rand, contact time.Duration, seeds []string) *directory {
+	d := &directory{clock: clock, rand: rand, contact: contact, rows: map[string]*controlMachine{}, newest: never}
+	d.setSeeds(seeds)
+	return d
+}
+
+func (d *directory) part(ratio float64) time.Duration {
+	return time.Duration(float64(d.contact) * ratio)
+}
+
+// setSeeds takes the seeds of changed settings.
+func (d *directory) setSeeds(seeds []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeds = slices.Clone(seeds)
+	for _, address := range seeds {
+		d.row(address)
+	}
+	d.trim()
+}
+
+func (d *directory) row(address string) *controlMachine {
+	at := d.rows[address]
+	if at == nil {
+		at = &controlMachine{listed: never, chosen: never, answered: never, majority: never}
+		d.rows[address] = at
+	}
+	return at
+}
+
+// trim forgets those that no list has named for the longest time.
+func (d *directory) trim() {
+	if len(d.rows) <= knownMost {
+		return
+	}
+	spare := slices.DeleteFunc(slices.Collect(maps.Keys(d.rows)), func(address string) bool {
+		return d.rows[address].hailed || slices.Contains(d.seeds, address)
+	})
+	slices.SortFunc(spare, func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.rows[a].listed, d.rows[b].listed), cmp.Compare(a, b))
+	})
+	for _, address := range spare[:min(len(spare), len(d.rows)-knownMost)] {
+		delete(d.rows, address)
+	}
+}
+
+// heard folds in an answer: how long ago its sender heard a majority, and whom it lists. The list of one that lags
+// counts only while nobody is known to have a majority.
+func (d *directory) heard(address string, majorityMs *uint64, list []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Mono()
+	at := d.row(address)
+	at.answered = now
+	if majorityMs != nil {
+		at.majority = max(at.majority, now-time.Duration(min(*majorityMs, 1<<40))*time.Millisecond)
+	}
+	if len(list) == 0 || d.lags(at, now) && d.guided(now) {
+		return
+	}
+	d.newest = now
+	for _, each := range list[:min(len(list), knownMost)] {
+		d.row(each).listed = now
+	}
+	d.trim()
+}
+
+func (d *directory) lags(at *controlMachine, now time.Duration) bool {
+	return now-at.majority > d.part(lagRatio)
+}
+
+// guided says whether any control machine is known to have a majority.
+func (d *directory) guided(now time.Duration) bool {
+	for _, at := range d.rows {
+		if !d.lags(at, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose decides whom to begin and whom to cease asking; it replaces one at most each time. In a hurry, while the node
+// has no confirmed chart, it is less patient.
+func (d *directory) choose(hurry bool) (start, stop []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Mono()
+	for asked := d.asked(); asked < hailsMost; asked++ {
+		next := d.next(now)
+		if next == "" {
+			return start, nil
+		}
+		d.begin(next, now)
+		start = append(start, next)
+	}
+	if len(start) > 0 {
+		return start, nil
+	}
+	worst := d.worst(now, hurry)
+	next := d.next(now)
+	if worst == "" || next == "" {
+		return nil, nil
+	}
+	d.rows[worst].hailed = false
+	d.begin(next, now)
+	return []string{next}, []string{worst}
+}
+
+func (d *directory) begin(address string, now time.Duration) {
+	d.rows[address].chosen, d.rows[address].hailed = now, true
+}
+
+func (d *directory) asked() (count int) {
+	for _, at := range d.rows {
+		if at.hailed {
+			count++
+		}
+	}
+	return count
+}
+
+// next picks the one not asked for the longest time, out of the newest lists; out of all that are known, the seeds
+// too, while nobody is known to have a majority.
+func (d *directory) next(now time.Duration) string {
+	guided := d.guided(now)
+	var candidates []string
+	for _, address := range slices.Sorted(maps.Keys(d.rows)) {
+		at := d.rows[address]
+		if !at.hailed && (!guided || d.newest-at.listed <= d.contact) {
+			candidates = append(candidates, address)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	start := d.rand.Below(len(candidates))
+	candidates = append(candidates[start:], candidates[:start]...)
+	return slices.MinFunc(candidates, func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.rows[a].chosen, d.rows[b].chosen), cmp.Compare(d.rows[b].listed, d.rows[a].listed))
+	})
+}
+
+// worst names one to cease asking: the one silent for the longest time, else one that lags behind, as long as another
+// one that answers is left.
+func (d *directory) worst(now time.Duration, hurry bool) string {
+	patience := d.part(silencePatience)
+	if hurry {
+		patience = d.part(hurryPatience)
+	}
+	silent, laggard, answering := "", "", 0
+	for _, address := range slices.Sorted(maps.Keys(d.rows)) {
+		at := d.rows[address]
+		switch {
+		case !at.hailed:
+		case now-at.last() > patience:
+			if silent == "" || at.last() < d.rows[silent].last() {
+				silent = address
+			}
+		case at.answered >= at.chosen:
+			answering++
+			if d.lags(at, now) && (hurry || now-at.chosen > patience) && (laggard == "" || at.majority < d.rows[laggard].majority) {
+				laggard = address
+			}
+		}
+	}
+	switch {
+	case silent != "":
+		return silent
+	case answering > 1:
+		return laggard
+	}
+	return ""
+}
+
+func (at *controlMachine) last() time.Duration { return max(at.chosen, at.answered) }
+
+// live lists those that answer, the ones with a majority only where there are such; rest lists the others that are known.
+func (d *directory) live() (live, rest []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Mono()
+	guided := d.guided(now)
+	for _, address := range slices.Sorted(maps.Keys(d.rows)) {
+		at := d.rows[address]
+		switch {
+		case now-at.answered <= d.part(silencePatience) && !(guided && d.lags(at, now)):
+			live = append(live, address)
+		case at.hailed || d.newest-at.listed <= d.contact:
+			rest = append(rest, address)
+		}
+	}
+	return live, rest
+}
+
+func (d *directory) view() (views []*wire.ControlView) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Mono()
+	for _, address := range slices.Sorted(maps.Keys(d.rows)) {
+		at := d.rows[address]
+		if !at.hailed {
+			continue
+		}
+		view := &wire.ControlView{Address: address, SilenceMs: ms(now - at.last())}
+		if at.majority > never {
+			age := ms(now - at.majority)
+			view.MajorityMs = &age
+		}
+		views = append(views, view)
+	}
+	return views
+}
--- a/internal/dataplane/hail.go
+++ b/internal/dataplane/hail.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
-	"curlewreach/internal/config"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -17,8 +16,6 @@
 	hailSlack  = 500 * time.Millisecond
 	hailPause  = 150 * time.Millisecond
 	fetchPause = 80 * time.Millisecond
-	keelsAsked = 3
-	youth      = 1500 * time.Millisecond
 	freshSlack = 4 * hailWait
 )
 
@@ -42,25 +39,14 @@
 	}
 }
 
-func (n *Node) adopt(c *wire.Chart, settled bool) {
-	if c == nil {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if c.Serial <= n.serial() {
-		return
-	}
-	if n.table.Load() == nil && !settled && n.scope.Clock.Mono()-n.born < youth {
-		return
-	}
-	n.table.Store(config.NewTable(c))
-	n.scope.Log.Info("chart in force", "serial", c.Serial, "routes", len(c.Routes))
-	n.scope.Note("in-force", "", "")
-}
-
+// hail asks a control machine once; again says that it has a newer chart that is still to be fetched.
 func (n *Node) hail(s base.Scope, c *caller, wants bool) (again bool) {
-	wait, most := hailWait, hailWait+hailSlack
+	confirm := !n.confirmed()
+	wait := hailWait
+	if confirm {
+		wait = min(hailWait, portion(n.params.InForce.AsDuration(), vouchRatio/2))
+	}
+	most := wait + hailSlack
 	if wants {
 		most *= 2
 	}
@@ -71,9 +57,12 @@
 	n.mu.Unlock()
 	_, _, sent := n.dock.Now()
 	told := sent + n.turns.Load()
-	reply, err := c.client.Hail(ctx, connect.NewRequest(&wire.HailRequest{
-		Post: n.post(), Serial: n.serial(), Wants: wants, Odds: n.keeper.Serial(), Keel: c.keel, Roster: c.roster, WaitMs: uint64(wait.Milliseconds()),
-	}))
+	ask := &wire.HailRequest{
+		Post: n.post(), Serial: n.known(), Wants: wants, Odds: n.keeper.Serial(), Keel: c.keel, Roster: c.roster, WaitMs: uint64(wait.Milliseconds()),
+		Confirm: confirm,
+	}
+	asked := s.Clock.Mono()
+	reply, err := c.client.Hail(ctx, connect.NewRequest(ask))
 	if err != nil {
 		_, _, now := n.dock.Now()
 		if s.Err() == nil && now+n.turns.Load() == told {
@@ -89,17 +78,30 @@
 			n.scope.Log.Warn("odds bounced", "reason", mishap.Reason)
 		}
 	}
-	n.adopt(m.Chart, m.Settled)
-	n.enlist(m.Keels)
-	return m.Chart == nil && m.Serial > n.serial()
+	n.believe(ask, m, s.Clock.Mono()-asked)
+	n.directory.heard(c.address, m.MajorityMs, m.Keels)
+	return m.Chart == nil && m.Serial > n.known()
+}
+
+// believe takes what an answer says of the chart. A confirmation that was long under way proves nothing any more.
+func (n *Node) believe(ask *wire.HailRequest, m *wire.HailReply, took time.Duration) {
+	vouched := m.Confirmed && ask.Confirm && took <= portion(n.params.InForce.AsDuration(), vouchRatio)
+	if vouched && m.Serial < ask.Serial {
+		n.correct(m.Chart, ask.Serial)
+		return
+	}
+	n.adopt(m.Chart, vouched)
+	if vouched && m.Serial == ask.Serial {
+		n.vouchFor(m.Serial)
+	}
 }
 
 func (n *Node) call(s base.Scope, c *caller) {
-	wants := n.table.Load() == nil
+	wants := false
 	for s.Err() == nil {
-		wants = n.hail(s, c, wants) && n.fetches(s, c)
-		if n.table.Load() == nil {
-			wants = true
+		confirmed := n.confirmed()
+		wants = n.hail(s, c, wants || !confirmed) && n.fetches(s, c)
+		if !confirmed {
 			base.Await(s, fetchPause/4)
 		}
 	}
@@ -108,7 +110,7 @@
 // fetches tells whether this caller is to fetch the newer chart; while another does, it gives that one a moment.
 func (n *Node) fetches(s base.Scope, c *caller) bool {
 	n.mu.Lock()
-	serial, busy := n.serial(), false
+	serial, busy := max(n.serial(), n.candidate.GetSerial()), false
 	for _, other := range n.keels {
 		busy = busy || other != c && other.wants
 	}
@@ -120,20 +122,38 @@
 		return true
 	}
 	base.Await(s, fetchPause)
-	return n.serial() == serial
+	return n.known() == serial
 }
 
-// enlist keeps a hail open to up to three keels, the ones told of first.
-func (n *Node) enlist(keels []string) {
+// search keeps asking those control machines that the directory chooses.
+func (n *Node) search(s base.Scope) {
+	for s.Err() == nil {
+		n.chooseCallers()
+		pause := searchRatio
+		if !n.confirmed() {
+			pause = hurrySearch
+		}
+		base.Await(s, n.directory.part(pause))
+	}
+}
+
+func (n *Node) chooseCallers() {
+	start, stop := n.directory.choose(!n.confirmed())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, address := range keels {
-		if n.keels[address] != nil || len(n.keels) >= keelsAsked {
-			continue
+	for _, address := range stop {
+		if c := n.keels[address]; c != nil {
+			c.stop()
+			delete(n.keels, address)
+			n.roster.Forget(address)
+			n.scope.Log.Info("control machine given up", "address", address)
 		}
+	}
+	for _, address := range start {
 		s, stop := n.scope.Child()
 		c := &caller{address: address, client: wireconnect.NewMoorClient(n.web, "http://"+address), stop: stop}
 		n.keels[address] = c
+		n.scope.Note("asking", address, "")
 		n.crew.Go(func() { n.call(s, c) })
 	}
 }
--- a/internal/dataplane/roster.go
+++ b/internal/dataplane/roster.go
@@ -143,6 +143,16 @@
 	r.keels[keel] = r.clock.Mono()
 }
 
+// Forget drops the word of a keel that is asked no longer.
+func (r *Roster) Forget(keel string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.keels, keel)
+	for _, at := range r.places {
+		delete(at.sights, keel)
+	}
+}
+
 // Size counts the nodes that are there.
 func (r *Roster) Size() int {
 	r.mu.Lock()
--- a/internal/dataplane/views.go
+++ b/internal/dataplane/views.go
@@ -49,6 +49,7 @@
 		Paces: n.usual.view(), Purses: n.purse.view(), Counts: map[string]uint64{},
 	}
 	view.Mates, view.Keels = n.roster.view()
+	view.Confirmed, view.Hailed = n.confirmed(), n.directory.view()
 	for what, count := range n.counts.All() {
 		view.Counts[what] = count.Load()
 	}
@@ -147,6 +148,7 @@
 	}
 	m.One("curlew_ready", "gauge", "whether visitors may come", base.Truth(view.Ready))
 	m.One("curlew_chart_serial", "gauge", "the chart in force here", float64(view.Serial))
+	m.One("curlew_chart_confirmed", "gauge", "whether a majority has vouched for the chart in force", base.Truth(view.Confirmed))
 	m.One("curlew_upstream", "gauge", "whether an upstream is here", base.Truth(view.Berth != nil))
 	m.One("curlew_inside", "gauge", "requests of visitors and mates in flight here", float64(view.Inside))
 	m.One("curlew_gate_flying", "gauge", "requests at the upstream", float64(view.Gate.Flying))
--- a/internal/tracing/odds.go
+++ b/internal/tracing/odds.go
@@ -23,8 +23,11 @@
 // Serial returns the number of the odds in force, 0 if there are none yet.
 func (k *Keeper) Serial() uint64 { return k.odds.Load().GetSerial() }
 
-// Load puts odds in force. It returns an error of kind OutOfRange, and keeps
-// the old ones, if a probability is outside [epsilon, 1].
+// Load puts odds in force that are newer than those held, and passes over older
+// ones, which a control machine that is cut off may still hand out: their serial
+// rises with every change of the learner's register, whoever the learner is. It
+// returns an error of kind OutOfRange, and keeps the old ones, if a probability
+// is outside [epsilon, 1].
 func (k *Keeper) Load(odds *wire.Odds) *base.Mishap {
 	if odds.GetEpsilon() <= 0 || odds.GetEpsilon() > 1 {
 		return base.Bounce(base.OutOfRange, "odds.epsilon", "%v", odds.GetEpsilon())
@@ -34,8 +37,12 @@
 			return base.Bounce(base.OutOfRange, "odds."+identifier, "%v", chance)
 		}
 	}
-	k.odds.Store(odds)
-	return nil
+	for {
+		held := k.odds.Load()
+		if held != nil && odds.Serial <= held.Serial || k.odds.CompareAndSwap(held, odds) {
+			return nil
+		}
+	}
 }
 
 // Chance returns the probability that a call of the identifier is recorded: 1
--- a/internal/tracing/sink.go
+++ b/internal/tracing/sink.go
@@ -24,24 +24,29 @@
 	owedMost = 64
 )
 
+// Targets names the control machines that may store spans: those that answer, and
+// others to be tried if none of those does.
+type Targets func() (live, rest []string)
+
+// Always returns targets that are the same machines each time.
+func Always(addresses []string) Targets {
+	return func() ([]string, []string) { return addresses, nil }
+}
+
 // Sink sends a node's spans to the core machines in batches, off the requests'
 // way. Spans and batches beyond its bounds are dropped and noted.
 type Sink struct {
-	scope base.Scope
-	spans chan *wire.Span
-	cores []wireconnect.LensClient
-	turn  int
-	owed  deque.Deque[*wire.Batch]
+	scope   base.Scope
+	spans   chan *wire.Span
+	web     *http.Client
+	targets Targets
+	turn    int
+	owed    deque.Deque[*wire.Batch]
 }
 
-// NewSink returns a sink that holds at most bound spans and sends to the core
-// machines at the addresses seeds.
-func NewSink(s base.Scope, web *http.Client, seeds []string, bound int) *Sink {
-	sink := &Sink{scope: s, spans: make(chan *wire.Span, bound)}
-	for _, seed := range seeds {
-		sink.cores = append(sink.cores, wireconnect.NewLensClient(web, "http://"+seed))
-	}
-	return sink
+// NewSink returns a sink that holds at most bound spans and sends to the targets.
+func NewSink(s base.Scope, web *http.Client, targets Targets, bound int) *Sink {
+	return &Sink{scope: s, spans: make(chan *wire.Span, bound), web: web, targets: targets}
 }
 
 // Waiting returns the queue of spans not yet in a batch.
@@ -88,24 +93,34 @@
 	}
 }
 
+// deliver gives a batch to two of the live control machines, or to any that takes it. If there is only one, that one
+// passes a copy on as soon as it can.
 func (k *Sink) deliver(s base.Scope, batch *wire.Batch, every time.Duration) bool {
-	var keepers []wireconnect.LensClient
+	live, rest := k.targets()
 	k.turn++
-	for i := range k.cores {
-		if len(keepers) == copiesEach {
-			break
-		}
-		core := k.cores[(k.turn+i)%len(k.cores)]
-		if keep(s, core, &wire.KeepRequest{Batch: batch}, every) {
-			keepers = append(keepers, core)
-		}
+	keepers := k.offer(s, batch, live, copiesEach, every)
+	if len(keepers) == 0 {
+		keepers = k.offer(s, batch, rest, 1, every)
 	}
-	if len(keepers) == 1 && len(k.cores) > 1 {
+	if len(keepers) == 1 && len(live)+len(rest) > 1 {
 		keep(s, keepers[0], &wire.KeepRequest{Batch: batch, Copy: true}, every)
 	}
 	return len(keepers) > 0
 }
 
+func (k *Sink) offer(s base.Scope, batch *wire.Batch, addresses []string, need int, every time.Duration) (keepers []wireconnect.LensClient) {
+	for i := range addresses {
+		if len(keepers) == need {
+			break
+		}
+		client := wireconnect.NewLensClient(k.web, "http://"+addresses[(k.turn+i)%len(addresses)])
+		if keep(s, client, &wire.KeepRequest{Batch: batch}, every) {
+			keepers = append(keepers, client)
+		}
+	}
+	return keepers
+}
+
 func keep(s base.Scope, core wireconnect.LensClient, request *wire.KeepRequest, every time.Duration) bool {
 	ctx, cancel := context.WithTimeout(s, every)
 	defer cancel()
