--- /dev/null
+++ b/internal/dataplane/adopt_test.go
@@ -0,0 +1,122 @@
+package dataplane
+
+import (
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/proto/wire"
+)
+
+var _ = ginkgo.Describe("a node's first chart", func() {
+	// serials notes every chart that a node has in force, until the time is over.
+	serials := func(n *Node, longest time.Duration) (seen []uint64) {
+		for began := time.Now(); time.Since(began) < longest; time.Sleep(time.Millisecond) {
+			if now := n.serial(); len(seen) == 0 || seen[len(seen)-1] != now {
+				seen = append(seen, now)
+			}
+		}
+		return seen
+	}
+
+	story("given a majority, when a node starts, then its first chart is confirmed within a few round trips", func(s *stand) {
+		n := s.node(1, addresses(s.controls(3)))
+		Expect(s.until(time.Second, n.confirmed)).To(BeNumerically("<", 30*time.Millisecond))
+		Expect(n.Ready()).To(BeTrue())
+		Expect(n.View().Confirmed).To(BeTrue())
+	})
+
+	story("given one that is cut off and answers first, when a node starts beside it, then it waits for the confirmed chart of another", func(s *stand) {
+		all := s.controls(3)
+		cutOff(all[0])
+		raise(7, all[1:]...)
+		for _, c := range all[1:] {
+			c.set(func() { c.freeze = 700 * time.Millisecond })
+		}
+		n := s.node(1, addresses(all))
+		Expect(serials(n, 4*time.Second)).To(Equal([]uint64{0, 7}))
+		Expect(n.confirmed()).To(BeTrue())
+	})
+
+	story("given a control machine that stands still between its majority and its answer, when a newer chart came meanwhile, then its confirmation is worth nothing", func(s *stand) {
+		c := s.control(1)
+		c.set(func() { c.freeze = 1100 * time.Millisecond })
+		n := s.node(1, addresses([]*standControl{c}))
+		time.Sleep(50 * time.Millisecond)
+		raise(7, c)
+		Expect(serials(n, 4*time.Second)).To(Equal([]uint64{0, 7}))
+	})
+
+	story("given a confirmation that came in time, when it is taken, then the next is not asked for", func(s *stand) {
+		c := s.control(1)
+		c.set(func() { c.freeze = 900 * time.Millisecond })
+		n := s.node(1, addresses([]*standControl{c}))
+		Expect(s.until(3*time.Second, n.confirmed)).To(BeNumerically("~", 900*time.Millisecond, 60*time.Millisecond))
+	})
+
+	story("given only one that is cut off, when a node starts, then it serves the old chart after half the contact bound, marked unconfirmed, and moves on at once when a majority is heard", func(s *stand) {
+		c := s.control(1)
+		cutOff(c)
+		n := s.node(1, addresses([]*standControl{c}))
+		waited := s.until(5*time.Second, n.Ready)
+		Expect(waited).To(BeNumerically("~", 1500*time.Millisecond, 20*time.Millisecond))
+		Expect(n.serial()).To(Equal(uint64(5)))
+		Expect(n.View().Confirmed).To(BeFalse())
+		var noted []string
+		for _, event := range n.scope.Journal.Last("", 400) {
+			noted = append(noted, strings.TrimSpace(event.Topic+" "+event.Detail))
+		}
+		Expect(noted).To(ContainElement("in-force unconfirmed"))
+		time.Sleep(20 * time.Second)
+		Expect(n.confirmed()).To(BeFalse())
+		c.set(func() { c.serial, c.confirmed = 9, true })
+		Expect(s.until(3*time.Second, func() bool { return n.serial() == 9 && n.confirmed() })).To(BeNumerically("<", 100*time.Millisecond))
+	})
+
+	story("given an unconfirmed chart in force, when a majority vouches for it, then it is confirmed without being sent again", func(s *stand) {
+		c := s.control(1)
+		cutOff(c)
+		n := s.node(1, addresses([]*standControl{c}))
+		s.until(5*time.Second, n.Ready)
+		table := n.table.Load()
+		c.set(func() { c.confirmed = true })
+		Expect(s.until(3*time.Second, n.confirmed)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(n.table.Load()).To(BeIdenticalTo(table))
+	})
+
+	story("given an unconfirmed chart that was never in force, when a majority tells of an older one, then the node goes straight to that", func(s *stand) {
+		c := s.control(1)
+		raise(9, c)
+		cutOff(c)
+		n := s.node(1, addresses([]*standControl{c}))
+		s.until(5*time.Second, n.Ready)
+		Expect(n.serial()).To(Equal(uint64(9)))
+		c.set(func() { c.serial, c.confirmed = 7, true })
+		s.until(3*time.Second, n.confirmed)
+		Expect(n.serial()).To(Equal(uint64(7)))
+	})
+
+	story("given an unconfirmed chart, when an older one is confirmed to a question from before it came, then the node doesn't go back", func(s *stand) {
+		n := s.node(1, noKeels)
+		n.born -= time.Minute
+		n.adopt(aChart(7), false)
+		Expect(n.serial()).To(Equal(uint64(7)))
+		n.believe(&wire.HailRequest{Confirm: true, Serial: 3}, &wire.HailReply{Confirmed: true, Serial: 5, Chart: aChart(5)}, 0)
+		Expect(n.serial()).To(Equal(uint64(7)))
+		n.believe(&wire.HailRequest{Confirm: true, Serial: 6}, &wire.HailReply{Confirmed: true, Serial: 5, Chart: aChart(5)}, 0)
+		Expect(n.serial()).To(Equal(uint64(7)))
+	})
+
+	story("given a confirmed chart, when others tell of newer and older ones, then it takes the newer from anyone and never an older", func(s *stand) {
+		n := s.node(1, noKeels)
+		n.adopt(aChart(5), true)
+		n.believe(&wire.HailRequest{Serial: 5}, &wire.HailReply{Serial: 7, Chart: aChart(7)}, time.Minute)
+		Expect(n.serial()).To(Equal(uint64(7)))
+		n.believe(&wire.HailRequest{Confirm: true, Serial: 7}, &wire.HailReply{Confirmed: true, Serial: 5, Chart: aChart(5)}, 0)
+		n.believe(&wire.HailRequest{Confirm: true, Serial: 0}, &wire.HailReply{Confirmed: true, Serial: 5, Chart: aChart(5)}, 0)
+		Expect(n.serial()).To(Equal(uint64(7)))
+		Expect(n.confirmed()).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/dataplane/control_test.go
@@ -0,0 +1,154 @@
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/internal/tracing"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+// standControl is a control machine whose every answer a story decides.
+type standControl struct {
+	wireconnect.UnimplementedMoorHandler
+	scope     base.Scope
+	ip        string
+	door      *base.Door
+	spans     *tracing.Store
+	mu        sync.Mutex
+	serial    uint64
+	confirmed bool          // it has a majority
+	heard     time.Duration // when it last had one, or never
+	list      []string
+	freeze    time.Duration // how long the next answer stands still after it was made
+	asked     int
+}
+
+func (c *standControl) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+func (c *standControl) address() string { return c.ip + ":7005" }
+
+// answer makes an answer; done says whether it is sent now.
+func (c *standControl) answer(ask *wire.HailRequest) (reply *wire.HailReply, done bool, freeze time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.scope.Clock.Mono()
+	if c.confirmed {
+		c.heard = now
+	}
+	reply = &wire.HailReply{Keel: c.ip, Serial: c.serial, Whole: ask.Keel != c.ip, Keels: slices.Clone(c.list)}
+	if c.heard > never {
+		age := ms(now - c.heard)
+		reply.MajorityMs = &age
+	}
+	reply.Confirmed = ask.Confirm && c.confirmed && c.serial > 0
+	fresh := c.serial > ask.Serial || reply.Whole || reply.Confirmed
+	if ask.Wants && c.serial != ask.Serial && (c.serial > ask.Serial || ask.Confirm) {
+		reply.Chart = aChart(c.serial)
+	}
+	if fresh {
+		freeze, c.freeze = c.freeze, 0
+	}
+	return reply, fresh, freeze
+}
+
+func (c *standControl) Hail(ctx context.Context, request *connect.Request[wire.HailRequest]) (*connect.Response[wire.HailReply], error) {
+	ask, s := request.Msg, c.scope.Under(ctx)
+	c.set(func() { c.asked++ })
+	began := s.Clock.Mono()
+	for {
+		reply, done, freeze := c.answer(ask)
+		held := s.Clock.Mono() - began
+		if done || held >= time.Duration(ask.WaitMs)*time.Millisecond {
+			base.Await(s, freeze)
+			return connect.NewResponse(reply), s.Err()
+		}
+		base.Await(s, 10*time.Millisecond)
+		if s.Err() != nil {
+			return nil, s.Err()
+		}
+	}
+}
+
+// control opens a control machine with a majority and chart 5; it lists itself.
+func (s *stand) control(i int) *standControl {
+	ip := fmt.Sprintf("10.9.0.%d", i)
+	c := &standControl{scope: s.scope(ip), ip: ip, serial: 5, confirmed: true, heard: never}
+	c.list = []string{c.address()}
+	c.spans = tracing.OpenStore(c.scope, 1000)
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewMoorHandler(c))
+	mux.Handle(tracing.Handler(c.spans))
+	door, err := base.Open(c.scope, c.address(), mux)
+	if err != nil {
+		panic(err)
+	}
+	c.door = door
+	s.after(door.Slam)
+	return c
+}
+
+// controls opens some, each of which lists all.
+func (s *stand) controls(count int) (all []*standControl) {
+	for i := range count {
+		all = append(all, s.control(i+1))
+	}
+	relist(all)
+	return all
+}
+
+func relist(all []*standControl) {
+	var list []string
+	for _, c := range all {
+		list = append(list, c.address())
+	}
+	for _, c := range all {
+		c.set(func() { c.list = list })
+	}
+}
+
+func addresses(all []*standControl) (found []string) {
+	for _, c := range all {
+		found = append(found, c.address())
+	}
+	return found
+}
+
+// cutOff leaves control machines without a majority, at the chart they have; nodes reach them on.
+func cutOff(all ...*standControl) {
+	for _, c := range all {
+		c.set(func() { c.confirmed = false })
+	}
+}
+
+func raise(serial uint64, all ...*standControl) {
+	for _, c := range all {
+		c.set(func() { c.serial = serial })
+	}
+}
+
+// darken lets nothing pass between a node and a control machine.
+func (s *stand) darken(n *Node, c *standControl) {
+	s.world.Cut(host(n.params.Inward), c.ip)
+	s.world.Cut(c.ip, host(n.params.Inward))
+}
+
+// hailed lists whom a node keeps asking.
+func (n *Node) hailed() (found []string) {
+	for _, each := range n.directory.view() {
+		found = append(found, each.Address)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/dataplane/directory_test.go
@@ -0,0 +1,201 @@
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+)
+
+const contact = 3 * time.Second // that of the nodes that a stand starts
+
+var _ = ginkgo.Describe("the search for control machines", func() {
+	story("given three seeds that are all cut off, when a node starts beside them, then it finds one with a majority among those they list", func(s *stand) {
+		all := s.controls(7)
+		cutOff(all[:3]...)
+		raise(9, all[3:]...)
+		n := s.node(1, addresses(all[:3]))
+		Expect(s.until(3*time.Second, n.confirmed)).To(BeNumerically("<", contact/2), "before it would serve the old")
+		Expect(n.serial()).To(Equal(uint64(9)))
+	})
+
+	story("given seeds two of which are dark, when a node starts, then it soon asks three that live, and the dark ones delay nothing", func(s *stand) {
+		all := s.controls(5)
+		for _, c := range all[:2] {
+			for i := range 3 {
+				s.world.Cut(fmt.Sprintf("10.9.1.%d", i+1), c.ip)
+				s.world.Cut(c.ip, fmt.Sprintf("10.9.1.%d", i+1))
+			}
+		}
+		n := s.node(1, addresses(all[:3]))
+		Expect(s.until(3*time.Second, n.confirmed)).To(BeNumerically("<", 50*time.Millisecond))
+		raise(7, all[2:]...)
+		Expect(s.until(3*time.Second, func() bool { return n.serial() == 7 })).To(BeNumerically("<", 100*time.Millisecond))
+		live := addresses(all[2:])
+		Expect(s.until(2*contact, func() bool {
+			return len(n.hailed()) == 3 && subset(n.hailed(), live)
+		})).To(BeNumerically("<", 2*contact))
+		time.Sleep(20 * time.Second)
+		Expect(subset(n.hailed(), live)).To(BeTrue())
+	})
+
+	story("given five, when those a node asks lose their majority, then it asks the others within the contact bound and is told of changes in time", func(s *stand) {
+		all := s.controls(5)
+		n := s.node(1, addresses(all[:3]))
+		s.until(time.Second, n.confirmed)
+		time.Sleep(3 * time.Second)
+		for _, c := range all {
+			if subset([]string{c.address()}, n.hailed()[:2]) {
+				cutOff(c)
+			}
+		}
+		s.until(contact, func() bool { return false })
+		for _, c := range all {
+			c.set(func() {
+				if c.confirmed {
+					c.serial = 9
+				}
+			})
+		}
+		Expect(s.until(3*time.Second, func() bool { return n.serial() == 9 })).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(s.until(contact, func() bool {
+			for _, c := range all {
+				if !c.confirmed && subset([]string{c.address()}, n.hailed()) {
+					return false
+				}
+			}
+			return true
+		})).To(BeNumerically("<", contact))
+	})
+
+	story("given seven, when all three that a node asks lose their majority at once, then it finds one with a majority within the contact bound", func(s *stand) {
+		all := s.controls(7)
+		n := s.node(1, addresses(all[:3]))
+		s.until(time.Second, n.confirmed)
+		time.Sleep(5 * time.Second)
+		asked := n.hailed()
+		for _, c := range all {
+			if subset([]string{c.address()}, asked) {
+				cutOff(c)
+			} else {
+				raise(9, c)
+			}
+		}
+		Expect(s.until(3*contact, func() bool { return n.serial() == 9 })).To(BeNumerically("<", contact))
+	})
+
+	story("given control machines that are all replaced in turn, at new addresses, when minutes pass, then running nodes and newly started ones follow", func(s *stand) {
+		all := s.controls(3)
+		old := addresses(all)
+		n := s.node(1, old)
+		s.until(time.Second, n.confirmed)
+		for turn := range 6 {
+			fresh := s.control(10 + turn)
+			gone := all[0]
+			all = append(all[1:], fresh)
+			relist(all)
+			gone.door.Slam()
+			time.Sleep(20 * time.Second)
+			raise(uint64(20+turn), all...)
+			Expect(s.until(5*time.Second, func() bool { return n.serial() == uint64(20+turn) })).To(BeNumerically("<", 100*time.Millisecond), "turn %d", turn)
+			Expect(n.hailed()).To(ConsistOf(addresses(all)), "turn %d", turn)
+		}
+		late := s.node(2, []string{old[0], old[1], all[0].address()})
+		Expect(s.until(contact, late.confirmed)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(s.until(3*contact, func() bool { return subset(late.hailed(), addresses(all)) })).To(BeNumerically("<", 3*contact))
+	})
+
+	story("given that all are gone, when new ones stand at the seeds, or the settings name new seeds, then the node finds them", func(s *stand) {
+		all := s.controls(5)
+		n := s.node(1, addresses(all[:2]))
+		s.until(time.Second, n.confirmed)
+		time.Sleep(5 * time.Second)
+		for _, c := range all {
+			c.door.Slam()
+		}
+		time.Sleep(time.Minute)
+		again := s.control(1)
+		raise(7, again)
+		Expect(s.until(time.Minute, func() bool { return n.serial() == 7 })).To(BeNumerically("<", 5*contact))
+		again.door.Slam()
+		time.Sleep(time.Minute)
+		elsewhere := s.control(40)
+		raise(9, elsewhere)
+		p := proto.Clone(n.params).(*wire.FordParams)
+		p.Seeds = addresses([]*standControl{elsewhere})
+		Expect(n.Reload(p)).To(Succeed())
+		Expect(s.until(time.Minute, func() bool { return n.serial() == 9 })).To(BeNumerically("<", 2*contact))
+	})
+
+	story("given a list of very many, when a node is told of it, then it remembers a bounded number, the seeds always, and asks three", func(s *stand) {
+		c := s.control(1)
+		c.set(func() {
+			for i := range 300 {
+				c.list = append(c.list, fmt.Sprintf("10.9.%d.%d:7005", 100+i/200, i%200+1))
+			}
+		})
+		n := s.node(1, addresses([]*standControl{c}))
+		s.until(time.Second, n.confirmed)
+		time.Sleep(time.Minute)
+		n.directory.mu.Lock()
+		defer n.directory.mu.Unlock()
+		Expect(len(n.directory.rows)).To(BeNumerically("<=", knownMost))
+		Expect(n.directory.rows).To(HaveKey(c.address()))
+		Expect(n.directory.asked()).To(Equal(hailsMost))
+		Expect(n.directory.rows[c.address()].hailed).To(BeTrue(), "the only one that answers is never given up")
+	})
+
+	story("given a core without a majority anywhere, when time passes, then the node goes on hearing of its mates from one that answers", func(s *stand) {
+		all := s.controls(5)
+		n := s.node(1, addresses(all[:3]))
+		s.until(time.Second, n.confirmed)
+		cutOff(all...)
+		for _, c := range all[2:] {
+			c.door.Slam()
+		}
+		time.Sleep(10 * time.Second)
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			Expect(n.hailed()).To(ContainElement(BeElementOf(addresses(all[:2]))))
+		}
+	})
+
+	story("given a dark control machine, when a node asks it for a minute, then its calls leave no dials behind", func(s *stand) {
+		counted := &countedNet{}
+		s.wrap = func(net base.Net) base.Net {
+			counted.Net = net
+			return counted
+		}
+		s.world.Cut("10.9.1.1", "10.9.0.1")
+		s.node(1, noKeels)
+		time.Sleep(time.Minute)
+		Expect(counted.most.Load()).To(And(BeNumerically(">=", 1), BeNumerically("<=", 4)))
+	})
+})
+
+func subset(some, all []string) bool {
+	matched, err := ContainElements(some).Match(all)
+	return err == nil && matched
+}
+
+// countedNet counts the dials under way.
+type countedNet struct {
+	base.Net
+	now, most atomic.Int64
+}
+
+func (c *countedNet) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	now := c.now.Add(1)
+	defer c.now.Add(-1)
+	for most := c.most.Load(); now > most && !c.most.CompareAndSwap(most, now); most = c.most.Load() {
+	}
+	return c.Net.Dial(ctx, network, address)
+}
--- a/internal/dataplane/hail.go
+++ b/internal/dataplane/hail.go
@@ -25,6 +25,7 @@
 	keel    string
 	roster  uint64
 	wants   bool
+	asked   time.Duration
 	cancel  context.CancelFunc
 	stop    context.CancelFunc
 }
@@ -53,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(s, most)
 	defer cancel()
 	n.mu.Lock()
-	c.cancel, c.wants = cancel, wants
+	c.cancel, c.wants, c.asked = cancel, wants, s.Clock.Mono()
 	n.mu.Unlock()
 	_, _, sent := n.dock.Now()
 	told := sent + n.turns.Load()
@@ -107,12 +108,12 @@
 	}
 }
 
-// fetches tells whether this caller is to fetch the newer chart; while another does, it gives that one a moment.
+// fetches tells whether this caller is to fetch the newer chart; while another that answers just began to, it gives that one a moment.
 func (n *Node) fetches(s base.Scope, c *caller) bool {
 	n.mu.Lock()
 	serial, busy := max(n.serial(), n.candidate.GetSerial()), false
 	for _, other := range n.keels {
-		busy = busy || other != c && other.wants
+		busy = busy || other != c && other.wants && other.keel != "" && s.Clock.Mono()-other.asked < fetchPause
 	}
 	if !busy {
 		c.wants = true
--- a/internal/dataplane/suite_test.go
+++ b/internal/dataplane/suite_test.go
@@ -45,6 +45,7 @@
 	seed  uint64
 	ends  []func()
 	crew  base.Crew
+	wrap  func(base.Net) base.Net
 }
 
 func story(text string, tell func(s *stand)) { ginkgo.It(text, told(tell)) }
@@ -86,8 +87,12 @@
 	s.seed++
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ends = append(s.ends, cancel)
+	net := s.world.At(ip, ip)
+	if s.wrap != nil {
+		net = s.wrap(net)
+	}
 	return base.Scope{
-		Context: ctx, Node: ip, Clock: s.clock, Net: s.world.At(ip, ip), Disk: base.NoDisk(),
+		Context: ctx, Node: ip, Clock: s.clock, Net: net, Disk: base.NoDisk(),
 		Rand: base.SeededRand(s.seed), Log: hclog.NewNullLogger(), Journal: base.NewJournal(400),
 	}
 }
--- a/internal/tracing/lens_test.go
+++ b/internal/tracing/lens_test.go
@@ -11,7 +11,10 @@
 	"curlewreach/proto/wire"
 )
 
+var suite *testing.T
+
 func TestTracing(t *testing.T) {
+	suite = t
 	RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "tracing")
 }
--- a/internal/tracing/odds_test.go
+++ b/internal/tracing/odds_test.go
@@ -44,6 +44,17 @@
 		ginkgo.Entry("no floor", &wire.Odds{Serial: 2, Table: map[string]float64{"a": 0.5}}),
 	)
 
+	ginkgo.It("given odds, when older ones come late from one that is cut off, then they are passed over", func() {
+		keeper := NewKeeper(base.SeededRand(7))
+		Expect(keeper.Load(&wire.Odds{Serial: 9, Epsilon: 0.05, Table: map[string]float64{"a": 0.25}})).To(BeNil())
+		for _, serial := range []uint64{8, 9} {
+			Expect(keeper.Load(&wire.Odds{Serial: serial, Epsilon: 0.05, Table: map[string]float64{"a": 0.5}})).To(BeNil())
+			Expect(keeper.Chance("a")).To(Equal(0.25))
+		}
+		Expect(keeper.Load(&wire.Odds{Serial: 10, Epsilon: 0.05, Table: map[string]float64{"a": 0.5}})).To(BeNil())
+		Expect(keeper.Serial()).To(Equal(uint64(10)))
+	})
+
 	ginkgo.It("given the choice at span start, when made, then it allocates nothing", func() {
 		keeper := NewKeeper(base.SeededRand(7))
 		Expect(keeper.Load(&wire.Odds{Serial: 1, Epsilon: 0.05, Table: map[string]float64{"a": 0.25}})).To(BeNil())
