--- /dev/null
+++ b/fleet/open/cutoff_test.go
@@ -0,0 +1,206 @@
+package open
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/proto/wire"
+)
+
+// isolate cuts a control machine from the others, not from nodes: both ways, or only what it sends, or only what comes in.
+func (f *Fleet) isolate(m *Machine, way uint64) {
+	end := f.Trouble(m.Name, "cut from the core")
+	for _, other := range f.Keels {
+		if other == m {
+			continue
+		}
+		if way%3 != 1 {
+			f.World.Cut(m.IP, other.IP)
+		}
+		if way%3 != 2 {
+			f.World.Cut(other.IP, m.IP)
+		}
+	}
+	end()
+}
+
+// rejoin heals all cuts.
+func (f *Fleet) rejoin() {
+	end := f.Trouble("core", "joined again")
+	f.World.HealAll()
+	end()
+}
+
+// restart kills and raises a node at once and tells how long it took to a confirmed chart.
+func (f *Fleet) restart(m *Machine) time.Duration {
+	f.Kill(m)
+	f.Pass(100 * time.Millisecond)
+	Expect(f.Raise(m)).To(Succeed())
+	begun := f.Scope.Clock.Mono()
+	for !m.Node.View().Confirmed && f.Scope.Clock.Mono()-begun < 10*time.Second {
+		f.Pass(100 * time.Microsecond)
+	}
+	Expect(m.Node.View().Confirmed).To(BeTrue(), f.Story)
+	return f.Scope.Clock.Mono() - begun
+}
+
+// change pushes a chart and shows, once nodes are in touch, that every node has it in force in time.
+func (f *Fleet) change(turn int) {
+	outcome := f.Push(shift(f.Chart(), turn), 10*time.Second)
+	Expect(outcome).NotTo(BeNil(), f.Story)
+	Expect(outcome.Kind).To(BeEmpty(), f.Story)
+	f.Pass(inForceBound + 50*time.Millisecond)
+	f.prove(turn+2, 200*time.Millisecond)
+}
+
+// held is the control machine that owns the chart, or another, by seed.
+func (f *Fleet) held(seed uint64) *Machine {
+	for _, m := range f.Keels {
+		if owns := f.keel(m).Owner == m.At(inwardPort); owns == (seed%2 == 0) {
+			return m
+		}
+	}
+	return f.Keels[0]
+}
+
+var _ = ginkgo.Describe("a control machine that is cut off", func() {
+	story("given one cut from the core for 20 s, both ways or one way, while charts change and clocks step, when nodes start beside it, then none in touch serves an old chart past the bound", []uint64{1, 2, 3, 4, 5, 6}, func(f *Fleet) {
+		raised(f)
+		f.Visit(20)
+		f.Pass(time.Second)
+		cut := f.held(f.Seed)
+		f.isolate(cut, f.Seed)
+		turn := 0
+		for _, m := range []*Machine{f.Of("books")[0], f.Of("loans")[1]} {
+			f.Push(shift(f.Chart(), turn), 10*time.Second)
+			turn++
+			Expect(f.restart(m)).To(BeNumerically("<", 150*time.Millisecond), f.Story)
+			Expect(m.Node.View().Serial).To(Equal(f.Chart().Base), f.Story)
+			cut.Clock.Jump(7 * time.Second)
+			m.Clock.Jump(-5 * time.Second)
+			f.Pass(contact + 50*time.Millisecond)
+			f.change(turn)
+			turn++
+		}
+		f.rejoin()
+		f.Pass(contact + 50*time.Millisecond)
+		f.change(turn)
+		f.ReadBack()
+		sound(f, Twice, Config, Back, Race, Kept)
+	})
+
+	story("given nodes whose settings name only the one that is cut off, when they start beside it, then they find those with a majority and none in touch serves an old chart past the bound", []uint64{1, 2, 3}, func(f *Fleet) {
+		f.Tune = func(p *wire.FordParams) { p.Seeds = []string{f.Keels[0].At(inwardPort)} }
+		raised(f)
+		f.Visit(20)
+		f.Pass(time.Second)
+		f.isolate(f.Keels[0], f.Seed)
+		Expect(f.Push(shift(f.Chart(), 0), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+		for _, m := range []*Machine{f.Of("books")[0], f.Of("loans")[1]} {
+			Expect(f.restart(m)).To(BeNumerically("<", 1500*time.Millisecond), f.Story)
+			Expect(m.Node.View().Serial).To(Equal(f.Chart().Base), f.Story)
+		}
+		f.Pass(contact + 50*time.Millisecond)
+		f.change(1)
+		f.rejoin()
+		f.Pass(contact + 50*time.Millisecond)
+		f.change(2)
+		sound(f, Config, Back)
+	})
+
+	story("given a node that reaches only the one that is cut off, when it starts, then it serves the old chart marked unconfirmed, and goes on to the newest as soon as it reaches a majority", []uint64{1, 2, 3}, func(f *Fleet) {
+		looked(f)
+		f.Visit(20)
+		f.Pass(time.Second)
+		m, cut := f.Of("books")[1], f.Keels[2]
+		f.isolate(cut, 0)
+		end := f.Trouble(m.Name, "cut off")
+		f.Cut(m, f.Keels[0])
+		f.Cut(m, f.Keels[1])
+		Expect(f.Push(shift(f.Chart(), 0), 10*time.Second).GetKind()).To(BeEmpty(), f.Story)
+		f.Kill(m)
+		f.Pass(100 * time.Millisecond)
+		Expect(f.Raise(m)).To(Succeed())
+		begun := f.Scope.Clock.Mono()
+		Expect(f.Until(4*time.Second, m.Node.Ready)).To(BeTrue(), f.Story)
+		Expect(f.Scope.Clock.Mono()-begun).To(BeNumerically("~", 1500*time.Millisecond, 100*time.Millisecond), f.Story)
+		f.Pass(12 * time.Second)
+		view := f.node(m)
+		Expect(view.Confirmed).To(BeFalse(), f.Story)
+		Expect(view.Serial).To(Equal(uint64(3)), f.Story)
+		Expect(f.see(m.At(viewsPort), "/metrics")).To(ContainSubstring("curlew_chart_confirmed 0\n"))
+		f.World.HealAll()
+		end()
+		healed := f.Scope.Clock.Mono()
+		Expect(f.Until(5*time.Second, func() bool { return m.Node.View().Confirmed })).To(BeTrue(), f.Story)
+		Expect(m.Node.View().Serial).To(Equal(uint64(5)), f.Story)
+		Expect(f.Scope.Clock.Mono()-healed).To(BeNumerically("<", 1500*time.Millisecond), f.Story)
+		f.Pass(contact)
+		f.change(1)
+		sound(f, Config, Back)
+	})
+
+	storyOf("given five control machines, two of a node's three seeds among them dead, when it starts and charts change, then it asks living ones and is in time", 5, small, []uint64{1, 2}, func(f *Fleet) {
+		f.Tune = func(p *wire.FordParams) { p.Seeds = p.Seeds[:3] }
+		raised(f)
+		f.Visit(20)
+		f.PowerLoss(f.Keels[0])
+		f.PowerLoss(f.Keels[1])
+		f.Pass(2 * time.Second)
+		m := f.Of("books")[0]
+		Expect(f.restart(m)).To(BeNumerically("<", 200*time.Millisecond), f.Story)
+		f.Pass(contact)
+		living := []string{f.Keels[2].At(inwardPort), f.Keels[3].At(inwardPort), f.Keels[4].At(inwardPort)}
+		var asked []string
+		for _, each := range m.Node.View().Hailed {
+			asked = append(asked, each.Address)
+		}
+		Expect(asked).To(ConsistOf(living), f.Story)
+		f.change(0)
+	})
+
+	story("given a control machine that is frozen while nodes start and charts change, when it thaws and sends what it had made, then no node takes the old for confirmed", []uint64{1, 2, 3, 4}, func(f *Fleet) {
+		raised(f)
+		f.Visit(20)
+		f.Pass(time.Second)
+		frozen := f.held(f.Seed)
+		for turn := range 3 {
+			m := f.Of("books")[turn]
+			f.Kill(m)
+			f.Pass(100 * time.Millisecond)
+			Expect(f.Raise(m)).To(Succeed())
+			f.Pass(time.Duration(f.Seed) * 700 * time.Microsecond)
+			thaw := f.Freeze(frozen)
+			outcome := f.Push(shift(f.Chart(), turn), 10*time.Second)
+			Expect(outcome.GetKind()).To(BeEmpty(), f.Story)
+			f.Pass(time.Duration(f.Seed) * 600 * time.Millisecond)
+			thaw()
+			Expect(f.Until(5*time.Second, func() bool { return m.Node.View().Confirmed && m.Node.View().Serial == outcome.Serial })).To(BeTrue(), f.Story)
+		}
+		f.Pass(contact + 50*time.Millisecond)
+		f.change(3)
+		f.ReadBack()
+		sound(f, Twice, Config, Back, Kept)
+	})
+
+	story("given a calm core, or one whose third machine is dark, when nodes start, then their first confirmed chart comes within a few round trips", []uint64{1, 2, 3}, func(f *Fleet) {
+		raised(f)
+		var told []string
+		for _, dark := range []bool{false, true} {
+			if dark {
+				f.PowerLoss(f.Keels[2])
+				f.Pass(2 * time.Second)
+			}
+			for _, m := range f.Nodes {
+				took := f.restart(m)
+				told = append(told, fmt.Sprintf("%.1f", took.Seconds()*1000))
+				Expect(took).To(BeNumerically("<", 150*time.Millisecond), f.Story)
+			}
+		}
+		ginkgo.AddReportEntry("ms to a confirmed chart, calm and beside one dark of three", strings.Join(told, " "))
+	})
+})
