--- a/internal/dataplane/directory_test.go
+++ b/internal/dataplane/directory_test.go
@@ -186,6 +186,20 @@
 		Expect(subset(n.hailed(), addresses(all))).To(BeTrue())
 	})
 
+	story("given one with a majority to guide the node, when only those of old lists are left to fill a place, then it stays free", func(s *stand) {
+		d := newDirectory(s.clock, base.SeededRand(1), contact, []string{"a:1"})
+		now := uint64(0)
+		Expect(d.choose(false)).To(Equal([]string{"a:1"}))
+		d.heard("a:1", &now, []string{"a:1", "old:1", "old:2"})
+		time.Sleep(2 * contact)
+		d.heard("a:1", &now, []string{"a:1", "b:1"})
+		start, _ := d.choose(false)
+		Expect(start).To(Equal([]string{"b:1"}))
+		time.Sleep(contact)
+		start, _ = d.choose(false)
+		Expect(start).To(HaveLen(1), "with no majority heard of for long, those of old lists are tried too")
+	})
+
 	story("given a core without a majority anywhere, when time passes, then the node goes on hearing of its mates from one that answers", func(s *stand) {
 		all := s.controls(5)
 		n := s.node(1, addresses(all[:3]))
