--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -151,6 +151,9 @@
 		}, "keel core-1 hears so few of the 3 voters of generation 3 that one more lost would stop changes",
 			"keel core-1 has ended generation 3 and waits for the next", "keel core-1 sees 10.0.0.4:7 still catching up"),
 		ginkgo.Entry("a node behind", func(l *look) { l.views["app-1"].Serial = 4 }, "node app-1 is on serial 4, the newest is 5"),
+		ginkgo.Entry("a node beside a control machine that is cut off", func(l *look) {
+			l.views["app-1"].Hailed = []*wire.ControlView{{Address: "10.0.0.1:7"}}
+		}, "node app-1 serves a chart that no majority has vouched for since it started"),
 		ginkgo.Entry("a node seen by one keel", func(l *look) {
 			l.sights["app-1"].there, l.sights["app-1"].absent = []string{"core-1"}, []string{"core-2"}
 		}, "node app-1 is not heard by core-2, though by core-1"),
--- a/cmd/quiz/openwrong.go
+++ b/cmd/quiz/openwrong.go
@@ -150,6 +150,9 @@
 }
 
 func nodeWrong(name string, view *wire.NodeView, newest uint64, add func(string, ...any)) {
+	if view.Serial > 0 && !view.Confirmed && len(view.Hailed) > 0 {
+		add("node %s serves a chart that no majority has vouched for since it started", name)
+	}
 	switch {
 	case view.Stopping:
 		add("node %s is stopping", name)
--- a/internal/controlplane/learn_test.go
+++ b/internal/controlplane/learn_test.go
@@ -81,6 +81,33 @@
 	})
 })
 
+var _ = ginkgo.Describe("a learner that is cut off", func() {
+	story("given spans on both sides, when another takes over, then the one cut off hands out no odds of its own, and is told the others' once joined again", func(f *fleet) {
+		Expect(f.taken(0, whole(1, 0))).To(BeTrue())
+		f.spans(1, 40)
+		Expect(f.until(func() bool { return f.holder() >= 0 })).To(BeTrue())
+		f.agree(1)
+		alone := f.holder()
+		f.isolate(alone)
+		serial := func(i int) uint64 {
+			reply, err := f.hail(i, &wire.HailRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			return reply.Odds.GetSerial()
+		}
+		at := serial(alone)
+		other := (alone + 1) % 3
+		Expect(f.within(60*time.Second, func() bool {
+			f.spans(alone, 20)
+			f.spans(other, 20)
+			time.Sleep(time.Second)
+			Expect(serial(alone)).To(Equal(at), "nothing it learns alone is handed out")
+			return serial(other) > at+2
+		})).To(BeTrue())
+		f.world.HealAll()
+		Expect(f.within(5*time.Second, func() bool { return serial(alone) >= serial(other) })).To(BeTrue())
+	})
+})
+
 var _ = ginkgo.Describe("stopping", func() {
 	story("given a keel that holds hails and owns the chart, when it stops, then hails are answered, another owns it, and it is gone well within the grace", func(f *fleet) {
 		Expect(f.taken(0, whole(1, 0))).To(BeTrue())
