--- /dev/null
+++ b/deploy/daygen/draw.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	fewestDraws     = 4
+	mostDraws       = 9
+	earliestS       = 0.5
+	closingMarginS  = 2.0
+	closingChance   = 0.75
+	roleChance      = 0.6
+	modifierChance  = 0.35
+	placeChance     = 0.3
+	seriesSpacingS  = 3.0
+	daySeedBound    = 1 << 28
+	shortestDownS   = 0.4
+	longestDownS    = 2.0
+	decimals        = 1000
+	randomStreamDay = 17
+)
+
+var (
+	machineRoles  = []string{"leader", "reader", "seed"}
+	followingWork = []string{"meet", "race", "hard", "drain"}
+	cutStyles     = []string{"reset", "refuse"}
+)
+
+// DrawSettings says what to draw.
+type DrawSettings struct {
+	Seed    uint64
+	Stress  Stress
+	Without []string
+	Only    []string
+}
+
+// drawer draws the entries of one day from one source of random numbers.
+type drawer struct {
+	DrawSettings
+	site   Site
+	random *rand.Rand
+}
+
+// DrawDay draws a day for a site. The same site and settings always yield the same day.
+func DrawDay(site Site, settings DrawSettings) (Day, error) {
+	d := drawer{DrawSettings: settings, site: site, random: rand.New(rand.NewPCG(settings.Seed, randomStreamDay))}
+	kinds := d.eligibleKinds()
+	if len(kinds) == 0 {
+		return Day{}, errors.New("no kind of trouble is left to draw from")
+	}
+	day := Day{
+		Name:    fmt.Sprintf("drawn-%s-%d", settings.Stress, settings.Seed),
+		Comment: d.comment(),
+		Seed:    d.random.Uint64N(daySeedBound),
+	}
+	for range fewestDraws + d.random.IntN(mostDraws-fewestDraws+1) {
+		d.addTo(&day, d.drawKind(kinds))
+	}
+	slices.SortStableFunc(day.Plan, earlier)
+	slices.SortStableFunc(day.Faults, earlier)
+	day.Closing = d.drawClosing()
+	return day, nil
+}
+
+func earlier(a, b Entry) int { return cmp.Compare(a.At, b.At) }
+
+func (d drawer) comment() string {
+	text := fmt.Sprintf("daygen day --seed %d --stress %s", d.Seed, d.Stress)
+	if len(d.Without) > 0 {
+		text += " --without " + strings.Join(d.Without, " ")
+	}
+	if len(d.Only) > 0 {
+		text += " --only " + strings.Join(d.Only, " ")
+	}
+	return text
+}
+
+func (d drawer) eligibleKinds() []Kind {
+	var kinds []Kind
+	for _, kind := range catalogue {
+		if kind.Contract != "" && !slices.Contains(d.site.Contracts, kind.Contract) {
+			continue
+		}
+		if slices.Contains(d.Without, kind.Name) {
+			continue
+		}
+		if len(d.Only) > 0 && !slices.Contains(d.Only, kind.Name) {
+			continue
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
+func (d drawer) drawKind(kinds []Kind) Kind {
+	total := 0
+	for _, kind := range kinds {
+		total += kind.weight(d.Stress)
+	}
+	left := d.random.IntN(total)
+	for _, kind := range kinds {
+		left -= kind.weight(d.Stress)
+		if left < 0 {
+			return kind
+		}
+	}
+	panic("weights don't sum up")
+}
+
+// addTo adds one entry of the kind, or a series of them, to the section that the kind belongs to.
+func (d drawer) addTo(day *Day, kind Kind) {
+	at := d.between(Range{earliestS, d.site.LengthS - closingMarginS})
+	entries := 1
+	if d.Stress == StressControl && kind.Series.High > 0 {
+		entries = d.whole(kind.Series)
+	}
+	for range entries {
+		entry := d.drawEntry(kind, at)
+		if kind.Section == Plan {
+			day.Plan = append(day.Plan, entry)
+		} else {
+			day.Faults = append(day.Faults, entry)
+		}
+		at = round(math.Min(at+d.between(Range{earliestS, seriesSpacingS}), d.site.LengthS-closingMarginS))
+	}
+}
+
+func (d drawer) drawEntry(kind Kind, at float64) Entry {
+	entry := Entry{
+		At: at, Kind: kind.Name,
+		Share: d.between(kind.Share), X: d.between(kind.X), GapS: d.between(kind.GapS),
+		ForS: d.between(d.duration(kind)), Count: d.whole(kind.Count), How: d.drawHow(kind),
+	}
+	if kind.OnCore {
+		entry.On = onCore
+	}
+	if kind.CountUpToTolerated {
+		entry.Count = d.whole(IntRange{1, max(d.site.Tolerate.Machines, 1)})
+	}
+	d.drawPlace(&entry, kind.Place)
+	return entry
+}
+
+func (d drawer) duration(kind Kind) Range {
+	if d.Stress == StressControl && kind.LongForS.High > 0 {
+		return kind.LongForS
+	}
+	return kind.ForS
+}
+
+// drawHow joins a variant, a role, a cut style, what follows, and modifiers, as far as the kind allows them.
+func (d drawer) drawHow(kind Kind) string {
+	var words []string
+	if kind.Targeting.Roles && d.chance(roleChance) {
+		words = append(words, pick(d.random, machineRoles))
+	}
+	if len(kind.Variants) > 0 {
+		words = append(words, pick(d.random, kind.Variants))
+	}
+	if kind.Targeting.CutStyles && d.chance(modifierChance) {
+		words = append(words, pick(d.random, cutStyles))
+	}
+	if kind.Targeting.Follow {
+		words = append(words, d.some(followingWork)...)
+	}
+	words = append(words, d.some(kind.Modifiers)...)
+	return strings.TrimSpace(strings.Join(words, " "))
+}
+
+// drawPlace names a zone, service or class in some of the entries; in the others the bench picks one.
+func (d drawer) drawPlace(entry *Entry, place Place) {
+	zones := d.site.zoneNames()
+	if place.ToZone {
+		order := d.random.Perm(len(zones))
+		entry.ToZone = zones[order[0]]
+		if place.Zone && len(zones) > 1 {
+			entry.Zone = zones[order[1]]
+		}
+	} else if place.Zone && d.chance(placeChance) {
+		entry.Zone = pick(d.random, zones)
+	}
+	if place.Service && d.chance(placeChance) {
+		entry.Service = pick(d.random, d.site.Services).Name
+	}
+	if place.Class && entry.Zone == "" && d.chance(placeChance) {
+		entry.Class = pick(d.random, d.site.outerClasses())
+	}
+}
+
+func (d drawer) drawClosing() *Closing {
+	if !d.chance(closingChance) {
+		return nil
+	}
+	kind := pick(d.random, closingKinds)
+	return &Closing{Kind: kind.Name, DownS: d.between(Range{shortestDownS, longestDownS}), How: pick(d.random, kind.Variants)}
+}
+
+func (d drawer) chance(probability float64) bool { return d.random.Float64() < probability }
+
+// some returns each of the words with the chance of a modifier.
+func (d drawer) some(words []string) []string {
+	var chosen []string
+	for _, word := range words {
+		if d.chance(modifierChance) {
+			chosen = append(chosen, word)
+		}
+	}
+	return chosen
+}
+
+func (d drawer) between(bounds Range) float64 {
+	return round(bounds.Low + d.random.Float64()*(bounds.High-bounds.Low))
+}
+
+func (d drawer) whole(bounds IntRange) int {
+	return bounds.Low + d.random.IntN(bounds.High-bounds.Low+1)
+}
+
+func round(value float64) float64 { return math.Round(value*decimals) / decimals }
+
+func pick[T any](random *rand.Rand, from []T) T { return from[random.IntN(len(from))] }
--- /dev/null
+++ b/deploy/daygen/site.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"github.com/BurntSushi/toml"
+	"github.com/pkg/errors"
+)
+
+// Site holds the fields of a site file that days are drawn from.
+type Site struct {
+	Name      string
+	LengthS   float64 `toml:"length_s"`
+	Contracts []string
+	Zones     []struct{ Name string }
+	Services  []struct{ Name string }
+	Classes   []struct {
+		Name  string
+		Inner bool
+	}
+	Tolerate struct{ Machines int }
+}
+
+// ReadSite reads a site file and checks that it holds what days are drawn from.
+func ReadSite(path string) (Site, error) {
+	var site Site
+	if _, err := toml.DecodeFile(path, &site); err != nil {
+		return Site{}, errors.Wrap(err, "site file")
+	}
+	switch {
+	case site.LengthS <= earliestS+closingMarginS:
+		return Site{}, errors.Errorf("site file %s: length_s %v is too short", path, site.LengthS)
+	case len(site.Zones) == 0:
+		return Site{}, errors.Errorf("site file %s: no zones", path)
+	case len(site.Services) == 0:
+		return Site{}, errors.Errorf("site file %s: no services", path)
+	case len(site.outerClasses()) == 0:
+		return Site{}, errors.Errorf("site file %s: no classes that clients ask for", path)
+	}
+	return site, nil
+}
+
+func (s Site) zoneNames() []string {
+	var names []string
+	for _, zone := range s.Zones {
+		names = append(names, zone.Name)
+	}
+	return names
+}
+
+// outerClasses returns the classes of requests that clients send; upstreams send the inner ones.
+func (s Site) outerClasses() []string {
+	var names []string
+	for _, class := range s.Classes {
+		if !class.Inner {
+			names = append(names, class.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/deploy/daygen/variant.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/pkg/errors"
+)
+
+// Variant says what a changed copy of a site file has different. Zero values leave a field as it is.
+type Variant struct {
+	LengthS     float64
+	CoreCount   int
+	Tolerate    int
+	CrossZoneMs float64
+	LagMs       int64
+	BeatMs      int64
+	Contracts   []string
+	// Bounds are whole numbers that replace those of the table of that name.
+	Bounds map[string]int64
+}
+
+// document is a decoded TOML table.
+type document = map[string]any
+
+// CopySite writes a changed copy of a site file, and the files beside it that it refers to, into a folder.
+// It returns the path of the copy.
+func CopySite(path, folder string, variant Variant) (string, error) {
+	var site document
+	if _, err := toml.DecodeFile(path, &site); err != nil {
+		return "", errors.Wrap(err, "site file")
+	}
+	if err := variant.apply(site); err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return "", errors.Wrap(err, "folder of the copy")
+	}
+	if err := copyCompanions(path, folder, site); err != nil {
+		return "", err
+	}
+	target := filepath.Join(folder, filepath.Base(path))
+	text, err := toml.Marshal(site)
+	if err != nil {
+		return "", errors.Wrap(err, "encode the copy")
+	}
+	return target, errors.Wrap(os.WriteFile(target, text, 0o644), "write the copy")
+}
+
+// copyCompanions copies the file of wire examples and the recorded days, where a site has them.
+func copyCompanions(path, folder string, site document) error {
+	names := []string{strings.TrimSuffix(filepath.Base(path), ".toml") + ".days"}
+	if wire, ok := site["wire"].(string); ok {
+		names = append(names, wire)
+	}
+	for _, name := range names {
+		content, err := os.ReadFile(filepath.Join(filepath.Dir(path), name))
+		if os.IsNotExist(err) {
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "file beside the site file")
+		}
+		if err := os.WriteFile(filepath.Join(folder, name), content, 0o644); err != nil {
+			return errors.Wrap(err, "file beside the copy")
+		}
+	}
+	return nil
+}
+
+func (v Variant) apply(site document) error {
+	if v.LengthS > 0 {
+		site["length_s"] = v.LengthS
+	}
+	if len(v.Contracts) > 0 {
+		site["contracts"] = v.Contracts
+	}
+	if v.CoreCount > 0 {
+		if err := setCoreCount(site, v.CoreCount); err != nil {
+			return err
+		}
+	}
+	if v.Tolerate > 0 {
+		if err := setField(site, "tolerate", "machines", int64(v.Tolerate)); err != nil {
+			return err
+		}
+	}
+	if v.CrossZoneMs > 0 {
+		if err := setField(site, "net", "cross_zone_ms", v.CrossZoneMs); err != nil {
+			return err
+		}
+	}
+	if v.LagMs > 0 {
+		if err := setField(site, "discovery", "lag_ms", v.LagMs); err != nil {
+			return err
+		}
+	}
+	if v.BeatMs > 0 {
+		if err := setField(site, "discovery", "beat_ms", v.BeatMs); err != nil {
+			return err
+		}
+	}
+	for name, value := range v.Bounds {
+		if err := setField(site, "bounds", name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setField replaces a field that exists, so that a misspelt name isn't passed over.
+func setField(site document, table, field string, value any) error {
+	fields, ok := site[table].(document)
+	if !ok {
+		return errors.Errorf("the site file has no table %s", table)
+	}
+	if _, ok := fields[field]; !ok {
+		return errors.Errorf("the site file has no field %s.%s", table, field)
+	}
+	fields[field] = value
+	return nil
+}
+
+// setCoreCount spreads the core machines evenly over the entries that the site file has for them.
+func setCoreCount(site document, count int) error {
+	cores := coreEntries(site)
+	if len(cores) == 0 {
+		return errors.New("the site file has no core machines")
+	}
+	if count < len(cores) {
+		return errors.Errorf("the site file has core machines in %d places, so %d are too few", len(cores), count)
+	}
+	for i, machine := range cores {
+		share := count / len(cores)
+		if i < count%len(cores) {
+			share++
+		}
+		machine["count"] = int64(share)
+	}
+	return nil
+}
+
+// coreEntries returns the entries of core machines, one a place, whether the file lists machines inline or not.
+func coreEntries(site document) []document {
+	machines, _ := site["machines"].([]document)
+	if inline, ok := site["machines"].([]any); ok {
+		for _, item := range inline {
+			if machine, ok := item.(document); ok {
+				machines = append(machines, machine)
+			}
+		}
+	}
+	var cores []document
+	for _, machine := range machines {
+		if machine["class"] == onCore {
+			cores = append(cores, machine)
+		}
+	}
+	return cores
+}
