--- a/deploy/daygen/draw.go
+++ b/deploy/daygen/draw.go
@@ -40,6 +40,8 @@
 	Stress  Stress
 	Without []string
 	Only    []string
+	// Entries is how many times a kind is drawn; 0 draws that number, too. Long days want more.
+	Entries int
 }
 
 // drawer draws the entries of one day from one source of random numbers.
@@ -61,7 +63,11 @@
 		Comment: d.comment(),
 		Seed:    d.random.Uint64N(daySeedBound),
 	}
-	for range fewestDraws + d.random.IntN(mostDraws-fewestDraws+1) {
+	draws := d.whole(IntRange{fewestDraws, mostDraws})
+	if d.Entries > 0 {
+		draws = d.Entries
+	}
+	for range draws {
 		d.addTo(&day, d.drawKind(kinds))
 	}
 	slices.SortStableFunc(day.Plan, earlier)
@@ -80,6 +86,9 @@
 	if len(d.Only) > 0 {
 		text += " --only " + strings.Join(d.Only, " ")
 	}
+	if d.Entries > 0 {
+		text += fmt.Sprintf(" --entries %d", d.Entries)
+	}
 	return text
 }
 
--- a/deploy/daygen/draw_test.go
+++ b/deploy/daygen/draw_test.go
@@ -66,6 +66,13 @@
 		}
 	})
 
+	ginkgo.It("draws as many entries as it is told", func() {
+		for _, day := range drawAll(readExample(), DrawSettings{Stress: StressNone, Entries: 30}) {
+			Expect(len(day.Plan) + len(day.Faults)).To(Equal(30))
+			Expect(day.Comment).To(HaveSuffix("--entries 30"))
+		}
+	})
+
 	ginkgo.It("comes to every kind whose contract is open, and to no other", func() {
 		drawn := entriesOf(drawAll(readExample(), DrawSettings{Stress: StressNone}))
 		for _, kind := range catalogue {
--- a/deploy/daygen/main.go
+++ b/deploy/daygen/main.go
@@ -25,6 +25,7 @@
 	Stress  Stress   `arg:"--stress" default:"none" help:"none, control or requests"`
 	Without []string `arg:"--without" help:"kinds that aren't drawn"`
 	Only    []string `arg:"--only" help:"the only kinds that are drawn"`
+	Entries int      `arg:"--entries" help:"how many times a kind is drawn; 4 to 9 when left out"`
 	Out     string   `arg:"--out" help:"day file to write; standard output when left out"`
 }
 
@@ -95,6 +96,9 @@
 			problems = append(problems, fmt.Sprintf("no kind is called %q", name))
 		}
 	}
+	if a.Entries < 0 {
+		problems = append(problems, "--entries can't be below 0")
+	}
 	return problems
 }
 
@@ -134,7 +138,7 @@
 	if err != nil {
 		return exitFailure, err
 	}
-	day, err := DrawDay(site, DrawSettings{Seed: a.Seed, Stress: a.Stress, Without: a.Without, Only: a.Only})
+	day, err := DrawDay(site, DrawSettings{Seed: a.Seed, Stress: a.Stress, Without: a.Without, Only: a.Only, Entries: a.Entries})
 	if err != nil {
 		return exitFailure, err
 	}
--- a/deploy/daygen/main_test.go
+++ b/deploy/daygen/main_test.go
@@ -7,8 +7,8 @@
 
 var _ = ginkgo.Describe("The settings of daygen", func() {
 	ginkgo.It("lists all problems at once", func() {
-		settings := args{Day: &dayArgs{Stress: "much", Without: []string{"core_cut", "flood"}, Only: []string{"storm"}}}
-		Expect(settings.problems()).To(ConsistOf(ContainSubstring("much"), ContainSubstring("flood"), ContainSubstring("storm")))
+		settings := args{Day: &dayArgs{Stress: "much", Without: []string{"core_cut", "flood"}, Only: []string{"storm"}, Entries: -1}}
+		Expect(settings.problems()).To(ConsistOf(ContainSubstring("much"), ContainSubstring("flood"), ContainSubstring("storm"), ContainSubstring("--entries")))
 	})
 
 	ginkgo.It("turns away a tolerance without a majority, and numbers below 0", func() {
