--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -54,7 +54,16 @@
 }
 
 func (m *Machine) blankReply(standing wire.Standing) *wire.ReplicaReply {
-	return &wire.ReplicaReply{From: m.durable.Id, Generation: m.generation(), Standing: standing, Membership: m.members()}
+	return &wire.ReplicaReply{From: m.durable.Id, Generation: m.generation(), Standing: standing, Membership: m.toldMembership()}
+}
+
+// toldMembership is the newest membership that this replica tells: one that it heard of, or holds on disk. A first
+// generation that isn't on disk may yet come to nothing.
+func (m *Machine) toldMembership() *wire.Membership {
+	if m.durable.Membership.GetGeneration() >= m.learned.GetGeneration() {
+		return m.durable.Membership
+	}
+	return m.learned
 }
 
 // ifVoter runs vote if this replica votes in the generation of the question; else it says why not.
@@ -106,13 +115,20 @@
 	}
 	answer := m.blankReply(wire.Standing_GRANTED)
 	answer.Promised, answer.Accepted = ask.Term, held.Accepted
+	if held.Accepted != nil && ask.Have != nil && compareVersions(held.Accepted, ask.Have) == 0 {
+		answer.Accepted = withoutValue(held.Accepted)
+	}
 	m.answerSaved(reply, answer)
 }
 
 // accept keeps a version unless a higher term was promised.
 func (m *Machine) accept(ask *wire.AcceptAsk, reply func(*wire.ReplicaReply)) {
 	held := m.register(ask.Key)
-	version := ask.Version
+	version := wholeVersion(ask, held.Accepted)
+	if version == nil {
+		m.answer(reply, wire.Standing_NEEDS_WHOLE)
+		return
+	}
 	if compareTerms(version.GetTerm(), held.Promised) < 0 || compareVersions(version, held.Accepted) < 0 {
 		answer := m.blankReply(wire.Standing_OUTRANKED)
 		answer.Promised = held.Promised
@@ -148,14 +164,16 @@
 		m.pull(ask.Address)
 	}
 	answer := m.blankReply(standing)
+	answer.Generation = m.durable.Membership.GetGeneration()
 	if m.durable.Membership != nil {
-		answer.Generation, answer.Membership = m.durable.Membership.Generation, m.durable.Membership
+		answer.Membership = m.durable.Membership
 		answer.Registers = m.heldRegisters(question.Have)
 	}
 	m.local = append(m.local, func() { reply(answer) })
 }
 
-// standingForLearner tells an asker without a vote whether this reply counts as a voter's.
+// standingForLearner tells an asker without a vote whether this reply counts as a voter's: only if the generation on
+// disk, of which the reply tells, is neither sealed nor over.
 func (m *Machine) standingForLearner(ask *wire.ReplicaRequest) wire.Standing {
 	switch {
 	case m.awaitsFounding():
@@ -163,7 +181,7 @@
 		return wire.Standing_FOUNDING
 	case m.durable.Membership == nil:
 		return wire.Standing_NO_VOTE
-	case m.state.Next != nil:
+	case m.state.Next != nil || m.durable.Next != nil || m.durable.Membership.Generation != m.generation():
 		return wire.Standing_SEALED
 	}
 	return wire.Standing_GRANTED
@@ -189,8 +207,12 @@
 	}
 }
 
-// markChosen keeps the newest version known to be chosen.
+// markChosen keeps the newest version known to be chosen. The membership's register begins anew with each generation,
+// so that its versions say nothing later.
 func (m *Machine) markChosen(key string, version *wire.Version) {
+	if key == membershipKey {
+		return
+	}
 	if version == nil || m.chosen[key] != nil && compareVersions(version, m.chosen[key]) <= 0 {
 		return
 	}
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -25,6 +25,8 @@
 	change func(old []byte) ([]byte, error)
 	// done runs in place of a result where this replica itself asked.
 	done func(version *wire.Version, err error)
+	// refusal is the error that change gave. It stands once a majority has confirmed the value that it was given.
+	refusal error
 }
 
 // ownership is this replica's work as owner of one key.
@@ -69,12 +71,22 @@
 	o.proceed()
 }
 
-func (t *task) end(m *Machine, version *wire.Version, err error) {
+// fail ends a task without knowledge of the newest value.
+func (t *task) fail(m *Machine, err error) {
+	t.end(m, Result{Ticket: t.ticket, Err: err})
+}
+
+// conclude ends a task on the newest value.
+func (t *task) conclude(m *Machine, version *wire.Version) {
+	t.end(m, Result{Ticket: t.ticket, Version: version, Agreed: true, Settled: true, Err: t.refusal})
+}
+
+func (t *task) end(m *Machine, result Result) {
 	if t.done != nil {
-		t.done(version, err)
+		t.done(result.Version, result.Err)
 		return
 	}
-	m.out.Results = append(m.out.Results, Result{Ticket: t.ticket, Version: version, Agreed: err == nil, Settled: err == nil, Err: err})
+	m.out.Results = append(m.out.Results, result)
 }
 
 // proceed starts on the queue if nothing runs.
@@ -102,7 +114,7 @@
 	work := slices.Concat(o.running, o.queue)
 	o.running, o.queue = nil, nil
 	for _, each := range work {
-		each.end(o.machine, nil, err)
+		each.fail(o.machine, err)
 	}
 }
 
@@ -114,7 +126,7 @@
 	term := &wire.Term{Number: number, Owner: m.state.Id}
 	o.attempt++
 	attempt, membership := o.attempt, m.state.Membership
-	m.ask(m.settings.Address, promiseAsk(o.key, term), func(reply *wire.ReplicaReply) {
+	m.ask(m.settings.Address, promiseAsk(o.key, term, nil), func(reply *wire.ReplicaReply) {
 		if o.attempt != attempt {
 			return
 		}
@@ -126,14 +138,19 @@
 	})
 }
 
-func promiseAsk(key string, term *wire.Term) *wire.ReplicaRequest {
-	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Promise{Promise: &wire.PromiseAsk{Key: key, Term: term}}}
+func promiseAsk(key string, term *wire.Term, have *wire.Version) *wire.ReplicaRequest {
+	ask := &wire.PromiseAsk{Key: key, Term: term}
+	if have != nil {
+		ask.Have = withoutValue(have)
+	}
+	return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Promise{Promise: ask}}
 }
 
 // gather asks all voters for their promise and takes over the newest version among a majority.
 func (o *ownership) gather(term *wire.Term, attempt uint64, membership *wire.Membership) {
 	m := o.machine
-	m.poll(membership, func() *wire.ReplicaRequest { return promiseAsk(o.key, term) }, func(r *round, _ *wire.ReplicaReply) {
+	have := m.register(o.key).Accepted
+	m.poll(membership, func() *wire.ReplicaRequest { return promiseAsk(o.key, term, have) }, func(r *round, _ *wire.ReplicaReply) {
 		if o.attempt != attempt {
 			r.closed = true
 			return
@@ -141,7 +158,7 @@
 		switch {
 		case r.granted() >= majority(membership):
 			r.closed = true
-			o.inherit(term, r)
+			o.inherit(term, have, r)
 		case r.hopeless():
 			r.closed = true
 			o.fallBehind(r)
@@ -150,11 +167,11 @@
 }
 
 // inherit writes the newest version among a majority again under the new term: only then is it surely chosen.
-func (o *ownership) inherit(term *wire.Term, r *round) {
+func (o *ownership) inherit(term *wire.Term, have *wire.Version, r *round) {
 	var highest *wire.Version
 	for _, reply := range r.replies {
 		if r.grants(reply) {
-			highest = newer(highest, reply.Accepted)
+			highest = newer(highest, withValue(reply.Accepted, have))
 		}
 	}
 	o.term = term
@@ -164,7 +181,7 @@
 		o.serve()
 		return
 	}
-	o.write(&wire.Version{Term: term, Serial: highest.Serial, Value: highest.Value}, o.serve)
+	o.write(&wire.Version{Term: term, Serial: highest.Serial, Value: highest.Value}, highest, o.serve)
 }
 
 // fallBehind gives up after a lost round, remembering the term that won it.
@@ -184,31 +201,22 @@
 	o.lose(errNoQuorum)
 }
 
-// serve runs the whole queue on the present value and writes the outcome once.
+// serve runs the whole queue on the present value and writes the outcome once. Refusals wait for a majority too:
+// this replica may have been replaced as owner without having heard of it.
 func (o *ownership) serve() {
 	o.running, o.queue = o.queue, nil
-	var value []byte
-	if o.version != nil {
-		value = o.version.Value
-	}
-	changed := false
-	var kept []*task
+	value, changed := o.version.GetValue(), false
 	for _, each := range o.running {
 		next, err := each.apply(value)
-		if err != nil {
-			each.end(o.machine, nil, err)
-			continue
-		}
-		kept = append(kept, each)
-		if next != nil {
+		each.refusal = err
+		if err == nil && next != nil {
 			value, changed = next, true
 		}
 	}
-	o.running = kept
 	switch {
 	case changed:
-		o.write(&wire.Version{Term: o.term, Serial: o.version.GetSerial() + 1, Value: value}, o.finish)
-	case len(kept) > 0:
+		o.write(&wire.Version{Term: o.term, Serial: o.version.GetSerial() + 1, Value: value}, o.version, o.finish)
+	case len(o.running) > 0:
 		o.reconfirm()
 	default:
 		o.finish()
@@ -222,15 +230,20 @@
 	return t.change(old)
 }
 
-// write has a version accepted by a majority.
-func (o *ownership) write(version *wire.Version, then func()) {
+// write has a version accepted by a majority. Voters that hold the one before it are sent the difference.
+func (o *ownership) write(version, before *wire.Version, then func()) {
 	m := o.machine
 	o.attempt++
 	attempt, membership := o.attempt, m.state.Membership
-	ask := func() *wire.ReplicaRequest {
-		return &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Accept{Accept: &wire.AcceptAsk{Key: o.key, Version: version}}}
+	whole := func() *wire.ReplicaRequest { return acceptAsk(&wire.AcceptAsk{Key: o.key, Version: version}) }
+	delta := deltaAsk(o.key, version, before)
+	ask := func(voter *wire.Replica) *wire.ReplicaRequest {
+		if delta == nil || voter.Id == m.state.Id {
+			return whole()
+		}
+		return acceptAsk(delta)
 	}
-	m.poll(membership, ask, func(r *round, _ *wire.ReplicaReply) {
+	m.pollEach(membership, ask, whole, func(r *round, _ *wire.ReplicaReply) {
 		if o.attempt != attempt {
 			r.closed = true
 			return
@@ -293,7 +306,7 @@
 	o.running, o.busy = nil, false
 	o.attempt++
 	for _, each := range work {
-		each.end(o.machine, o.version, nil)
+		each.conclude(o.machine, o.version)
 	}
 	o.proceed()
 }
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -45,6 +45,7 @@
 	have, began := m.heldVersions(), m.now
 	m.poll(members, func() *wire.ReplicaRequest { return m.statusAsk(have) }, func(r *round, reply *wire.ReplicaReply) {
 		m.hearStatus(reply, have)
+		m.resignIfReplaced(r)
 		m.concludeStatus(r, began, have, surveys)
 	})
 }
@@ -85,19 +86,29 @@
 	}}}
 }
 
-// hearStatus takes what one reply tells: a newer generation, or that this replica has been replaced.
+// hearStatus takes what one reply tells of a newer generation.
 func (m *Machine) hearStatus(reply *wire.ReplicaReply, have map[string]*wire.Version) {
 	if reply == nil {
 		return
 	}
 	m.learn(reply.Membership)
-	if reply.Registers == nil || reply.Membership.GetGeneration() != reply.Generation || reply.Generation <= m.generation() {
+	if reply.Membership.GetGeneration() != reply.Generation || reply.Generation <= m.generation() {
 		return
 	}
-	switch {
-	case voterWith(reply.Membership, m.state.Id) != nil:
+	if voterWith(reply.Membership, m.state.Id) != nil {
 		m.enter(reply.Membership, withValues(reply.Registers, have))
-	case m.votes():
+	}
+}
+
+// resignIfReplaced gives up the vote once a majority of a newer generation, without this replica, holds it on disk.
+// Until then the next generation may have to be installed again from what is held here.
+func (m *Machine) resignIfReplaced(r *round) {
+	newer := r.membership
+	if !m.votes() || newer.Generation <= m.generation() || voterWith(newer, m.state.Id) != nil {
+		return
+	}
+	installed := r.count(func(reply *wire.ReplicaReply) bool { return reply.Generation >= newer.Generation })
+	if installed >= majority(newer) {
 		m.resign()
 	}
 }
@@ -216,11 +227,21 @@
 		}
 	}
 	for key, version := range newest {
-		settled[key] = r.copies(key, version) >= majority(r.membership)
+		settled[key] = r.votes(key, version) >= majority(r.membership)
 	}
 	return newest, settled
 }
 
+// votes counts the replies that hold a version as a vote for it. A copy that was installed, or taken over, under a
+// higher promise is none: a version of that higher term may stand elsewhere.
+func (r *round) votes(key string, version *wire.Version) int {
+	return r.count(func(reply *wire.ReplicaReply) bool {
+		held := reply.Registers[key]
+		return r.grants(reply) && held.GetAccepted() != nil && compareVersions(held.Accepted, version) == 0 &&
+			compareTerms(held.Promised, version.Term) == 0
+	})
+}
+
 // copies counts the replies that hold a version.
 func (r *round) copies(key string, version *wire.Version) int {
 	return r.count(func(reply *wire.ReplicaReply) bool {
@@ -229,16 +250,15 @@
 	})
 }
 
-// adopt keeps the versions that a majority holds.
+// adopt keeps the versions that a majority holds. The membership register is left to those who change it: its
+// versions mean something in their own generation only.
 func (m *Machine) adopt(newest map[string]*wire.Version, settled map[string]bool) {
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		if !settled[key] {
+		if key == membershipKey || !settled[key] {
 			continue
 		}
 		m.keep(key, newest[key])
-		if key != membershipKey {
-			m.markChosen(key, newest[key])
-		}
+		m.markChosen(key, newest[key])
 	}
 }
 
@@ -251,9 +271,6 @@
 	if m.votes() && (m.state.Next != nil || compareTerms(version.Term, held.Promised) < 0) {
 		return
 	}
-	if !m.votes() && key == membershipKey {
-		return
-	}
 	m.setRegister(key, &wire.Register{Promised: higher(held.Promised, version.Term), Accepted: version})
 }
 
