--- a/deploy/daygen/draw.go
+++ b/deploy/daygen/draw.go
@@ -181,7 +181,8 @@
 		words = append(words, d.some(followingWork)...)
 	}
 	words = append(words, d.some(kind.Modifiers)...)
-	return strings.TrimSpace(strings.Join(words, " "))
+	words = slices.DeleteFunc(words, func(word string) bool { return word == "" })
+	return strings.Join(words, " ")
 }
 
 // drawPlace names a zone, service or class in some of the entries; in the others the bench picks one.
--- a/deploy/daygen/draw_test.go
+++ b/deploy/daygen/draw_test.go
@@ -108,6 +108,7 @@
 		for _, cut := range cuts {
 			Expect(cut.ForS).To(And(BeNumerically(">=", 16), BeNumerically("<=", 20)))
 			Expect(cut.Count).To(And(BeNumerically(">=", 1), BeNumerically("<=", 2)))
+			Expect(cut.How).To(Equal(strings.Join(strings.Fields(cut.How), " ")))
 			for _, word := range strings.Fields(cut.How) {
 				words[word] = true
 			}
