--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -1,3 +1,6 @@
+// Command drill runs a whole fleet on one machine, as processes on loopback, to
+// see it work under load and trouble. It is a test tool and the only program
+// that starts others.
 package main
 
 import (
@@ -11,7 +14,7 @@
 
 	"curlewreach/base"
 	"curlewreach/fleet/scale"
-	"curlewreach/mime"
+	"curlewreach/internal/testing/standin"
 )
 
 const (
@@ -90,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	s.Clock = mime.MachineClock()
+	s.Clock = standin.MachineClock()
 	s.Rand = base.SeededRand(a.Seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/flow/claims.go
+++ b/flow/claims.go
@@ -8,26 +8,39 @@
 	"connectrpc.com/connect"
 
 	"curlewreach/base"
+	"curlewreach/internal/bundle"
 	"curlewreach/internal/quorum"
-	"curlewreach/pact"
 	"curlewreach/proto/wire"
 )
 
 const (
-	claimRatio  = 0.8
-	worryRatio  = 0.5
-	vouchRatio  = 0.35
+	// claimRatio, of the slide-back bound, is how long what core machines and
+	// nodes vouched for holds.
+	claimRatio = 0.8
+	// worryRatio, of that time, is how long before its end a node begins to ask
+	// other nodes.
+	worryRatio = 0.5
+	// vouchRatio, of that time, is the interval at which it asks them.
+	vouchRatio = 0.35
+	// behindRatio, of that time, is how long a request waits for the bundle in
+	// force.
 	behindRatio = 0.2
 
+	// backersSpare is how many more nodes are asked than a majority needs.
 	backersSpare = 1
 )
 
+// word is what a core machine or a node said of the newest bundle it knows, and
+// when.
 type word struct {
 	at       time.Duration
 	serial   uint64
 	definite bool
 }
 
+// Claims decides which bundle is in force on a node: the newest that a majority
+// of core machines, or of nodes, lately vouched for. A node that can't tell
+// serves nothing. It is safe for concurrent use.
 type Claims struct {
 	clock    base.Clock
 	length   time.Duration
@@ -35,9 +48,9 @@
 	mu       sync.Mutex
 	keels    []word
 	mates    map[string]word
-	held     *pact.Bundle
-	staged   *pact.Bundle
-	recalled *pact.Bundle
+	held     *bundle.Bundle
+	staged   *bundle.Bundle
+	recalled *bundle.Bundle
 	ballot   *wire.Ballot
 	wanted   uint64
 	definite bool
@@ -46,16 +59,22 @@
 	cored    time.Duration
 }
 
+// NewClaims returns the claims of a node that was just started. They hold for
+// length; settling must pass before the node vouches to others; without the
+// core it goes on for alone at most, or without limit if that is 0.
 func NewClaims(clock base.Clock, self string, keels int, length, settling, alone time.Duration) *Claims {
 	return &Claims{alone: alone, cored: clock.Mono(), clock: clock, since: clock.Mono() + settling, self: self, keels: make([]word, keels), mates: map[string]word{}, length: length}
 }
 
-func (c *Claims) Held() (held, staged *pact.Bundle, ballot *wire.Ballot) {
+// Held returns the bundle held, the one staged, and the newest ballot heard.
+func (c *Claims) Held() (held, staged *bundle.Bundle, ballot *wire.Ballot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.held, c.staged, c.ballot
 }
 
+// Good reports whether the bundle of that serial number is held and sure to be
+// the newest.
 func (c *Claims) Good(serial uint64) bool { return c.goodIn(serial, 0) }
 
 func (c *Claims) goodIn(serial uint64, ahead time.Duration) bool {
@@ -79,12 +98,12 @@
 
 func (c *Claims) tooLong() bool { return c.alone > 0 && c.clock.Mono()-c.cored > c.alone }
 
-func (c *Claims) byMates(bundle *pact.Bundle, ahead time.Duration, own int) bool {
+func (c *Claims) byMates(signed *bundle.Bundle, ahead time.Duration, own int) bool {
 	if c.tooLong() {
 		return false
 	}
 	oldest, good := c.clock.Mono()+ahead-c.length, 0
-	for machine := range bundle.Machines() {
+	for machine := range signed.Machines() {
 		if machine.Core {
 			continue
 		}
@@ -92,14 +111,16 @@
 			good += own
 			continue
 		}
-		if each := c.mates[machine.Name]; each.definite && each.at >= oldest && each.serial <= bundle.Serial {
+		if each := c.mates[machine.Name]; each.definite && each.at >= oldest && each.serial <= signed.Serial {
 			good++
 		}
 	}
-	return good >= bundle.Vanes()/2+1
+	return good >= signed.Vanes()/2+1
 }
 
-func (c *Claims) Heard(keel int, asked time.Duration, news *wire.NewsReply, open func(*wire.Sealed) *pact.Bundle) (risen *pact.Bundle) {
+// Heard takes in news of a core machine that were asked for at the time given.
+// It returns the bundle held if that changed.
+func (c *Claims) Heard(keel int, asked time.Duration, news *wire.NewsReply, open func(*wire.Sealed) *bundle.Bundle) (risen *bundle.Bundle) {
 	slice, staged := open(news.Slice), open(news.Staged)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,7 +142,7 @@
 	return risen
 }
 
-func (c *Claims) rise(offered ...*pact.Bundle) (risen *pact.Bundle) {
+func (c *Claims) rise(offered ...*bundle.Bundle) (risen *bundle.Bundle) {
 	for _, each := range append(offered, c.staged, c.recalled) {
 		if each == nil || each.Serial != c.wanted {
 			continue
@@ -142,13 +163,17 @@
 	}
 }
 
-func (c *Claims) Recall(bundle *pact.Bundle) {
+// Recall sets a bundle read from disk, which is held once a majority confirms
+// it.
+func (c *Claims) Recall(signed *bundle.Bundle) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recalled = bundle
+	c.recalled = signed
 }
 
-func (c *Claims) Vouched(asked time.Duration, reply *wire.VouchReply, open func(*wire.Sealed) *pact.Bundle) (risen *pact.Bundle) {
+// Vouched takes in another node's word that was asked for at the time given. It
+// returns the bundle held if that changed.
+func (c *Claims) Vouched(asked time.Duration, reply *wire.VouchReply, open func(*wire.Sealed) *bundle.Bundle) (risen *bundle.Bundle) {
 	slice := open(reply.Slice)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,6 +188,7 @@
 	return risen
 }
 
+// Vouch returns this node's word for another node.
 func (c *Claims) Vouch(ask *wire.VouchRequest) *wire.VouchReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,7 +205,7 @@
 	return reply
 }
 
-func (c *Claims) mostKnown() *pact.Bundle {
+func (c *Claims) mostKnown() *bundle.Bundle {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.held == nil {
@@ -205,20 +231,23 @@
 		}
 		asked := s.Clock.Mono()
 		for _, machine := range n.claims.backers(known, serial) {
-			go func() {
-				ctx, cancel := context.WithTimeout(s, n.claims.length)
-				defer cancel()
-				reply, err := n.mate(machine.Address).Vouch(ctx, connect.NewRequest(&wire.VouchRequest{Node: n.self, Serial: serial, Odds: n.keeper.Serial()}))
-				if err == nil && reply.Msg.Node == machine.Name {
-					n.load(reply.Msg.Odds)
-					n.risen(n.claims.Vouched(asked, reply.Msg, n.open))
-				}
-			}()
+			go n.askVouch(s, machine, serial, asked)
 		}
 	})
 }
 
-func (c *Claims) backers(known *pact.Bundle, serial uint64) []*wire.Machine {
+// askVouch asks another node for its word.
+func (n *Node) askVouch(s base.Scope, machine *wire.Machine, serial uint64, asked time.Duration) {
+	ctx, cancel := context.WithTimeout(s, n.claims.length)
+	defer cancel()
+	reply, err := n.mate(machine.Address).Vouch(ctx, connect.NewRequest(&wire.VouchRequest{Node: n.self, Serial: serial, Odds: n.keeper.Serial()}))
+	if err == nil && reply.Msg.Node == machine.Name {
+		n.load(reply.Msg.Odds)
+		n.risen(n.claims.Vouched(asked, reply.Msg, n.open))
+	}
+}
+
+func (c *Claims) backers(known *bundle.Bundle, serial uint64) []*wire.Machine {
 	good := c.Good(serial)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/proto/compat/compat_test.go
+++ b/proto/compat/compat_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
-	"curlewreach/pact"
+	"curlewreach/internal/bundle"
 	"curlewreach/proto/wire"
 )
 
@@ -63,33 +63,16 @@
 	return faults
 }
 
+// filled sets every field of a message, nested ones down to a depth.
 func filled(message protoreflect.Message, depth int) {
 	fields := message.Descriptor().Fields()
 	for i := range fields.Len() {
 		field := fields.Get(i)
 		switch {
 		case field.IsMap():
-			value := message.NewField(field).Map()
-			held := value.NewValue()
-			if field.MapValue().Kind() != protoreflect.MessageKind {
-				held = scalar(field.MapValue())
-			}
-			value.Set(protoreflect.ValueOfString("key").MapKey(), held)
-			message.Set(field, protoreflect.ValueOfMap(value))
+			message.Set(field, filledMap(message, field))
 		case field.IsList():
-			list := message.NewField(field).List()
-			for range 2 {
-				if field.Kind() == protoreflect.MessageKind {
-					item := list.NewElement()
-					if depth > 0 {
-						filled(item.Message(), depth-1)
-					}
-					list.Append(item)
-				} else {
-					list.Append(scalar(field))
-				}
-			}
-			message.Set(field, protoreflect.ValueOfList(list))
+			message.Set(field, filledList(message, field, depth))
 		case field.Kind() == protoreflect.MessageKind:
 			if depth > 0 {
 				filled(message.Mutable(field).Message(), depth-1)
@@ -100,6 +83,32 @@
 	}
 }
 
+func filledMap(message protoreflect.Message, field protoreflect.FieldDescriptor) protoreflect.Value {
+	value := message.NewField(field).Map()
+	held := value.NewValue()
+	if field.MapValue().Kind() != protoreflect.MessageKind {
+		held = scalar(field.MapValue())
+	}
+	value.Set(protoreflect.ValueOfString("key").MapKey(), held)
+	return protoreflect.ValueOfMap(value)
+}
+
+func filledList(message protoreflect.Message, field protoreflect.FieldDescriptor, depth int) protoreflect.Value {
+	list := message.NewField(field).List()
+	for range 2 {
+		if field.Kind() != protoreflect.MessageKind {
+			list.Append(scalar(field))
+			continue
+		}
+		item := list.NewElement()
+		if depth > 0 {
+			filled(item.Message(), depth-1)
+		}
+		list.Append(item)
+	}
+	return protoreflect.ValueOfList(list)
+}
+
 func scalar(field protoreflect.FieldDescriptor) protoreflect.Value {
 	switch field.Kind() {
 	case protoreflect.BoolKind:
@@ -184,10 +193,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		sealed := &wire.Sealed{}
 		Expect(proto.Unmarshal(raw, sealed)).To(Succeed())
-		bundle, mishap := pact.Open(sealed)
+		signed, mishap := bundle.Open(sealed)
 		Expect(mishap).To(BeNil())
-		Expect(bundle.Serial).To(Equal(uint64(2)))
-		_, known := pact.Index(sealed, bundle).Match("POST", "/lending/hold/7")
+		Expect(signed.Serial).To(Equal(uint64(2)))
+		_, known := bundle.Index(sealed, signed).Match("POST", "/lending/hold/7")
 		Expect(known).To(BeTrue())
 	})
 })
