--- a/internal/quorum/register.go
+++ b/internal/quorum/register.go
@@ -27,16 +27,6 @@
 	Address string
 }
 
-// disk is a machine's disk as this one reaches it: its own directly, others by
-// calls.
-type disk interface {
-	Promise(context.Context, *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error)
-	Accept(context.Context, *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error)
-	Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleReply], error)
-	TakeOver(context.Context, *connect.Request[wire.TakeOverRequest]) (*connect.Response[wire.TakeOverReply], error)
-	Keys(context.Context, *connect.Request[wire.KeysRequest]) (*connect.Response[wire.KeysReply], error)
-}
-
 // hold is what this machine knows of a key as its owner. A nil epoch means that
 // it isn't.
 type hold struct {
@@ -146,64 +136,6 @@
 	return at
 }
 
-// Reply is one disk's answer.
-type Reply[T any] struct {
-	disk int
-	body *T
-	err  error
-}
-
-// poll asks all disks at a time and returns their answers once enough are
-// without an error, or all have come.
-func poll[T any](s base.Scope, disks []disk, need int, round time.Duration, ask func(context.Context, disk) (*T, error)) []Reply[T] {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.Context), round)
-	replies := make(chan Reply[T], len(disks))
-	for i, each := range disks {
-		go func() {
-			body, err := patient(ctx, func() (*T, error) { return ask(ctx, each) })
-			replies <- Reply[T]{i, body, err}
-		}()
-	}
-	var got []Reply[T]
-	good := 0
-	for range disks {
-		reply := <-replies
-		got = append(got, reply)
-		if reply.err == nil {
-			good++
-		}
-		if good >= need {
-			break
-		}
-	}
-	left := len(disks) - len(got)
-	go func() {
-		for range left {
-			<-replies
-		}
-		cancel()
-	}()
-	return got
-}
-
-func patient[T any](ctx context.Context, ask func() (*T, error)) (*T, error) {
-	type said struct {
-		body *T
-		err  error
-	}
-	answer := make(chan said, 1)
-	go func() {
-		body, err := ask()
-		answer <- said{body, err}
-	}()
-	select {
-	case got := <-answer:
-		return got.body, got.err
-	case <-ctx.Done():
-		return nil, base.Bounce(base.Unreachable, "", "a disk did not answer in time")
-	}
-}
-
 func (t *Trove) promises(s base.Scope, disks []disk, need int, request *wire.PromiseRequest) []Reply[wire.PromiseReply] {
 	return poll(s, disks, need, t.round, func(ctx context.Context, d disk) (*wire.PromiseReply, error) {
 		reply, err := d.Promise(ctx, connect.NewRequest(request))
@@ -429,68 +361,3 @@
 		}
 	}
 }
-
-type server struct{ trove *Trove }
-
-// Handler returns the path and handler of this machine's disk.
-func Handler(t *Trove) (string, http.Handler) {
-	return wireconnect.NewTroveHandler(server{t}, base.Plain())
-}
-
-func (v server) Promise(ctx context.Context, request *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error) {
-	ask := request.Msg
-	if ask.Epoch == nil {
-		promised, entry := v.trove.store.Peek(ask.Key)
-		if entry != nil && ask.Have != nil && compareEntries(entry, &wire.Entry{Epoch: ask.Have, Serial: ask.HaveSerial}) == 0 {
-			entry = &wire.Entry{Key: entry.Key, Epoch: entry.Epoch, Serial: entry.Serial}
-		}
-		if v.trove.store.Phase() != wire.Phase_FOUNDED || v.trove.store.IsSick(ask.Key) {
-			return nil, base.Bounce(base.Amnesiac, ask.Key, "this disk has not recovered")
-		}
-		return connect.NewResponse(&wire.PromiseReply{Promised: promised, Entry: entry}), nil
-	}
-	granted, promised, entry, err := v.trove.store.Promise(ctx, ask.Key, ask.Epoch)
-	if err != nil {
-		return nil, err
-	}
-	return connect.NewResponse(&wire.PromiseReply{Granted: granted, Promised: promised, Entry: entry}), nil
-}
-
-func (v server) Accept(ctx context.Context, request *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error) {
-	if request.Msg.GetEntry().GetKey() == "" || request.Msg.Entry.GetEpoch().GetNumber() == 0 {
-		return nil, connect.NewError(connect.CodeInvalidArgument, base.Bounce(base.Malformed, "entry", "an entry has a key and an epoch"))
-	}
-	granted, promised, err := v.trove.store.Accept(ctx, request.Msg.Entry)
-	if err != nil {
-		return nil, err
-	}
-	return connect.NewResponse(&wire.AcceptReply{Granted: granted, Promised: promised}), nil
-}
-
-func (v server) Settle(_ context.Context, request *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleReply], error) {
-	_, entry := v.trove.store.Peek(request.Msg.Key)
-	if entry != nil && compareEntries(entry, &wire.Entry{Epoch: request.Msg.Epoch, Serial: request.Msg.Serial}) == 0 {
-		v.trove.settle(entry)
-	}
-	return connect.NewResponse(&wire.SettleReply{}), nil
-}
-
-func (v server) TakeOver(ctx context.Context, request *connect.Request[wire.TakeOverRequest]) (*connect.Response[wire.TakeOverReply], error) {
-	t := v.trove
-	s, cancel := t.scope.Under(ctx).Within(t.round)
-	defer cancel()
-	at := t.hold(request.Msg.Key)
-	if !at.latch.Take(s) {
-		return nil, busy(request.Msg.Key)
-	}
-	defer at.latch.Drop()
-	if err := t.promise(s, request.Msg.Key, at); err != nil {
-		at.epoch = nil
-		return nil, err
-	}
-	return connect.NewResponse(&wire.TakeOverReply{}), nil
-}
-
-func (v server) Keys(context.Context, *connect.Request[wire.KeysRequest]) (*connect.Response[wire.KeysReply], error) {
-	return connect.NewResponse(&wire.KeysReply{Keys: v.trove.store.Keys(), Phase: v.trove.store.Phase()}), nil
-}
--- /dev/null
+++ b/internal/quorum/server.go
@@ -0,0 +1,77 @@
+package quorum
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"curlewreach/base"
+	"curlewreach/proto/wire"
+	"curlewreach/proto/wire/wireconnect"
+)
+
+type server struct{ trove *Trove }
+
+// Handler returns the path and handler of this machine's disk.
+func Handler(t *Trove) (string, http.Handler) {
+	return wireconnect.NewTroveHandler(server{t}, base.Plain())
+}
+
+func (v server) Promise(ctx context.Context, request *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseReply], error) {
+	ask := request.Msg
+	if ask.Epoch == nil {
+		promised, entry := v.trove.store.Peek(ask.Key)
+		if entry != nil && ask.Have != nil && compareEntries(entry, &wire.Entry{Epoch: ask.Have, Serial: ask.HaveSerial}) == 0 {
+			entry = &wire.Entry{Key: entry.Key, Epoch: entry.Epoch, Serial: entry.Serial}
+		}
+		if v.trove.store.Phase() != wire.Phase_FOUNDED || v.trove.store.IsSick(ask.Key) {
+			return nil, base.Bounce(base.Amnesiac, ask.Key, "this disk has not recovered")
+		}
+		return connect.NewResponse(&wire.PromiseReply{Promised: promised, Entry: entry}), nil
+	}
+	granted, promised, entry, err := v.trove.store.Promise(ctx, ask.Key, ask.Epoch)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.PromiseReply{Granted: granted, Promised: promised, Entry: entry}), nil
+}
+
+func (v server) Accept(ctx context.Context, request *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptReply], error) {
+	if request.Msg.GetEntry().GetKey() == "" || request.Msg.Entry.GetEpoch().GetNumber() == 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, base.Bounce(base.Malformed, "entry", "an entry has a key and an epoch"))
+	}
+	granted, promised, err := v.trove.store.Accept(ctx, request.Msg.Entry)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.AcceptReply{Granted: granted, Promised: promised}), nil
+}
+
+func (v server) Settle(_ context.Context, request *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleReply], error) {
+	_, entry := v.trove.store.Peek(request.Msg.Key)
+	if entry != nil && compareEntries(entry, &wire.Entry{Epoch: request.Msg.Epoch, Serial: request.Msg.Serial}) == 0 {
+		v.trove.settle(entry)
+	}
+	return connect.NewResponse(&wire.SettleReply{}), nil
+}
+
+func (v server) TakeOver(ctx context.Context, request *connect.Request[wire.TakeOverRequest]) (*connect.Response[wire.TakeOverReply], error) {
+	t := v.trove
+	s, cancel := t.scope.Under(ctx).Within(t.round)
+	defer cancel()
+	at := t.hold(request.Msg.Key)
+	if !at.latch.Take(s) {
+		return nil, busy(request.Msg.Key)
+	}
+	defer at.latch.Drop()
+	if err := t.promise(s, request.Msg.Key, at); err != nil {
+		at.epoch = nil
+		return nil, err
+	}
+	return connect.NewResponse(&wire.TakeOverReply{}), nil
+}
+
+func (v server) Keys(context.Context, *connect.Request[wire.KeysRequest]) (*connect.Response[wire.KeysReply], error) {
+	return connect.NewResponse(&wire.KeysReply{Keys: v.trove.store.Keys(), Phase: v.trove.store.Phase()}), nil
+}
