Test functions that are no specs may stand in KNOWN-RED.txt too

internal/replica, internal/statestore and internal/bytedelta have plain Go tests, which ginkgo can't skip one by one.

--- a/internal/testing/knownred/entry.go
+++ b/internal/testing/knownred/entry.go
@@ -20,8 +20,9 @@
 // Entry is one line of KNOWN-RED.txt: a test that fails for a real fault which
 // is not mended yet.
 type Entry struct {
-	// Test is the full text of one ginkgo spec: the texts of its containers
-	// and its own, joined by single spaces.
+	// Test is the full text of one ginkgo spec (the texts of its containers and
+	// its own, joined by single spaces), or a test function as
+	// folder/of/package.TestName.
 	Test string
 	// Cause says what makes the test fail.
 	Cause string
