A replica confirms a term only in a generation on its disk

Found by the model as a vote of a replica in a generation that it had not installed yet (a machine that crashes just before the first generation). Also: the checker follows accepted deltas, and before the first generation stands the schedules lose only as many disks as the seeds can bear, since those alone found. Without the change the test's replica grants.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -141,8 +141,12 @@
 	m.answerSaved(reply, m.blankReply(wire.Standing_GRANTED))
 }
 
-// confirm says whether a term is still the highest promised, here and on this disk.
+// confirm says whether a term is still the highest promised, here and on this disk, in a generation that is on it too.
 func (m *Machine) confirm(ask *wire.ConfirmAsk, reply func(*wire.ReplicaReply)) {
+	if m.durable.Membership.GetGeneration() != m.generation() {
+		m.answer(reply, wire.Standing_FAILED)
+		return
+	}
 	standing := wire.Standing_GRANTED
 	onDisk := m.durable.Registers[ask.Key].GetPromised()
 	if compareTerms(m.register(ask.Key).Promised, ask.Term) != 0 || compareTerms(onDisk, ask.Term) != 0 {
--- a/internal/replica/checker_test.go
+++ b/internal/replica/checker_test.go
@@ -197,26 +197,40 @@
 
 // sent demands that a term and serial stand for one value, and a term for one owner's process.
 func (c *checker) sent(n *node, request *wire.ReplicaRequest) {
-	accept := request.GetAccept()
-	if accept == nil {
+	ask := request.GetAccept()
+	if ask == nil {
 		return
 	}
-	term := accept.Version.Term
-	generation := ""
-	if accept.Key == membershipKey {
-		generation = fmt.Sprint(request.Generation)
-	}
-	owner := fmt.Sprintf("%s%s/%d/%s", accept.Key, generation, term.Number, term.Owner)
+	owner := termName(request, ask.Version.Term)
 	process := fmt.Sprintf("%s/%d", n.address, n.life)
 	if known, ok := c.owners[owner]; ok && known != process {
 		c.fail("the term %s was used by %s and %s", owner, known, process)
 	}
 	c.owners[owner] = process
-	name := fmt.Sprintf("%s/%d", owner, accept.Version.Serial)
-	if known, ok := c.versions[name]; ok && !bytes.Equal(known, accept.Version.Value) {
-		c.fail("the version %s is both %q and %q", name, known, accept.Version.Value)
+	version := ask.Version
+	if ask.Base != nil {
+		base := &wire.Version{Term: ask.Base.Term, Serial: ask.Base.Serial}
+		base.Value = c.versions[versionName(request, base)]
+		version = wholeVersion(ask, base)
+	}
+	name := versionName(request, version)
+	if known, ok := c.versions[name]; ok && !bytes.Equal(known, version.Value) {
+		c.fail("the version %s is both %q and %q", name, known, version.Value)
+	}
+	c.versions[name] = version.Value
+}
+
+// termName names a term of a key. The register of the membership begins anew with each generation.
+func termName(request *wire.ReplicaRequest, term *wire.Term) string {
+	key := request.GetAccept().Key
+	if key == membershipKey {
+		key = fmt.Sprint(key, request.Generation)
 	}
-	c.versions[name] = accept.Version.Value
+	return fmt.Sprintf("%s/%d/%s", key, term.GetNumber(), term.GetOwner())
+}
+
+func versionName(request *wire.ReplicaRequest, version *wire.Version) string {
+	return fmt.Sprintf("%s/%d", termName(request, version.Term), version.Serial)
 }
 
 func (c *checker) hasSealed(n *node, generation uint64) bool {
--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -232,7 +232,7 @@
 		return false
 	}
 	if !p.founded() {
-		return p.emptied < (p.schedule.Founders-1)/2
+		return p.emptied < (len(p.world.seeds)-1)/2 // the seeds alone found
 	}
 	id := n.diskState().GetId()
 	return id == "" || !p.world.check.counts(id) || p.world.check.isLost(id) || p.world.check.tolerates()
--- a/internal/replica/survey_test.go
+++ b/internal/replica/survey_test.go
@@ -97,3 +97,20 @@
 		}
 	}
 }
+
+// TestReplicaConfirmsOnlyInAGenerationOnItsDisk: b is asked to confirm a term while it installs the generation.
+func TestReplicaConfirmsOnlyInAGenerationOnItsDisk(t *testing.T) {
+	before, next := generationOf(1, "a", "b", "c"), generationOf(2, "a", "b", "d")
+	m := voterOf(before, "b")
+	m.Receive(time.Second, 1, &wire.ReplicaRequest{From: "a", Address: "a", Generation: 1, Ask: &wire.ReplicaRequest_Install{
+		Install: &wire.InstallAsk{Membership: next, Registers: map[string]*wire.Register{}},
+	}})
+	m.Receive(time.Second, 2, &wire.ReplicaRequest{From: "a", Address: "a", Generation: 2, Ask: &wire.ReplicaRequest_Confirm{
+		Confirm: &wire.ConfirmAsk{Key: "k"},
+	}})
+	for _, answer := range m.Take().Answers {
+		if answer.Call == 2 && answer.Reply.Standing == wire.Standing_GRANTED {
+			t.Fatal("a term is confirmed in a generation that isn't on disk")
+		}
+	}
+}
