A learner is admitted only after it has answered under its identity

Found while reading, shown by a directed schedule: a late question of an identity whose disk was lost again came when another identity was a voter at that address, and took that living voter's place: one loss more than had happened. Voters now ask a learner back, once, for a short answer. Without the change a generation follows with an identity that has no disk.

--- a/internal/replica/generation.go
+++ b/internal/replica/generation.go
@@ -26,6 +26,7 @@
 	heard    time.Duration
 	caughtUp bool
 	leaving  bool
+	verified bool // it has answered under its identity, so that its questions weren't late ones of a lost disk
 }
 
 // reconfiguration is this replica's work on the next generation.
@@ -50,7 +51,24 @@
 			delete(m.learners, id)
 		}
 	}
-	m.learners[ask.From] = &learner{address: ask.Address, heard: m.now, caughtUp: question.CaughtUp, leaving: question.Leaving}
+	known := m.learners[ask.From]
+	verified := known != nil && known.address == ask.Address && known.verified
+	m.learners[ask.From] = &learner{
+		address: ask.Address, heard: m.now, caughtUp: question.CaughtUp, leaving: question.Leaving, verified: verified,
+	}
+	if !verified {
+		m.verifyLearner(ask.From, ask.Address)
+	}
+}
+
+// verifyLearner asks back, for a short answer that tells who is at the address.
+func (m *Machine) verifyLearner(id, address string) {
+	question := &wire.ReplicaRequest{Ask: &wire.ReplicaRequest_Confirm{Confirm: &wire.ConfirmAsk{}}}
+	m.ask(address, question, func(reply *wire.ReplicaReply) {
+		if each := m.learners[id]; each != nil && each.address == address && reply.GetFrom() == id {
+			each.verified = true
+		}
+	})
 }
 
 func (m *Machine) forgetLearners() {
@@ -94,7 +112,7 @@
 func (m *Machine) readyLearners() []string {
 	ready := slices.DeleteFunc(slices.Sorted(maps.Keys(m.learners)), func(id string) bool {
 		each := m.learners[id]
-		return !each.caughtUp || each.leaving || voterWith(m.state.Membership, id) != nil
+		return !each.verified || !each.caughtUp || each.leaving || voterWith(m.state.Membership, id) != nil
 	})
 	return ready
 }
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -203,3 +203,29 @@
 		t.Fatalf("after generation 2 there is no other: %s", describeIDs(w.check.newest))
 	}
 }
+
+// TestLateQuestionOfALostLearnerReplacesNobody: c loses its disk twice; a question of the identity between arrives when the
+// last one is a voter at the address.
+func TestLateQuestionOfALostLearnerReplacesNobody(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.mustChange(t, "a:1", "k", "one;", time.Second)
+	w.wipe("c:1")
+	w.start("c:1", false)
+	w.intercept = func(m message) verdict {
+		if m.reply != nil || m.from != "c:1" || !m.request.GetStatus().GetCaughtUp() {
+			return verdict{}
+		}
+		return verdict{delay: 3 * time.Second}
+	}
+	w.run(700*time.Millisecond, nil) // the first identity has asked
+	w.wipe("c:1")
+	w.intercept = nil
+	w.start("c:1", false)
+	w.run(time.Second, nil) // the second is a voter
+	first := w.check.newest
+	w.run(4*time.Second, nil)
+	w.mustBeSound(t)
+	if w.check.newest != first {
+		t.Fatalf("%s follows %s", describeIDs(w.check.newest), describeIDs(first))
+	}
+}
