Random schedules against the replicas' state machine

After the last fault, every voter of the newest generation must stand and no learner be needed within ConvergeS, and each voter take a change within AckMs.

--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -301,8 +301,8 @@
 		p.restart(n)
 	}
 	p.healed = w.now
-	if !w.run(10*recoveryBound, p.settled) {
-		return w.check.failure + "after all is healed: " + p.unsettled()
+	if !w.run(recoveryBound, p.settled) {
+		return fmt.Sprintf("%v after all is healed: %s", recoveryBound, p.unsettled())
 	}
 	p.converged = w.now - p.healed
 	for _, voter := range w.check.newest.Voters {
