--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -29,6 +29,8 @@
 	at    time.Duration
 	order int
 	run   func()
+	label string // of messages and saves: names it among all of a run, whatever the order
+	node  string // whom it concerns
 }
 
 // eventQueue is a heap of events, the earliest first.
@@ -77,6 +79,8 @@
 	from, to string
 	request  *wire.ReplicaRequest
 	reply    *wire.ReplicaReply // nil for a request
+	label    string
+	lost     func() // runs where the world is explored and the message can't arrive
 }
 
 // verdict says what becomes of a message.
@@ -107,7 +111,7 @@
 	calls      map[uint64]*call
 	lastTicket uint64
 	tickets    map[uint64]func(Result)
-	delivered  int
+	exploring  bool // no time passes, and what can't arrive is known to be lost at once
 
 	check *checker
 	log   func(string, ...any)
@@ -138,9 +142,11 @@
 	}
 }
 
-func (w *world) after(span time.Duration, run func()) {
+func (w *world) after(span time.Duration, run func()) { w.schedule(span, "", "", run) }
+
+func (w *world) schedule(span time.Duration, label, node string, run func()) {
 	w.order++
-	heap.Push(&w.events, event{w.now + span, w.order, run})
+	heap.Push(&w.events, event{w.now + span, w.order, run, label, node})
 }
 
 // step runs the next event.
@@ -322,7 +328,8 @@
 func (n *node) save(save *Save) {
 	w, life := n.world, n.life
 	n.saving = save
-	w.after(w.drawSave(n), func() {
+	label := fmt.Sprintf("save %s/%d/%d", n.address, life, save.Number)
+	w.schedule(w.drawSave(n), label, n.address, func() {
 		if n.life != life {
 			return
 		}
@@ -369,10 +376,13 @@
 }
 
 func (w *world) arrive(m message, delay time.Duration, deliver func()) {
-	w.after(delay, func() {
+	w.schedule(delay, m.label, m.to, func() {
 		if !w.cuts[[2]string{m.from, m.to}] {
-			w.delivered++
 			deliver()
+			return
+		}
+		if w.exploring {
+			m.lost()
 		}
 	})
 }
@@ -389,10 +399,17 @@
 	}
 	w.after(simRequestTimeout, func() { finish(nil) })
 	question := overTheWire(request.Ask)
-	w.carry(message{from: n.address, to: request.To, request: question}, func() {
+	lost := func() { finish(nil) }
+	label := fmt.Sprintf("%s/%d/%d", n.address, life, request.ID)
+	w.carry(message{from: n.address, to: request.To, request: question, label: "ask " + label, lost: lost}, func() {
+		if to := w.nodes[request.To]; w.exploring && (to == nil || to.machine == nil) {
+			lost()
+			return
+		}
 		w.receive(request.To, question, func(reply *wire.ReplicaReply) {
 			told := overTheWire(reply)
-			w.carry(message{from: request.To, to: n.address, request: question, reply: told}, func() { finish(told) })
+			back := message{from: request.To, to: n.address, request: question, reply: told, label: "answer " + label, lost: lost}
+			w.carry(back, func() { finish(told) })
 		})
 	})
 }
