--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -77,6 +77,7 @@
 		w.start(fresh, false)
 		living = append(living[1:], fresh)
 		w.run(4*time.Second, nil)
+		w.mustRead(t, fresh, "k", value, 2*time.Second)
 		value += fmt.Sprint("v", i, ";")
 		w.mustChange(t, fresh, "k", value, 2*time.Second)
 		w.mustRead(t, living[0], "k", value, 2*time.Second)
@@ -203,3 +204,58 @@
 		t.Fatalf("after generation 2 there is no other: %s", describeIDs(w.check.newest))
 	}
 }
+
+// TestLateQuestionOfALostLearnerReplacesNobody: c loses its disk twice; a question of the identity between arrives when the
+// last one is a voter at the address.
+func TestLateQuestionOfALostLearnerReplacesNobody(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.mustChange(t, "a:1", "k", "one;", time.Second)
+	w.wipe("c:1")
+	w.start("c:1", false)
+	w.intercept = func(m message) verdict {
+		if m.reply != nil || m.from != "c:1" || !m.request.GetStatus().GetCaughtUp() {
+			return verdict{}
+		}
+		return verdict{delay: 3 * time.Second}
+	}
+	w.run(700*time.Millisecond, nil) // the first identity has asked
+	w.wipe("c:1")
+	w.intercept = nil
+	w.start("c:1", false)
+	w.run(time.Second, nil) // the second is a voter
+	first := w.check.newest
+	w.run(4*time.Second, nil)
+	w.mustBeSound(t)
+	if w.check.newest != first {
+		t.Fatalf("%s follows %s", describeIDs(w.check.newest), describeIDs(first))
+	}
+}
+
+// TestTwoCoordinatorsChooseOneGeneration: c is gone; only a hears of d, only b hears of e, and messages between a and b
+// take longer than the pause between their attempts.
+func TestTwoCoordinatorsChooseOneGeneration(t *testing.T) {
+	w := newFoundedWorld(t, "a:1", "b:1", "c:1")
+	w.mustChange(t, "a:1", "k", "one;", time.Second)
+	w.start("d:1", false)
+	w.start("e:1", false)
+	w.run(time.Second, nil) // both learn of the voters
+	w.crash("c:1", true)
+	w.intercept = func(m message) verdict {
+		status := m.request.GetStatus()
+		switch {
+		case status != nil && (m.from == "d:1" && m.to == "b:1" || m.from == "e:1" && m.to == "a:1"):
+			return verdict{lost: true}
+		case status == nil && m.reply == nil:
+			return verdict{delay: 300 * time.Millisecond}
+		}
+		return verdict{}
+	}
+	w.run(5*time.Second, nil)
+	w.mustBeSound(t)
+	w.intercept = nil
+	w.run(4*time.Second, nil)
+	w.mustBeSound(t)
+	if w.check.newest.Generation < 2 || !w.check.complete(w.check.newest) {
+		t.Fatalf("the newest is %s", describeIDs(w.check.newest))
+	}
+}
