A broken connection between nodes is settled by asking instead of left in doubt

Cause: a reset or silence on the hop between two nodes counted as doubt, so a request that may not be repeated ended in 502 though the upstream often never saw it, or answered it whole.

Each attempt of such a request now has an identity of its own. The node beside the upstream remembers the attempts it accepted (internal/attempts: bounded in count, age, bytes of held answers) and answers one question about them on a fresh connection (proto/attempts.proto): never began and never will (from then on turned away if it comes), at work, finished (with the answer while it is held), lost, turned away, unknown. Repeatable requests get an identity only while the purse could not pay a repeat.

Ruled out: ages told by the asker and compared with this node's clock (a clock that stood still would make "never began" wrong after forgetting). Marks (incarnation, era) need no clock: what bears a forgotten mark is neither accepted nor spoken about.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -54,6 +54,7 @@
 	hold        *Hold
 	usual       *Usual
 	callers     *Callers
+	fences      *fences
 	further     base.Table[bool]
 	ties        *Ties
 	keeper      *tracing.Keeper
@@ -129,6 +130,7 @@
 		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
+	n.fences = newFences(s, n.incarnation, force, p.MemoryMb)
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
 	n.patience = portion(contact, patienceRatio)
 	n.directory = newDirectory(s.Clock, s.Rand, contact, p.Seeds)
@@ -171,6 +173,7 @@
 			n.roster.Own(n.post())
 			n.across.Sweep()
 			n.upward.Sweep()
+			n.fences.table.Sweep()
 			n.roster.Sweep(forgetAfter)
 		})
 	})
--- a/internal/dataplane/far.go
+++ b/internal/dataplane/far.go
@@ -88,6 +88,10 @@
 	m.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	m.header[n.speech.Target] = []string{berth.Id}
 	m.certain = way.Once
+	if !way.Attempt.begin() {
+		leave()
+		return bounced(base.Bounce(base.Fenced, "", "this attempt was declared never to begin"))
+	}
 	f := n.ties.board(way, until, left)
 	own := func(r *http.Response) bool {
 		id := r.Header.Get(n.speech.Attempt)
@@ -163,6 +167,12 @@
 
 // inward serves mates.
 func (n *Node) inward(w http.ResponseWriter, r *http.Request) {
+	n.inside.Add(1)
+	defer n.inside.Add(-1)
+	if isQuestion(r) {
+		n.fences.questions.ServeHTTP(w, r)
+		return
+	}
 	began := n.scope.Clock.Mono()
 	attempt := r.Header.Get(n.speech.Attempt)
 	way, ok := readWay(r.Header.Get(wayHeader))
@@ -179,15 +189,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer done()
-	n.inside.Add(1)
-	defer n.inside.Add(-1)
 	until := began + time.Duration(ms)*time.Millisecond
-	ctx, cancel := context.WithTimeout(r.Context(), until-began)
+	var said *outcome
+	way.Attempt, said = n.fences.accept(r.Header.Get(attemptHeader))
+	ctx, cancel := n.fences.lifetime(n.scope, r.Context(), until-began, way.Attempt)
 	defer cancel()
 	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
 	var o outcome
 	settle := func(int64) {}
-	if mishap != nil {
+	if said != nil {
+		n.tally(countRefused)
+		o = *said
+	} else if mishap != nil {
 		o = bounced(base.Bounce(base.Crowded, "", "the body has no room now").Later(holdAgain))
 	} else if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
 		o = bounced(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
@@ -195,6 +208,8 @@
 		settle = n.spout.Owe(way.Route)
 		o = n.hand(ctx, way, m, attempt, until)
 	}
+	way.Attempt.finish(o)
+	n.fences.tell(w.Header(), r.Header)
 	weight := n.weight()
 	weight.Waited, weight.Further = int(o.waited.Milliseconds()), o.further
 	w.Header()[weightHeader] = []string{weight.text()}
@@ -231,8 +246,17 @@
 	return o, err == nil
 }
 
-// carry passes a request to the node beside an upstream, or hands it over here.
+// carry passes a request to the node beside an upstream, or hands it over here. Where that node has forgotten the mark that the attempt bore, another attempt with the present one follows at once.
 func (n *Node) carry(ctx context.Context, to Option, way Way, m *message, attempt string, until time.Duration) outcome {
+	o := n.carryOnce(ctx, to, way, m, attempt, until)
+	if staleMark(way.Attempt, o) {
+		way.Attempt = n.fences.start(to.node, n.roster.Incarnation)
+		return n.carryOnce(ctx, to, way, m, attempt, until)
+	}
+	return o
+}
+
+func (n *Node) carryOnce(ctx context.Context, to Option, way Way, m *message, attempt string, until time.Duration) outcome {
 	way.Berth = to.berth
 	mine := *m
 	mine.header = passing(m.header)
@@ -249,6 +273,7 @@
 	}
 	mine.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	mine.header[wayHeader] = []string{way.text()}
+	way.Attempt.sendIn(mine.header)
 	r, sent, err := n.across.exchange(ctx, to.inward, &mine, func(r *http.Response) bool { return r.Header.Get(n.speech.Attempt) == attempt })
 	if err != nil {
 		switch {
@@ -263,12 +288,13 @@
 			return bounced(base.Bounce(base.Unreachable, "", "the mate could not be reached"))
 		}
 		n.across.Forget(to.inward)
-		return doubt(base.Lost, err.Error())
+		return n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Lost, err.Error()))
 	}
 	weight, weighed := readWeight(r.Header.Get(weightHeader))
 	if weighed && weight.Serial > n.serial() {
 		n.behind.Ring()
 	}
+	n.fences.heard(to.node, r.Header.Get(memoryHeader))
 	said, isOutcome := readOutcome(r.Header.Get(outcomeHeader))
 	if !weighed {
 		r.distrust()
@@ -276,7 +302,7 @@
 	a, err := take(r, nearHeld, func(bool) {})
 	if err != nil {
 		r.broken()
-		return doubt(base.Garbled, "the answer broke off between nodes")
+		return n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Garbled, "the answer broke off between nodes"))
 	}
 	if !weighed {
 		a.drop()
--- /dev/null
+++ b/internal/dataplane/fence_test.go
@@ -0,0 +1,350 @@
+package dataplane
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"curlewreach/base"
+	"curlewreach/internal/attempts"
+	"curlewreach/proto/wire"
+)
+
+// breakage is what happens to a connection between nodes once a request that may not be repeated is written to it.
+type breakage int
+
+const (
+	intact breakage = iota
+	// lostRequest resets the connection before a byte leaves.
+	lostRequest
+	// lateRequest resets it for the sender, and the bytes arrive all the same after a while.
+	lateRequest
+	// resetAfter delivers the request and resets at once.
+	resetAfter
+	// lostAnswer delivers the request and resets once the answer is on its way.
+	lostAnswer
+)
+
+const lateBy = 120 * time.Millisecond
+
+// brittleNet breaks the connections of one node as a script says, one entry for each request that bears an attempt's identity.
+type brittleNet struct {
+	base.Net
+	mu     sync.Mutex
+	script []breakage
+	after  func()
+}
+
+func (n *brittleNet) next() breakage {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.script) == 0 {
+		return intact
+	}
+	first := n.script[0]
+	n.script = n.script[1:]
+	return first
+}
+
+func (n *brittleNet) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := n.Net.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &brittleConn{Conn: conn, net: n}, nil
+}
+
+type brittleConn struct {
+	net.Conn
+	net    *brittleNet
+	broken breakage
+}
+
+func (c *brittleConn) Write(data []byte) (int, error) {
+	if !bytes.Contains(data, []byte(attemptHeader)) {
+		return c.Conn.Write(data)
+	}
+	c.broken = c.net.next()
+	switch c.broken {
+	case lostRequest:
+		_ = c.Conn.Close()
+	case lateRequest:
+		copied := bytes.Clone(data)
+		time.AfterFunc(lateBy, func() { _, _ = c.Conn.Write(copied) })
+	default:
+		n, err := c.Conn.Write(data)
+		if c.broken != intact && c.net.after != nil {
+			c.net.after()
+		}
+		return n, err
+	}
+	return 0, syscall.ECONNRESET
+}
+
+func (c *brittleConn) Read(into []byte) (int, error) {
+	if c.broken == resetAfter {
+		return 0, syscall.ECONNRESET
+	}
+	n, err := c.Conn.Read(into)
+	if c.broken == lostAnswer {
+		return 0, syscall.ECONNRESET
+	}
+	return n, err
+}
+
+func (c *brittleConn) Close() error {
+	if c.broken == lateRequest {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// pair is a node beside a visitor, another beside the only upstream, and what that upstream ran.
+type pair struct {
+	*stand
+	near, far *Node
+	net       *brittleNet
+	ran       tally
+	work      time.Duration
+	size      int
+}
+
+func fenceChart() *wire.Chart {
+	c := aChart(1)
+	service := books
+	c.Routes = append(c.Routes, &wire.ChartRoute{Name: "lend", Host: "books.example", Prefix: "/lend/", Repeat: wire.Repeat_ONCE, CutoffMs: 4000, AimMs: 1000, Rank: 1, Tries: 2, Service: &service})
+	return c
+}
+
+func (s *stand) pair() *pair {
+	p := &pair{stand: s, near: s.node(1, noKeels), far: s.node(2, noKeels), work: 5 * time.Millisecond, size: 100}
+	p.net = &brittleNet{Net: p.near.across.net}
+	p.near.across.net = p.net
+	for _, n := range []*Node{p.near, p.far} {
+		n.adopt(fenceChart(), true)
+	}
+	s.seat(p.far, 1, func(w http.ResponseWriter, r *http.Request) {
+		p.ran.add(r.Header.Get(Plain.Attempt), 1)
+		time.Sleep(p.work)
+		if r.Context().Err() != nil {
+			p.ran.add("dropped", 1)
+		}
+		_, _ = w.Write(bytes.Repeat([]byte(r.Header.Get(Plain.Attempt)[:1]), p.size))
+	})
+	p.near.roster.Heard("keel", true, []*wire.Sight{{Post: p.far.post()}})
+	return p
+}
+
+func (p *pair) runs(id string) int { return p.ran.add(id, 0) }
+
+func (p *pair) lend(id string) said {
+	return p.ask(p.near.params.Outward, "/lend/1", asking(id, 2*time.Second))
+}
+
+// acquainted lets the near node learn the far one's mark.
+func (p *pair) acquainted(script ...breakage) {
+	ExpectWithOffset(1, p.lend("warm").status).To(Equal(http.StatusOK))
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.net.script = script
+}
+
+func (n *Node) counted(what string) int {
+	count, known := n.counts.Get(what)
+	if !known {
+		return 0
+	}
+	return int(count.Load())
+}
+
+var _ = ginkgo.Describe("a connection between nodes that breaks", func() {
+	story("given a request that never left, when the other node is asked, then it is tried again there and runs once", func(s *stand) {
+		p := s.pair()
+		p.acquainted(lostRequest)
+		Expect(p.lend("a").status).To(Equal(http.StatusOK))
+		Expect(p.runs("a")).To(Equal(1))
+		Expect(p.near.counted(countBroken)).To(Equal(1))
+		Expect(p.near.counted(countDoubt)).To(BeZero())
+		Expect(p.near.counted(countReplied + "never_began")).To(Equal(1))
+	})
+
+	story("given connections that break before every request, when the bounces are used up, then the promise not to have run is given and kept", func(s *stand) {
+		p := s.pair()
+		script := make([]breakage, 2*mostBounces)
+		for i := range script {
+			script[i] = lostRequest
+		}
+		p.acquainted(script...)
+		t := p.lend("a")
+		Expect(t.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(t.again).To(BeNumerically(">", 0))
+		time.Sleep(time.Second)
+		Expect(p.runs("a")).To(BeZero())
+	})
+
+	story("given a request that arrives after its fence, when it comes, then it is turned away and runs once in all", func(s *stand) {
+		p := s.pair()
+		p.acquainted(lateRequest)
+		Expect(p.lend("a").status).To(Equal(http.StatusOK))
+		time.Sleep(time.Second)
+		Expect(p.runs("a")).To(Equal(1))
+		Expect(p.far.counted(countRefused)).To(Equal(1), "the late one came")
+	})
+
+	story("given a request at work, when the connection breaks, then its answer is fetched whole and it runs once", func(s *stand) {
+		p := s.pair()
+		p.work, p.size = 600*time.Millisecond, 40_000
+		p.acquainted(resetAfter)
+		t := p.lend("a")
+		Expect(t.status).To(Equal(http.StatusOK))
+		Expect(t.bytes).To(Equal(40_000))
+		Expect(t.took).To(BeNumerically("<", p.work+100*time.Millisecond))
+		Expect(p.runs("a")).To(Equal(1))
+		Expect(p.runs("dropped")).To(BeZero())
+		Expect(p.near.counted(countFetched)).To(Equal(1))
+	})
+
+	story("given a request that finished, when its answer is lost between the nodes, then it is fetched whole and runs once", func(s *stand) {
+		p := s.pair()
+		p.acquainted(lostAnswer)
+		t := p.lend("a")
+		Expect(t.status).To(Equal(http.StatusOK))
+		Expect(t.bytes).To(Equal(p.size))
+		Expect(p.runs("a")).To(Equal(1))
+		Expect(p.near.counted(countReplied + "finished")).To(Equal(1))
+	})
+
+	story("given an answer larger than what is held, when it is lost, then doubt stays and it runs once", func(s *stand) {
+		p := s.pair()
+		p.size = largestAnswer + 1
+		p.acquainted(lostAnswer)
+		Expect(p.lend("a").status).To(Equal(http.StatusBadGateway))
+		Expect(p.runs("a")).To(Equal(1))
+		Expect(p.near.counted(countDoubt)).To(Equal(1))
+	})
+
+	story("given a request turned away by a full gate, when that word is lost, then it is told when to come back", func(s *stand) {
+		p := s.pair()
+		p.work = 1500 * time.Millisecond
+		p.net.script = []breakage{intact, lostAnswer}
+		s.aside(func() { p.lend("first") })
+		time.Sleep(50 * time.Millisecond)
+		p.near.fences.learn(p.far.params.Name, p.far.fences.table.Mark())
+		t := p.ask(p.near.params.Outward, "/lend/1", asking("a", 300*time.Millisecond))
+		Expect(t.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(t.again).To(BeNumerically(">", 0))
+		Expect(p.near.counted(countReplied + "turned_away")).To(Equal(1))
+		s.crew.Wait()
+		Expect(p.runs("a")).To(BeZero())
+	})
+
+	story("given a node that was another incarnation when the request began, when it is asked, then doubt stays", func(s *stand) {
+		p := s.pair()
+		p.acquainted(lostRequest)
+		p.near.fences.marks[p.far.params.Name] = attempts.Mark{Incarnation: "earlier", Era: 1}
+		Expect(p.lend("a").status).To(Equal(http.StatusBadGateway))
+		Expect(p.near.counted(countReplied + "unknown")).To(Equal(1))
+		Expect(p.near.counted(countDoubt)).To(Equal(1))
+	})
+
+	story("given a mate that was never spoken to, when the first connection breaks, then the incarnation known of it will do", func(s *stand) {
+		p := s.pair()
+		p.net.script = []breakage{lostRequest}
+		Expect(p.lend("a").status).To(Equal(http.StatusOK))
+		Expect(p.near.counted(countDoubt)).To(BeZero())
+		Expect(p.runs("a")).To(Equal(1))
+	})
+
+	story("given a mate of which no incarnation is known, when the connection breaks, then nobody is asked and doubt stays", func(s *stand) {
+		p := s.pair()
+		post := p.far.post()
+		post.Incarnation, post.Number = "", post.Number+1
+		p.near.roster.Heard("keel", true, []*wire.Sight{{Post: post}})
+		p.near.roster.places[post.Node].post = post
+		p.net.script = []breakage{lostRequest}
+		Expect(p.lend("a").status).To(Equal(http.StatusBadGateway))
+		Expect(p.near.counted(countAsked)).To(BeZero())
+		Expect(p.near.counted(countNoMark)).To(Equal(1))
+	})
+
+	story("given a repeatable request whose repeat could not be paid, when its connection breaks at work, then its answer is fetched", func(s *stand) {
+		p := s.pair()
+		p.acquainted(resetAfter)
+		for p.near.purse.Spend(books) {
+		}
+		p.work = 100 * time.Millisecond
+		Expect(p.ask(p.near.params.Outward, "/index/1", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
+		Expect(p.runs("a")).To(Equal(1))
+	})
+
+	story("given a mark that the mate has forgotten, when a request bears it, then it is turned away and tried again at once with the new one", func(s *stand) {
+		p := s.pair()
+		p.acquainted()
+		old := p.near.fences.marks[p.far.params.Name]
+		for i := range 2 * entriesUntold {
+			p.far.fences.table.Ask(attempts.ID(fmt.Sprint(i)), p.far.fences.table.Mark())
+		}
+		Expect(p.far.fences.table.Mark().Era).To(BeNumerically(">", old.Era+3))
+		Expect(p.lend("a").status).To(Equal(http.StatusOK))
+		Expect(p.far.counted(countRefused)).To(Equal(1))
+		Expect(p.runs("a")).To(Equal(1))
+	})
+
+	story("given a mate that can't be reached any more, when the connection breaks, then the question takes no more than its part of the time left", func(s *stand) {
+		p := s.pair()
+		p.acquainted(resetAfter)
+		p.net.after = func() {
+			for _, way := range [][2]string{{"10.9.1.1", "10.9.1.2"}, {"10.9.1.2", "10.9.1.1"}} {
+				s.world.Cut(way[0], way[1])
+			}
+		}
+		t := p.lend("a")
+		Expect(t.status).To(Equal(http.StatusBadGateway))
+		Expect(t.took).To(BeNumerically("<", time.Duration(askRatio*float64(2*time.Second))+50*time.Millisecond))
+		Expect(p.near.counted(countSilent)).To(Equal(1))
+	})
+
+	story("given a visitor who left, when nobody asks for the end of the request, then the upstream is let go of", func(s *stand) {
+		p := s.pair()
+		p.work = 1200 * time.Millisecond
+		p.acquainted()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		web := base.Wire(s.scope(otherBox))
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.near.params.Outward+"/lend/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host, r.Header = "books.example", asking("a", 2*time.Second)
+		_, err = web.Do(r)
+		Expect(err).To(HaveOccurred())
+		time.Sleep(3 * p.far.fences.linger)
+		_, gate, _ := p.far.dock.Now()
+		Expect(gate.Weight().Flying).To(BeZero())
+		time.Sleep(2 * time.Second)
+		Expect(p.runs("dropped")).To(Equal(1))
+	})
+
+	story("given a repeatable request, when it is carried, then it has no identity and nothing is remembered", func(s *stand) {
+		p := s.pair()
+		Expect(p.ask(p.near.params.Outward, "/index/1", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
+		entries, _ := p.far.fences.table.Size()
+		Expect(entries).To(BeZero())
+	})
+
+	story("given a visitor's request whose path looks like a question, when it comes, then it is a request like any other", func(s *stand) {
+		p := s.pair()
+		chart := fenceChart()
+		chart.Serial = 2
+		chart.Routes = append(chart.Routes, &wire.ChartRoute{Name: "odd", Host: "books.example", Prefix: attemptsPrefix, CutoffMs: 4000, AimMs: 1000, Tries: 2, Service: chart.Routes[0].Service})
+		p.near.adopt(chart, true)
+		Expect(p.ask(p.near.params.Outward, attemptsPrefix+"Resolve", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
+		Expect(p.runs("a")).To(Equal(1))
+	})
+})
--- a/internal/dataplane/kinds.go
+++ b/internal/dataplane/kinds.go
@@ -30,5 +30,5 @@
 // mayHedge tells whether one more upstream may be asked beside the one that is silent.
 func (v *visit) mayHedge() bool {
 	v.narrow()
-	return v.ledger.repeatable && v.ledger.running() == 1 && v.ledger.arrivals() < v.ledger.tries
+	return v.ledger.mayHedge()
 }
--- a/internal/dataplane/ledger.go
+++ b/internal/dataplane/ledger.go
@@ -77,8 +77,14 @@
 	return slices.ContainsFunc(l.attempts, func(a *attempt) bool { return a.state == Running || a.state == Doubtful || a.state == Failed })
 }
 
+// tried tells whether a node had its chance; where an attempt was fenced before it began, it may be asked again.
 func (l *Ledger) tried(node string) bool {
-	return slices.ContainsFunc(l.attempts, func(a *attempt) bool { return a.node == node })
+	return slices.ContainsFunc(l.attempts, func(a *attempt) bool { return a.node == node && a.kind != base.Fenced })
+}
+
+// mayHedge tells whether a second attempt may run beside a slow one.
+func (l *Ledger) mayHedge() bool {
+	return l.repeatable && l.running() == 1 && l.arrivals() < l.tries
 }
 
 func (l *Ledger) waitedAt(node string) bool {
--- a/internal/dataplane/near.go
+++ b/internal/dataplane/near.go
@@ -219,6 +219,9 @@
 	at := &attempt{node: to.node, began: v.now(), patient: way.Patience > 0}
 	v.ledger.attempts = append(v.ledger.attempts, at)
 	n := v.node
+	if v.identified(to) {
+		way.Attempt = n.fences.start(to.node, n.roster.Incarnation)
+	}
 	n.roster.Start(to.node)
 	go func() {
 		o := n.carry(v.ctx, to, way, v.m, v.attempt, v.until)
--- a/internal/dataplane/purse.go
+++ b/internal/dataplane/purse.go
@@ -75,6 +75,14 @@
 	return true
 }
 
+// Pays tells whether a repeat could be paid now.
+func (p *Purse) Pays(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, _ := p.at(service)
+	return c.held >= 1
+}
+
 // Refund gives a repeat back that never arrived.
 func (p *Purse) Refund(service string) {
 	p.mu.Lock()
--- a/internal/dataplane/roster.go
+++ b/internal/dataplane/roster.go
@@ -360,6 +360,16 @@
 	}
 }
 
+// Incarnation names the life that a mate is known to be in.
+func (r *Roster) Incarnation(node string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at := r.places[node]; at != nil {
+		return at.post.GetIncarnation()
+	}
+	return ""
+}
+
 // Posts lists the mates as last heard.
 func (r *Roster) Posts() []*wire.Post {
 	r.mu.Lock()
--- a/internal/dataplane/way.go
+++ b/internal/dataplane/way.go
@@ -13,9 +13,11 @@
 	wayHeader     = "Mesh-Way"
 	weightHeader  = "Mesh-Weight"
 	outcomeHeader = "Mesh-Outcome"
+	attemptHeader = "Mesh-Attempt"
+	memoryHeader  = "Mesh-Memory"
 )
 
-var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", wayHeader, weightHeader, outcomeHeader}
+var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", wayHeader, weightHeader, outcomeHeader, attemptHeader, memoryHeader}
 
 func passing(from http.Header, extra ...string) http.Header {
 	to := make(http.Header, len(from)+4)
@@ -50,6 +52,7 @@
 	Serial   uint64
 	Sampled  bool
 	Trace    string
+	Attempt  attemptRef
 }
 
 func flag(on bool) string {
