--- /dev/null
+++ b/internal/dataplane/model_node_test.go
@@ -0,0 +1,422 @@
+package dataplane
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"curlewreach/base"
+	"curlewreach/internal/attempts"
+	"curlewreach/proto/wire"
+)
+
+const modelService = "books"
+
+// modelNode is a node of the model: the product's decisions, and a process that can be killed and frozen.
+type modelNode struct {
+	world    *modelWorld
+	name     string
+	upstream *modelUpstream
+	life     int
+	up       bool
+	frozen   bool
+	held     []func()
+	purse    *Purse
+	fences   *fences
+}
+
+func (n *modelNode) raise() {
+	if n.up {
+		return
+	}
+	w := n.world
+	n.life++
+	n.up = true
+	incarnation := fmt.Sprint(n.name, "/", n.life)
+	n.purse = NewPurse(w, modelRatio, modelSlack, time.Hour, func() int { return len(w.nodes) })
+	n.fences = &fences{
+		incarnation: incarnation, marks: map[string]attempts.Mark{},
+		table: attempts.NewTable(incarnation, w.Mono, attempts.Bounds{Entries: modelEntries, Age: time.Minute, AnswerBytes: 1 << 10, LargestAnswer: 1 << 10, AnswerAge: 300 * time.Millisecond}),
+	}
+}
+
+func (n *modelNode) kill() {
+	if !n.up {
+		return
+	}
+	n.up, n.frozen, n.held = false, false, nil
+	for _, h := range n.world.hops {
+		if h.to == n && h.life == n.life {
+			h.from.then(n.world.delay(), h.breaks)
+		}
+	}
+	for _, r := range n.world.requests {
+		if r.origin == n && r.status == 0 {
+			r.excused = true
+		}
+	}
+	if n.upstream != nil {
+		for _, c := range n.upstream.conns {
+			c.ended, c.reader = true, nil
+		}
+		n.upstream.conns = nil
+	}
+}
+
+func (n *modelNode) freeze() { n.frozen = n.up }
+
+func (n *modelNode) thaw() {
+	held := n.held
+	n.frozen, n.held = false, nil
+	for _, do := range held {
+		do()
+	}
+}
+
+// then does something later in this life of the node, after a thaw if it is frozen by then.
+func (n *modelNode) then(d time.Duration, do func()) {
+	life := n.life
+	var now func()
+	now = func() {
+		switch {
+		case !n.up || n.life != life:
+		case n.frozen:
+			for _, r := range n.world.requests {
+				r.excused = r.excused || r.origin == n
+			}
+			n.held = append(n.held, now)
+		default:
+			do()
+		}
+	}
+	n.world.after(d, now)
+}
+
+// advance takes the next move that the ledger asks for.
+func (n *modelNode) advance(r *modelRequest) {
+	for r.status == 0 {
+		switch r.ledger.Next(n.world.now) {
+		case Await:
+			return
+		case Relay:
+			best := r.ledger.best()
+			if best == nil {
+				best = r.ledger.failed()
+			}
+			n.tell(r, best.answer.status, best.answer)
+		case GiveUp:
+			n.giveUp(r)
+		case Try:
+			n.try(r)
+		}
+	}
+}
+
+func (n *modelNode) try(r *modelRequest) {
+	repeat := r.ledger.arrivals() > 0
+	to := n.choose(r)
+	if to == nil || repeat && !n.pay() {
+		if failed := r.ledger.failed(); failed != nil {
+			n.tell(r, failed.answer.status, failed.answer)
+			return
+		}
+		n.giveUp(r)
+		return
+	}
+	n.start(r, to)
+}
+
+func (n *modelNode) pay() bool { return n.world.spoilt.repeatsUnpaid || n.purse.Spend(modelService) }
+
+func (n *modelNode) choose(r *modelRequest) *modelNode {
+	first := n.world.draw(modelUpstreams)
+	for i := range modelUpstreams {
+		to := n.world.nodes[(first+i)%modelUpstreams]
+		if !r.ledger.tried(to.name) {
+			return to
+		}
+	}
+	return nil
+}
+
+func (n *modelNode) hedge(r *modelRequest) {
+	allowed := r.ledger.mayHedge()
+	if n.world.spoilt.hedgeOfLoan {
+		allowed = r.ledger.running() == 1
+	}
+	if to := n.choose(r); r.status == 0 && allowed && to != nil && n.pay() {
+		n.start(r, to)
+	}
+}
+
+func (n *modelNode) giveUp(r *modelRequest) {
+	doubtful := r.ledger.doubtful() && !n.world.spoilt.promiseAfterDoubt
+	if doubtful {
+		n.tell(r, http.StatusBadGateway, nil)
+		return
+	}
+	n.tell(r, http.StatusServiceUnavailable, nil)
+}
+
+func (n *modelNode) tell(r *modelRequest, status int, a *answer) {
+	if r.status == 0 {
+		r.status, r.answered, r.answer = status, n.world.now, a
+		if r.excused {
+			r.answered = 0
+		}
+	}
+}
+
+// start sends one attempt on its way and moves on once it is settled.
+func (n *modelNode) start(r *modelRequest, to *modelNode) {
+	at := &attempt{node: to.name, began: n.world.now}
+	r.ledger.attempts = append(r.ledger.attempts, at)
+	settle := func(o outcome) {
+		if at.state != Running {
+			return
+		}
+		at.state, at.kind, at.arrived, at.after, at.answer = o.state, o.kind, o.arrived, o.after, o.answer
+		n.advance(r)
+	}
+	if to == n {
+		n.hand(r.id, attemptRef{}, r.until, settle)
+		return
+	}
+	if !to.up {
+		settle(bounced(base.Bounce(base.Unreachable, "", "nobody listens")))
+		return
+	}
+	hop := &modelHop{from: n, to: to, life: to.life, request: r, settle: settle}
+	if r.once || !n.purse.Pays(modelService) {
+		hop.ref = n.fences.start(to.name, func(string) string { return to.fences.incarnation })
+		if n.world.spoilt.identityShared {
+			hop.ref.id = "shared"
+		}
+	}
+	n.world.hops = append(n.world.hops, hop)
+	hop.send()
+}
+
+// hand passes a request to the upstream beside this node.
+func (n *modelNode) hand(id string, ref attemptRef, until time.Duration, told func(outcome)) (stop func()) {
+	stopped, breakOff := false, func() {}
+	n.then(n.world.delay(), func() {
+		left := until - n.world.now
+		switch {
+		case stopped || left <= 0:
+			told(bounced(base.Bounce(base.Expired, "", "no time was left at the turn")))
+		case !ref.begin() && !n.world.spoilt.waitingNotFenced:
+			told(bounced(base.Bounce(base.Fenced, "", "declared never to begin")))
+		default:
+			life := n.life
+			breakOff = n.upstream.exchange(id, left, func(o outcome) {
+				if n.up && n.life == life {
+					n.then(0, func() { told(o) })
+				}
+			})
+		}
+	})
+	return func() {
+		stopped = true
+		breakOff()
+	}
+}
+
+// modelHop is one attempt on a connection between two nodes.
+type modelHop struct {
+	from, to *modelNode
+	life     int
+	request  *modelRequest
+	ref      attemptRef
+	settle   func(outcome)
+	stop     func()
+	broken   bool
+	done     bool
+}
+
+func (h *modelHop) send() {
+	w := h.from.world
+	header := http.Header{}
+	h.ref.sendIn(header)
+	if w.chance(25) {
+		h.from.then(w.delay(), h.breaks)
+	}
+	if w.chance(15) {
+		h.from.then(w.delay(), h.breaks)
+		return
+	}
+	w.after(w.delay(), func() {
+		if !h.to.up || h.to.life != h.life {
+			h.from.then(w.delay(), h.breaks)
+			return
+		}
+		h.to.then(0, func() { h.arrive(header.Get(attemptHeader)) })
+	})
+}
+
+// arrive is the request read whole by the node beside the upstream.
+func (h *modelHop) arrive(text string) {
+	n, w := h.to, h.to.world
+	if w.spoilt.markIgnoredOnArrival && text != "" {
+		text = string(h.ref.id) + ";" + markText(n.fences.table.Mark())
+	}
+	ref, refusal := n.fences.accept(text)
+	if refusal != nil {
+		h.reply(*refusal)
+		return
+	}
+	h.stop = n.hand(h.request.id, ref, h.request.until, func(o outcome) {
+		ref.finish(o)
+		h.done = true
+		h.reply(o)
+	})
+	if h.broken {
+		h.linger(ref)
+		return
+	}
+	h.ref.entry = ref.entry
+}
+
+func (h *modelHop) reply(o outcome) {
+	w := h.to.world
+	mark := h.to.fences.table.Mark()
+	if w.chance(15) {
+		h.from.then(w.delay(), h.breaks)
+		return
+	}
+	h.from.then(w.delay(), func() {
+		if h.broken {
+			return
+		}
+		h.from.fences.learn(h.to.name, mark)
+		h.broken = true
+		h.settle(o)
+	})
+}
+
+// breaks is the connection seen broken by the sender; the other side may see it later.
+func (h *modelHop) breaks() {
+	if h.broken {
+		return
+	}
+	h.broken = true
+	h.to.then(h.from.world.delay(), func() { h.linger(h.ref) })
+	h.resolve(3)
+}
+
+// linger breaks the attempt's work off unless somebody asks for it.
+func (h *modelHop) linger(ref attemptRef) {
+	if h.stop == nil || h.done {
+		return
+	}
+	h.to.then(modelLinger, func() {
+		if ref.entry != nil && ref.entry.Wanted(modelLinger) {
+			h.linger(ref)
+			return
+		}
+		h.stop()
+	})
+}
+
+// resolve asks about the attempt on a fresh connection.
+func (h *modelHop) resolve(rounds int) {
+	doubted := doubt(base.Lost, "the connection broke")
+	w, n := h.from.world, h.from
+	if h.ref.id == "" || !h.ref.mark.Known() || rounds == 0 || !h.to.up {
+		h.settle(doubted)
+		return
+	}
+	giveUp := time.Duration(askRatio * float64(h.request.until-w.now))
+	heard := false
+	n.then(giveUp, func() {
+		if !heard {
+			heard = true
+			h.settle(doubted)
+		}
+	})
+	h.ask(0, func(reply *wire.AttemptReply) {
+		if heard {
+			return
+		}
+		heard = true
+		switch {
+		case reply == nil:
+			h.resolve(rounds - 1)
+		case reply.State == wire.AttemptState_ATTEMPT_AT_WORK:
+			h.fetch()
+		default:
+			h.settle(h.read(reply))
+		}
+	})
+}
+
+func (h *modelHop) fetch() {
+	h.ask(h.request.until-h.from.world.now, func(reply *wire.AttemptReply) {
+		if reply == nil {
+			h.settle(doubt(base.Lost, "the answer could not be fetched"))
+			return
+		}
+		h.settle(h.read(reply))
+	})
+}
+
+func (h *modelHop) read(reply *wire.AttemptReply) outcome {
+	own := func(a *answer) bool {
+		return h.from.world.spoilt.identityShared || a.header.Get(Plain.Attempt) == h.request.id
+	}
+	return outcomeOf(reply, own, doubt(base.Lost, "the connection broke"))
+}
+
+// ask carries one question to whichever life of the node listens, and its reply back; nil where either is lost.
+func (h *modelHop) ask(wait time.Duration, told func(*wire.AttemptReply)) {
+	w, to := h.from.world, h.to
+	lost := func() { h.from.then(w.delay(), func() { told(nil) }) }
+	if w.chance(15) {
+		lost()
+		return
+	}
+	w.after(w.delay(), func() {
+		if !to.up {
+			lost()
+			return
+		}
+		to.then(0, func() {
+			mark := w.asked(to, h.ref.mark)
+			reply, entry := to.fences.table.Ask(h.ref.id, mark)
+			answerNow := func() {
+				reply, _ := to.fences.table.Ask(h.ref.id, mark)
+				w.settledAs(reply)
+				if w.chance(15) {
+					lost()
+					return
+				}
+				h.from.then(w.delay(), func() { told(reply) })
+			}
+			if entry == nil || wait <= 0 {
+				_ = reply
+				answerNow()
+				return
+			}
+			ended, leave := entry.Watch()
+			h.watch(ended, w.now+wait, func() {
+				leave()
+				answerNow()
+			})
+		})
+	})
+}
+
+// watch looks until an attempt has ended or the time is over.
+func (h *modelHop) watch(ended <-chan struct{}, until time.Duration, then func()) {
+	select {
+	case <-ended:
+		then()
+		return
+	default:
+	}
+	if h.to.world.now >= until {
+		then()
+		return
+	}
+	h.to.then(5*time.Millisecond, func() { h.watch(ended, until, then) })
+}
