--- a/internal/attempts/table.go
+++ b/internal/attempts/table.go
@@ -126,7 +126,7 @@
 	return m.Incarnation == t.incarnation && m.Era >= t.floor && m.Era <= t.current
 }
 
-// turn begins a new era when the present one holds its part of the entries or of the time.
+// turn begins a new era when the present one has taken its part of the entries or of the time, and forgets the oldest. It comes before each filing, so the eras kept hold at most their bound of entries, whatever marks those bear.
 func (t *Table) turn() {
 	now := t.now()
 	if t.count == 0 && t.added == 0 {
@@ -149,16 +149,10 @@
 	t.floor = floor
 }
 
-// file remembers an attempt under its mark, and makes room for it first.
+// file remembers an attempt under a mark that the memory reaches back to.
 func (t *Table) file(id ID, m Mark, p phase) *Entry {
-	for t.count >= t.bounds.Entries && t.floor < t.current {
-		t.forgetBelow(t.floor + 1)
-	}
 	entry := &Entry{table: t, phase: p}
 	t.added++
-	if !t.reaches(m) {
-		return entry
-	}
 	if t.eras[m.Era] == nil {
 		t.eras[m.Era] = map[ID]*Entry{}
 	}
--- a/internal/dataplane/fence_test.go
+++ b/internal/dataplane/fence_test.go
@@ -283,6 +283,7 @@
 		p.work = 100 * time.Millisecond
 		Expect(p.ask(p.near.params.Outward, "/index/1", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
 		Expect(p.runs("a")).To(Equal(1))
+		Expect(p.near.counted(countFetched)).To(Equal(1))
 	})
 
 	story("given a mark that the mate has forgotten, when a request bears it, then it is turned away and tried again at once with the new one", func(s *stand) {
@@ -308,10 +309,47 @@
 		}
 		t := p.lend("a")
 		Expect(t.status).To(Equal(http.StatusBadGateway))
-		Expect(t.took).To(BeNumerically("<", time.Duration(askRatio*float64(2*time.Second))+50*time.Millisecond))
+		Expect(t.took).To(BeNumerically("<", 2*time.Second/4+50*time.Millisecond))
 		Expect(p.near.counted(countSilent)).To(Equal(1))
 	})
 
+	story("given a mate that was killed, when nobody listens there any more, then it is asked once and doubt is told at once", func(s *stand) {
+		p := s.pair()
+		p.work = time.Second
+		p.acquainted(resetAfter)
+		p.net.after = func() { s.world.Crash("10.9.1.2", "10.9.1.2", false) }
+		t := p.lend("a")
+		Expect(t.status).To(Equal(http.StatusBadGateway))
+		Expect(t.took).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(p.near.counted(countAsked)).To(Equal(1))
+	})
+
+	story("given hundreds of mates that have forgotten their first eras, when a node that never spoke to them sends a request, then it is served", func(s *stand) {
+		p := s.pair()
+		for i := range 2 * entriesUntold {
+			p.far.fences.table.Ask(attempts.ID(fmt.Sprint(i)), p.far.fences.table.Mark())
+		}
+		var sights []*wire.Sight
+		for i := range 400 {
+			post := p.far.post()
+			post.Node = fmt.Sprint("mate-", i)
+			sights = append(sights, &wire.Sight{Post: post})
+		}
+		p.near.roster.Heard("keel", true, sights)
+		Expect(p.lend("a").status).To(Equal(http.StatusOK))
+		Expect(p.far.counted(countRefused)).To(Equal(1))
+	})
+
+	ginkgo.It("given an answer that bears another request's id, when it is read from a reply, then doubt stays", func() {
+		reply := resultOf(outcome{state: Answered, answer: &answer{status: http.StatusOK, header: http.Header{"Curlew-Attempt": {"other"}}, body: []byte("x")}})
+		doubted := doubt(base.Lost, "broken")
+		ownedBy := func(id string) func(*answer) bool {
+			return func(a *answer) bool { return a.header.Get("Curlew-Attempt") == id }
+		}
+		Expect(outcomeOf(reply, ownedBy("mine"), doubted)).To(Equal(doubted))
+		Expect(outcomeOf(reply, ownedBy("other"), doubted).state).To(Equal(Answered))
+	})
+
 	story("given a visitor who left, when nobody asks for the end of the request, then the upstream is let go of", func(s *stand) {
 		p := s.pair()
 		p.work = 1200 * time.Millisecond
