--- a/internal/dataplane/fence.go
+++ b/internal/dataplane/fence.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -238,9 +236,12 @@
 }
 
 func answerMessage(a *answer) *wire.AttemptAnswer {
-	message := &wire.AttemptAnswer{Status: uint32(a.status), Body: a.body}
-	for _, name := range slices.Sorted(maps.Keys(a.header)) {
-		message.Headers = append(message.Headers, &wire.AttemptHeader{Name: name, Values: a.header[name]})
+	message := &wire.AttemptAnswer{Status: uint32(a.status), Body: a.body, Headers: make([]*wire.AttemptHeader, 0, len(a.header))}
+	headers := make([]wire.AttemptHeader, len(a.header))
+	for name, values := range a.header {
+		next := &headers[len(message.Headers)]
+		next.Name, next.Values = name, values
+		message.Headers = append(message.Headers, next)
 	}
 	return message
 }
