--- a/internal/dataplane/fence.go
+++ b/internal/dataplane/fence.go
@@ -30,7 +30,7 @@
 	answersUntold   = 4 << 20
 	largestAnswer   = 256 << 10
 	answerHeldRatio = 1.0
-	lingerRatio     = 0.15
+	lingerRatio     = 0.075
 )
 
 // Bounds of a question about an attempt.
