--- a/internal/attempts/table.go
+++ b/internal/attempts/table.go
@@ -189,6 +189,17 @@
 	return true
 }
 
+// Withdraw fences an attempt that has not begun, and tells whether it did.
+func (e *Entry) Withdraw() bool {
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	if e.phase != waiting {
+		return false
+	}
+	e.phase = fenced
+	return true
+}
+
 // Finish files how an attempt ended.
 func (e *Entry) Finish(result *wire.AttemptReply) {
 	t := e.table
--- a/internal/attempts/table_test.go
+++ b/internal/attempts/table_test.go
@@ -66,6 +66,19 @@
 		Expect(t.stateOf("a", mark)).To(Equal(neverBegan), "what was said once holds")
 	})
 
+	ginkgo.It("given an attempt that waits for its turn, when it is withdrawn, then it never begins; one at work can't be withdrawn", func() {
+		t, _ := newTestTable()
+		mark := t.Mark()
+		entry := t.accepted("a", mark)
+		Expect(entry.Withdraw()).To(BeTrue())
+		Expect(entry.Begin()).To(BeFalse())
+		Expect(t.stateOf("a", mark)).To(Equal(neverBegan))
+		working := t.accepted("b", mark)
+		Expect(working.Begin()).To(BeTrue())
+		Expect(working.Withdraw()).To(BeFalse())
+		Expect(t.stateOf("b", mark)).To(Equal(atWork))
+	})
+
 	ginkgo.It("given an attempt at work, when it is asked about, then it is never called unbegun", func() {
 		t, _ := newTestTable()
 		mark := t.Mark()
--- a/internal/dataplane/fence.go
+++ b/internal/dataplane/fence.go
@@ -195,14 +195,16 @@
 	}
 }
 
-// lifetime bounds an attempt's work by its time left and by its connection. Where somebody can ask about the attempt, its work outlives the connection for a moment, and for as long as its end is waited for.
+// lifetime bounds an attempt's work by its time left and by its connection. Where somebody can ask about the attempt, work that has begun outlives the connection for a moment, and for as long as its end is waited for; what has not begun never will.
 func (f *fences) lifetime(s base.Scope, connection context.Context, left time.Duration, ref attemptRef) (context.Context, context.CancelFunc) {
 	if ref.entry == nil {
 		return context.WithTimeout(connection, left)
 	}
 	ctx, cancel := context.WithTimeout(s, left)
 	settled := context.AfterFunc(connection, func() {
-		f.outlive(s.Under(ctx), ref.entry)
+		if !ref.entry.Withdraw() {
+			f.outlive(s.Under(ctx), ref.entry)
+		}
 		cancel()
 	})
 	return ctx, func() {
--- a/internal/dataplane/fence_test.go
+++ b/internal/dataplane/fence_test.go
@@ -369,6 +369,31 @@
 		Expect(p.runs("dropped")).To(Equal(1))
 	})
 
+	story("given a request that waits for its turn, when its visitor leaves, then it never begins and holds no place in the queue", func(s *stand) {
+		p := s.pair()
+		p.work = 400 * time.Millisecond
+		p.acquainted()
+		s.aside(func() { p.lend("first") })
+		time.Sleep(50 * time.Millisecond)
+		s.aside(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.near.params.Outward+"/lend/1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			r.Host, r.Header = "books.example", asking("a", 2*time.Second)
+			_, err = base.Wire(s.scope(otherBox)).Do(r)
+			Expect(err).To(HaveOccurred())
+		})
+		_, gate, _ := p.far.dock.Now()
+		time.Sleep(100 * time.Millisecond)
+		Expect(gate.Weight().Waiting).To(Equal(1))
+		time.Sleep(120 * time.Millisecond)
+		Expect(gate.Weight().Waiting).To(BeZero())
+		s.crew.Wait()
+		time.Sleep(2 * time.Second)
+		Expect(p.runs("a")).To(BeZero())
+	})
+
 	story("given a repeatable request, when it is carried, then it has no identity and nothing is remembered", func(s *stand) {
 		p := s.pair()
 		Expect(p.ask(p.near.params.Outward, "/index/1", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
--- a/internal/dataplane/model_node_test.go
+++ b/internal/dataplane/model_node_test.go
@@ -309,6 +309,10 @@
 	if h.stop == nil || h.done {
 		return
 	}
+	if ref.entry != nil && ref.entry.Withdraw() {
+		h.stop()
+		return
+	}
 	h.to.then(modelLinger, func() {
 		if ref.entry != nil && ref.entry.Wanted(modelLinger) {
 			h.linger(ref)
