--- a/internal/dataplane/model_world_test.go
+++ b/internal/dataplane/model_world_test.go
@@ -39,6 +39,7 @@
 	modelSlack     = 2
 	modelTries     = 2
 	modelUpstreams = 2
+	modelSteps     = 100_000
 )
 
 type modelEvent struct {
@@ -91,7 +92,11 @@
 }
 
 func (w *modelWorld) run() {
-	for len(w.events) > 0 {
+	for steps := 0; len(w.events) > 0; steps++ {
+		if steps > modelSteps {
+			w.violated("the schedule doesn't come to an end")
+			return
+		}
 		next := w.events[0]
 		w.events = w.events[1:]
 		w.now = next.at
