--- a/internal/dataplane/far.go
+++ b/internal/dataplane/far.go
@@ -288,7 +288,11 @@
 			return bounced(base.Bounce(base.Unreachable, "", "the mate could not be reached"))
 		}
 		n.across.Forget(to.inward)
-		return n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Lost, err.Error()))
+		o := n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Lost, err.Error()))
+		if way.Attempt.id != "" && o.state == Doubtful {
+			n.roster.Avoid(to.node)
+		}
+		return o
 	}
 	weight, weighed := readWeight(r.Header.Get(weightHeader))
 	if weighed && weight.Serial > n.serial() {
--- a/internal/dataplane/fence.go
+++ b/internal/dataplane/fence.go
@@ -272,11 +272,7 @@
 		if !own(a) {
 			return doubted
 		}
-		state := Answered
-		if a.status >= http.StatusInternalServerError {
-			state = Failed
-		}
-		return outcome{state: state, arrived: true, answer: a}
+		return outcome{state: stateOf(a.status), arrived: true, answer: a}
 	}
 	return doubted
 }
--- a/internal/dataplane/fence_test.go
+++ b/internal/dataplane/fence_test.go
@@ -23,9 +23,9 @@
 
 const (
 	intact breakage = iota
-	// lostRequest resets the connection before a byte leaves.
+	// lostRequest loses what was written and resets the connection.
 	lostRequest
-	// lateRequest resets it for the sender, and the bytes arrive all the same after a while.
+	// lateRequest resets it for the sender, and what was written arrives all the same after a while.
 	lateRequest
 	// resetAfter delivers the request and resets at once.
 	resetAfter
@@ -86,11 +86,11 @@
 		}
 		return n, err
 	}
-	return 0, syscall.ECONNRESET
+	return len(data), nil
 }
 
 func (c *brittleConn) Read(into []byte) (int, error) {
-	if c.broken == resetAfter {
+	if c.broken != intact && c.broken != lostAnswer {
 		return 0, syscall.ECONNRESET
 	}
 	n, err := c.Conn.Read(into)
@@ -107,8 +107,8 @@
 	return c.Conn.Close()
 }
 
-// pair is a node beside a visitor, another beside the only upstream, and what that upstream ran.
-type pair struct {
+// nodePair is a node beside a visitor, another beside the only upstream, and what that upstream ran.
+type nodePair struct {
 	*stand
 	near, far *Node
 	net       *brittleNet
@@ -124,8 +124,8 @@
 	return c
 }
 
-func (s *stand) pair() *pair {
-	p := &pair{stand: s, near: s.node(1, noKeels), far: s.node(2, noKeels), work: 5 * time.Millisecond, size: 100}
+func (s *stand) nodePair() *nodePair {
+	p := &nodePair{stand: s, near: s.node(1, noKeels), far: s.node(2, noKeels), work: 5 * time.Millisecond, size: 100}
 	p.net = &brittleNet{Net: p.near.across.net}
 	p.near.across.net = p.net
 	for _, n := range []*Node{p.near, p.far} {
@@ -143,14 +143,14 @@
 	return p
 }
 
-func (p *pair) runs(id string) int { return p.ran.add(id, 0) }
+func (p *nodePair) runs(id string) int { return p.ran.add(id, 0) }
 
-func (p *pair) lend(id string) said {
+func (p *nodePair) lend(id string) said {
 	return p.ask(p.near.params.Outward, "/lend/1", asking(id, 2*time.Second))
 }
 
 // acquainted lets the near node learn the far one's mark.
-func (p *pair) acquainted(script ...breakage) {
+func (p *nodePair) acquainted(script ...breakage) {
 	ExpectWithOffset(1, p.lend("warm").status).To(Equal(http.StatusOK))
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
@@ -167,7 +167,7 @@
 
 var _ = ginkgo.Describe("a connection between nodes that breaks", func() {
 	story("given a request that never left, when the other node is asked, then it is tried again there and runs once", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted(lostRequest)
 		Expect(p.lend("a").status).To(Equal(http.StatusOK))
 		Expect(p.runs("a")).To(Equal(1))
@@ -177,7 +177,7 @@
 	})
 
 	story("given connections that break before every request, when the bounces are used up, then the promise not to have run is given and kept", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		script := make([]breakage, 2*mostBounces)
 		for i := range script {
 			script[i] = lostRequest
@@ -191,7 +191,7 @@
 	})
 
 	story("given a request that arrives after its fence, when it comes, then it is turned away and runs once in all", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted(lateRequest)
 		Expect(p.lend("a").status).To(Equal(http.StatusOK))
 		time.Sleep(time.Second)
@@ -200,7 +200,7 @@
 	})
 
 	story("given a request at work, when the connection breaks, then its answer is fetched whole and it runs once", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.work, p.size = 600*time.Millisecond, 40_000
 		p.acquainted(resetAfter)
 		t := p.lend("a")
@@ -213,7 +213,7 @@
 	})
 
 	story("given a request that finished, when its answer is lost between the nodes, then it is fetched whole and runs once", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted(lostAnswer)
 		t := p.lend("a")
 		Expect(t.status).To(Equal(http.StatusOK))
@@ -223,7 +223,7 @@
 	})
 
 	story("given an answer larger than what is held, when it is lost, then doubt stays and it runs once", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.size = largestAnswer + 1
 		p.acquainted(lostAnswer)
 		Expect(p.lend("a").status).To(Equal(http.StatusBadGateway))
@@ -232,7 +232,7 @@
 	})
 
 	story("given a request turned away by a full gate, when that word is lost, then it is told when to come back", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.work = 1500 * time.Millisecond
 		p.net.script = []breakage{intact, lostAnswer}
 		s.aside(func() { p.lend("first") })
@@ -247,7 +247,7 @@
 	})
 
 	story("given a node that was another incarnation when the request began, when it is asked, then doubt stays", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted(lostRequest)
 		p.near.fences.marks[p.far.params.Name] = attempts.Mark{Incarnation: "earlier", Era: 1}
 		Expect(p.lend("a").status).To(Equal(http.StatusBadGateway))
@@ -256,7 +256,7 @@
 	})
 
 	story("given a mate that was never spoken to, when the first connection breaks, then the incarnation known of it will do", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.net.script = []breakage{lostRequest}
 		Expect(p.lend("a").status).To(Equal(http.StatusOK))
 		Expect(p.near.counted(countDoubt)).To(BeZero())
@@ -264,7 +264,7 @@
 	})
 
 	story("given a mate of which no incarnation is known, when the connection breaks, then nobody is asked and doubt stays", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		post := p.far.post()
 		post.Incarnation, post.Number = "", post.Number+1
 		p.near.roster.Heard("keel", true, []*wire.Sight{{Post: post}})
@@ -276,7 +276,7 @@
 	})
 
 	story("given a repeatable request whose repeat could not be paid, when its connection breaks at work, then its answer is fetched", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted(resetAfter)
 		for p.near.purse.Spend(books) {
 		}
@@ -287,7 +287,7 @@
 	})
 
 	story("given a mark that the mate has forgotten, when a request bears it, then it is turned away and tried again at once with the new one", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted()
 		old := p.near.fences.marks[p.far.params.Name]
 		for i := range 2 * entriesUntold {
@@ -300,7 +300,7 @@
 	})
 
 	story("given a mate that can't be reached any more, when the connection breaks, then the question takes no more than its part of the time left", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.acquainted(resetAfter)
 		p.net.after = func() {
 			for _, way := range [][2]string{{"10.9.1.1", "10.9.1.2"}, {"10.9.1.2", "10.9.1.1"}} {
@@ -314,7 +314,7 @@
 	})
 
 	story("given a mate that was killed, when nobody listens there any more, then it is asked once and doubt is told at once", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.work = time.Second
 		p.acquainted(resetAfter)
 		p.net.after = func() { s.world.Crash("10.9.1.2", "10.9.1.2", false) }
@@ -325,7 +325,7 @@
 	})
 
 	story("given hundreds of mates that have forgotten their first eras, when a node that never spoke to them sends a request, then it is served", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		for i := range 2 * entriesUntold {
 			p.far.fences.table.Ask(attempts.ID(fmt.Sprint(i)), p.far.fences.table.Mark())
 		}
@@ -351,7 +351,7 @@
 	})
 
 	story("given a visitor who left, when nobody asks for the end of the request, then the upstream is let go of", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.work = 1200 * time.Millisecond
 		p.acquainted()
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -370,7 +370,7 @@
 	})
 
 	story("given a request that waits for its turn, when its visitor leaves, then it never begins and holds no place in the queue", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		p.work = 400 * time.Millisecond
 		p.acquainted()
 		s.aside(func() { p.lend("first") })
@@ -395,14 +395,14 @@
 	})
 
 	story("given a repeatable request, when it is carried, then it has no identity and nothing is remembered", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		Expect(p.ask(p.near.params.Outward, "/index/1", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
 		entries, _ := p.far.fences.table.Size()
 		Expect(entries).To(BeZero())
 	})
 
 	story("given a visitor's request whose path looks like a question, when it comes, then it is a request like any other", func(s *stand) {
-		p := s.pair()
+		p := s.nodePair()
 		chart := fenceChart()
 		chart.Serial = 2
 		chart.Routes = append(chart.Routes, &wire.ChartRoute{Name: "odd", Host: "books.example", Prefix: attemptsPrefix, CutoffMs: 4000, AimMs: 1000, Tries: 2, Service: chart.Routes[0].Service})
--- a/internal/dataplane/model_node_test.go
+++ b/internal/dataplane/model_node_test.go
@@ -103,7 +103,7 @@
 			if best == nil {
 				best = r.ledger.failed()
 			}
-			n.tell(r, best.answer.status, best.answer)
+			n.pass(r, best.answer)
 		case GiveUp:
 			n.giveUp(r)
 		case Try:
@@ -117,7 +117,7 @@
 	to := n.choose(r)
 	if to == nil || repeat && !n.pay() {
 		if failed := r.ledger.failed(); failed != nil {
-			n.tell(r, failed.answer.status, failed.answer)
+			n.pass(r, failed.answer)
 			return
 		}
 		n.giveUp(r)
@@ -158,6 +158,18 @@
 	n.tell(r, http.StatusServiceUnavailable, nil)
 }
 
+// pass sends an upstream's answer back as it is, or where its status would promise too much one of the node's own.
+func (n *modelNode) pass(r *modelRequest, a *answer) {
+	switch {
+	case passable(a, r.ledger.repeatable):
+		n.tell(r, a.status, a)
+	case n.world.spoilt.sealKept:
+		n.tell(r, http.StatusBadGateway, &answer{status: http.StatusBadGateway, header: a.header, body: a.body})
+	default:
+		n.tell(r, http.StatusBadGateway, nil)
+	}
+}
+
 func (n *modelNode) tell(r *modelRequest, status int, a *answer) {
 	if r.status == 0 {
 		r.status, r.answered, r.answer = status, n.world.now, a
@@ -384,29 +396,32 @@
 			lost()
 			return
 		}
-		to.then(0, func() {
-			mark := w.asked(to, h.ref.mark)
-			reply, entry := to.fences.table.Ask(h.ref.id, mark)
-			answerNow := func() {
-				reply, _ := to.fences.table.Ask(h.ref.id, mark)
-				w.settledAs(reply)
-				if w.chance(15) {
-					lost()
-					return
-				}
-				h.from.then(w.delay(), func() { told(reply) })
-			}
-			if entry == nil || wait <= 0 {
-				_ = reply
-				answerNow()
-				return
-			}
-			ended, leave := entry.Watch()
-			h.watch(ended, w.now+wait, func() {
-				leave()
-				answerNow()
-			})
-		})
+		to.then(0, func() { h.asked(wait, lost, told) })
+	})
+}
+
+// asked is a question at the node beside the upstream; one about work is answered at its end, if it may wait.
+func (h *modelHop) asked(wait time.Duration, lost func(), told func(*wire.AttemptReply)) {
+	w, table := h.to.world, h.to.fences.table
+	mark := w.asked(h.to, h.ref.mark)
+	_, entry := table.Ask(h.ref.id, mark)
+	answer := func() {
+		reply, _ := table.Ask(h.ref.id, mark)
+		w.settledAs(reply)
+		if w.chance(15) {
+			lost()
+			return
+		}
+		h.from.then(w.delay(), func() { told(reply) })
+	}
+	if entry == nil || wait <= 0 {
+		answer()
+		return
+	}
+	ended, leave := entry.Watch()
+	h.watch(ended, w.now+wait, func() {
+		leave()
+		answer()
 	})
 }
 
--- a/internal/dataplane/model_upstream_test.go
+++ b/internal/dataplane/model_upstream_test.go
@@ -149,7 +149,7 @@
 	stop = func() { finish(doubt(base.Expired, "no answer in time"), w.spoilt.lateAnswerTaken) }
 	c.reader = func() {
 		if a, found := c.next(id, w.spoilt.idNotCompared); found {
-			finish(a.outcome(w.spoilt.sealKept), true)
+			finish(a.outcome(), true)
 		} else if c.ended && again {
 			over = true
 			u.drop(c)
@@ -176,8 +176,8 @@
 	return modelAnswer{}, false
 }
 
-// outcome reads an upstream's answer as the node beside it does. A status that is changed loses the seal.
-func (a modelAnswer) outcome(sealKept bool) outcome {
+// outcome reads an upstream's answer as the node beside it does.
+func (a modelAnswer) outcome() outcome {
 	if a.notRun {
 		o := bounced(base.Bounce(base.Crowded, "", "the upstream turned it away"))
 		o.arrived = true
@@ -186,12 +186,5 @@
 	told := &answer{status: a.status, header: http.Header{}, body: []byte(a.body), size: int64(len(a.body))}
 	told.header.Set(Plain.Seal, "sealed")
 	told.header.Set(Plain.Attempt, a.id)
-	if a.status == http.StatusOK {
-		return outcome{state: Answered, arrived: true, answer: told}
-	}
-	told.status = http.StatusBadGateway
-	if !sealKept {
-		told.header.Del(Plain.Seal)
-	}
-	return outcome{state: Failed, arrived: true, answer: told}
+	return outcome{state: stateOf(a.status), arrived: true, answer: told}
 }
