Race mended: a caller's keel is written under the node's lock

Found by the race detector (dataplane, fleet/open): since a dark control machine that is to fetch no longer holds others up, other callers read which life it answered from. The test of shared reads raced with itself in the same way.

--- a/internal/controlplane/confirm_test.go
+++ b/internal/controlplane/confirm_test.go
@@ -161,9 +161,12 @@
 		synctest.Test(suite, func(*testing.T) {
 			defer ginkgo.GinkgoRecover()
 			s := base.Scope{Context: context.Background()}
+			var mu sync.Mutex
 			reads, began := newChartReads(), []time.Time{}
 			read := func() chartRead {
+				mu.Lock()
 				began = append(began, time.Now())
+				mu.Unlock()
 				time.Sleep(100 * time.Millisecond)
 				return chartRead{confirmed: true}
 			}
@@ -174,6 +177,8 @@
 					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
 					asked, at := reads.ask(), time.Now()
 					Expect(reads.since(s, asked, read).confirmed).To(BeTrue())
+					mu.Lock()
+					defer mu.Unlock()
 					Expect(began[len(began)-1]).To(BeTemporally(">=", at))
 				})
 			}
--- a/internal/dataplane/hail.go
+++ b/internal/dataplane/hail.go
@@ -73,7 +73,9 @@
 	}
 	m := reply.Msg
 	n.roster.Heard(c.address, m.Whole || m.Keel != c.keel, m.Sights)
-	c.keel, c.roster = m.Keel, m.Roster
+	n.mu.Lock()
+	c.keel, c.roster = m.Keel, m.Roster // keel is read by other callers, in fetches
+	n.mu.Unlock()
 	if m.Odds != nil {
 		if mishap := n.keeper.Load(m.Odds); mishap != nil {
 			n.scope.Log.Warn("odds bounced", "reason", mishap.Reason)
