--- a/internal/replica/checker_test.go
+++ b/internal/replica/checker_test.go
@@ -108,6 +108,11 @@
 	if membership.Generation >= c.newest.GetGeneration() {
 		c.newest = membership
 	}
+	c.checkVoters(membership)
+}
+
+// checkVoters demands that no voter stands twice, that each identity was on a disk, and that there are none too few.
+func (c *checker) checkVoters(membership *wire.Membership) {
 	ids, addresses := map[string]bool{}, map[string]bool{}
 	for _, voter := range membership.Voters {
 		if ids[voter.Id] || addresses[voter.Address] {
