--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -9,6 +9,7 @@
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"curlewreach/base"
 	"curlewreach/internal/config"
@@ -20,6 +21,7 @@
 	headBytes    = 64 << 10
 	headTime     = 5 * time.Second
 	idleTime     = 30 * time.Second
+	longestIdle  = 24 * time.Hour
 	mateIdle     = 20 * time.Second
 	upIdle       = 8 * time.Second
 	dialRatio    = 0.15
@@ -52,11 +54,16 @@
 	hold        *Hold
 	usual       *Usual
 	callers     *Callers
+	fences      *fences
 	further     base.Table[bool]
 	ties        *Ties
 	keeper      *tracing.Keeper
 	sink        *tracing.Sink
 	table       atomic.Pointer[config.Table]
+	vouched     atomic.Bool
+	candidate   *wire.Chart // guarded by mu
+	patience    time.Duration
+	directory   *directory
 	stopping    atomic.Bool
 	closed      atomic.Bool
 	inside      atomic.Int64
@@ -66,6 +73,7 @@
 	keels       map[string]*caller
 	counts      base.Table[*atomic.Uint64]
 	lengths     [len(classes)]base.Histogram
+	clients     *ClientConnections
 	doors       []*base.Door
 	cancel      context.CancelFunc
 	crew        base.Crew
@@ -79,6 +87,9 @@
 	if p.RepeatRatio == 0 {
 		p.RepeatRatio = 0.2
 	}
+	if p.Contact.AsDuration() == 0 {
+		p.Contact = durationpb.New(portion(p.InForce.AsDuration(), contactPerBase))
+	}
 }
 
 // Check lists every fault of params.
@@ -110,44 +121,59 @@
 		return nil, err
 	}
 	s, cancel := s.Child()
-	force := p.InForce.AsDuration()
-	portion := func(ratio float64) time.Duration { return time.Duration(float64(force) * ratio) }
+	force, contact := p.InForce.AsDuration(), p.Contact.AsDuration()
 	n := &Node{
-		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.Wire(s),
-		across: NewLines(s.Net, s.Clock, mateIdle, portion(dialRatio), portion(silentRatio)),
-		upward: NewLines(s.Net, s.Clock, upIdle, portion(dialRatio), portion(silentRatio)),
+		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.WireWithin(s, portion(contact, dialPatience)),
+		across: NewLines(s.Net, s.Clock, mateIdle, portion(force, dialRatio), portion(force, silentRatio)),
+		upward: NewLines(s.Net, s.Clock, upIdle, portion(force, dialRatio), portion(force, silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
 		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
 	}
 	n.roster.live = n.weight
+	n.fences = newFences(s, n.incarnation, force, p.MemoryMb)
 	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
-	n.sink = tracing.NewSink(s, n.web, p.Seeds, spansBound)
+	n.patience = portion(contact, patienceRatio)
+	n.directory = newDirectory(s.Clock, s.Rand, contact, p.Seeds)
+	n.sink = tracing.NewSink(s, n.web, n.directory.live, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
+	n.clients = NewClientConnections(s.Clock, force, n.clientIdle)
 	n.openViews(s)
+	usual := func(server *http.Server) {
+		server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = headBytes, headTime, idleTime
+	}
+	forClients := func(server *http.Server) {
+		usual(server)
+		server.IdleTimeout, server.ConnState = 0, n.clients.Changed
+	}
 	for _, each := range []struct {
 		address string
 		handler http.Handler
+		set     func(*http.Server)
 	}{
-		{p.Inward, http.HandlerFunc(n.inward)}, {p.Control, control(n)}, {p.Ready, http.HandlerFunc(n.readiness)}, {p.Outward, http.HandlerFunc(n.outward)},
+		{p.Inward, http.HandlerFunc(n.inward), usual},
+		{p.Control, control(n), usual},
+		{p.Ready, http.HandlerFunc(n.readiness), usual},
+		{p.Outward, http.HandlerFunc(n.outward), forClients},
 	} {
-		door, err := base.OpenWith(s, each.address, each.handler, func(server *http.Server) {
-			server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = headBytes, headTime, idleTime
-		})
+		door, err := base.OpenWith(s, each.address, each.handler, each.set)
 		if err != nil {
 			n.Kill()
 			return nil, err
 		}
 		n.doors = append(n.doors, door)
 	}
-	n.enlist(p.Seeds)
+	n.crew.Go(func() { n.search(s) })
+	n.crew.Go(func() { n.serveUnconfirmed(s) })
 	n.crew.Go(func() { n.watchDock(s) })
 	n.crew.Go(func() { n.sink.Run(s, spanEvery) })
 	n.crew.Go(func() {
 		base.Tick(s, sweepEvery, func(base.Scope) {
+			n.clients.Sweep()
 			n.dock.Sweep()
 			n.roster.Own(n.post())
 			n.across.Sweep()
 			n.upward.Sweep()
+			n.fences.table.Sweep()
 			n.roster.Sweep(forgetAfter)
 		})
 	})
@@ -206,7 +232,7 @@
 	if err := Check(p); err != nil {
 		return err
 	}
-	n.enlist(p.Seeds)
+	n.directory.setSeeds(p.Seeds)
 	return nil
 }
 
@@ -215,17 +241,16 @@
 func (n *Node) Stop() {
 	began := n.scope.Clock.Mono()
 	grace := n.params.Grace.AsDuration()
-	portion := func(ratio float64) time.Duration { return time.Duration(float64(grace) * ratio) }
 	n.scope.Log.Info("stopping")
 	n.stopping.Store(true)
 	n.turns.Add(1)
 	n.rehail()
 	outward := n.doors[len(n.doors)-1]
-	base.Await(n.scope, portion(lameRatio))
+	base.Await(n.scope, portion(grace, lameRatio))
 	outward.Fold()
-	base.Await(n.scope, portion(farLameRatio))
+	base.Await(n.scope, portion(grace, farLameRatio))
 	n.closed.Store(true)
-	for quiet := 0; quiet < quietLooks && n.scope.Clock.Mono()-began < portion(lastRatio); quiet++ {
+	for quiet := 0; quiet < quietLooks && n.scope.Clock.Mono()-began < portion(grace, lastRatio); quiet++ {
 		base.Await(n.scope, 20*time.Millisecond)
 		if n.inside.Load() > 0 {
 			quiet = -1
@@ -235,11 +260,11 @@
 	n.Kill()
 }
 
-// Kill ends a node at once.
+// Kill ends a node at once. Connections close first, so that no answer of this node's own stands in for one that was on its way.
 func (n *Node) Kill() {
-	n.cancel()
 	for _, door := range n.doors {
 		door.Slam()
 	}
+	n.cancel()
 	n.crew.Wait()
 }
--- a/internal/dataplane/far.go
+++ b/internal/dataplane/far.go
@@ -59,6 +59,9 @@
 	if mishap != nil {
 		return bounced(mishap)
 	}
+	if repeatable, _, _ := n.repeatableNow(way, m); way.Repeat && !way.Once && !repeatable {
+		return bounced(base.Bounce(base.Crowded, "", "the route's requests may run once by now"))
+	}
 	now := n.scope.Clock.Mono()
 	further := false
 	if caller := m.header.Get(n.speech.Caller); caller != "" {
@@ -84,6 +87,11 @@
 	}
 	m.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	m.header[n.speech.Target] = []string{berth.Id}
+	m.certain = way.Once
+	if !way.Attempt.begin() {
+		leave()
+		return bounced(base.Bounce(base.Fenced, "", "this attempt was declared never to begin"))
+	}
 	f := n.ties.board(way, until, left)
 	own := func(r *http.Response) bool {
 		id := r.Header.Get(n.speech.Attempt)
@@ -108,7 +116,14 @@
 		return doubt(base.Lost, err.Error())
 	}
 	status := r.StatusCode
-	if r.Header.Get(n.speech.NotRun) != "" || status == http.StatusMisdirectedRequest {
+	turnedAway := status >= http.StatusBadRequest && r.Header.Get(n.speech.NotRun) != "" || status == http.StatusMisdirectedRequest
+	if turnedAway && r.Header.Get(n.speech.Attempt) == "" && !r.first() {
+		r.broken()
+		land(0)
+		n.scope.Note("answer-unowned", berth.Id, "")
+		return doubt(base.Garbled, "a refusal without an id, perhaps of another request")
+	}
+	if turnedAway {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, farHeld))
 		r.broken()
 		land(0)
@@ -120,8 +135,12 @@
 		o.arrived = status != http.StatusMisdirectedRequest
 		return o
 	}
+	sealed := status >= 300 || r.Header.Get(n.speech.Seal) != ""
+	if !sealed {
+		r.distrust()
+	}
 	a, err := take(r, farHeld, func(bool) { land(status) })
-	if err != nil || status >= 200 && status < 300 && r.Header.Get(n.speech.Seal) == "" {
+	if err != nil || !sealed {
 		r.broken()
 		land(0)
 		n.ills.Saw(berth.Id, false)
@@ -129,14 +148,7 @@
 		return doubt(base.Garbled, "the upstream's answer was not whole")
 	}
 	n.ills.Saw(berth.Id, status < 500)
-	state := Answered
-	if status >= 500 || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout {
-		state = Failed
-		if status != http.StatusInternalServerError && status != http.StatusGatewayTimeout {
-			a.status = http.StatusBadGateway
-		}
-	}
-	return outcome{state: state, arrived: true, answer: a, waited: waited, further: further}
+	return outcome{state: stateOf(status), arrived: true, answer: a, waited: waited, further: further}
 }
 
 func (n *Node) gateWait(gate *Gate) time.Duration {
@@ -155,6 +167,12 @@
 
 // inward serves mates.
 func (n *Node) inward(w http.ResponseWriter, r *http.Request) {
+	n.inside.Add(1)
+	defer n.inside.Add(-1)
+	if isQuestion(r) {
+		n.fences.questions.ServeHTTP(w, r)
+		return
+	}
 	began := n.scope.Clock.Mono()
 	attempt := r.Header.Get(n.speech.Attempt)
 	way, ok := readWay(r.Header.Get(wayHeader))
@@ -171,15 +189,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer done()
-	n.inside.Add(1)
-	defer n.inside.Add(-1)
 	until := began + time.Duration(ms)*time.Millisecond
-	ctx, cancel := context.WithTimeout(r.Context(), until-began)
+	var said *outcome
+	way.Attempt, said = n.fences.accept(r.Header.Get(attemptHeader))
+	ctx, cancel := n.fences.lifetime(n.scope, r.Context(), until-began, way.Attempt)
 	defer cancel()
 	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
 	var o outcome
 	settle := func(int64) {}
-	if mishap != nil {
+	if said != nil {
+		n.tally(countRefused)
+		o = *said
+	} else if mishap != nil {
 		o = bounced(base.Bounce(base.Crowded, "", "the body has no room now").Later(holdAgain))
 	} else if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
 		o = bounced(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
@@ -187,6 +208,8 @@
 		settle = n.spout.Owe(way.Route)
 		o = n.hand(ctx, way, m, attempt, until)
 	}
+	way.Attempt.finish(o)
+	n.fences.tell(w.Header(), r.Header)
 	weight := n.weight()
 	weight.Waited, weight.Further = int(o.waited.Milliseconds()), o.further
 	w.Header()[weightHeader] = []string{weight.text()}
@@ -223,8 +246,17 @@
 	return o, err == nil
 }
 
-// carry passes a request to the node beside an upstream, or hands it over here.
+// carry passes a request to the node beside an upstream, or hands it over here. Where that node has forgotten the mark that the attempt bore, another attempt with the present one follows at once.
 func (n *Node) carry(ctx context.Context, to Option, way Way, m *message, attempt string, until time.Duration) outcome {
+	o := n.carryOnce(ctx, to, way, m, attempt, until)
+	if staleMark(way.Attempt, o) {
+		way.Attempt = n.fences.start(to.node, n.roster.Incarnation)
+		return n.carryOnce(ctx, to, way, m, attempt, until)
+	}
+	return o
+}
+
+func (n *Node) carryOnce(ctx context.Context, to Option, way Way, m *message, attempt string, until time.Duration) outcome {
 	way.Berth = to.berth
 	mine := *m
 	mine.header = passing(m.header)
@@ -241,6 +273,7 @@
 	}
 	mine.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	mine.header[wayHeader] = []string{way.text()}
+	way.Attempt.sendIn(mine.header)
 	r, sent, err := n.across.exchange(ctx, to.inward, &mine, func(r *http.Response) bool { return r.Header.Get(n.speech.Attempt) == attempt })
 	if err != nil {
 		switch {
@@ -255,17 +288,25 @@
 			return bounced(base.Bounce(base.Unreachable, "", "the mate could not be reached"))
 		}
 		n.across.Forget(to.inward)
-		return doubt(base.Lost, err.Error())
+		o := n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Lost, err.Error()))
+		if way.Attempt.id != "" && o.state == Doubtful {
+			n.roster.Avoid(to.node)
+		}
+		return o
 	}
 	weight, weighed := readWeight(r.Header.Get(weightHeader))
 	if weighed && weight.Serial > n.serial() {
 		n.behind.Ring()
 	}
+	n.fences.heard(to.node, r.Header.Get(memoryHeader))
 	said, isOutcome := readOutcome(r.Header.Get(outcomeHeader))
+	if !weighed {
+		r.distrust()
+	}
 	a, err := take(r, nearHeld, func(bool) {})
 	if err != nil {
 		r.broken()
-		return doubt(base.Garbled, "the answer broke off between nodes")
+		return n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Garbled, "the answer broke off between nodes"))
 	}
 	if !weighed {
 		a.drop()
@@ -276,9 +317,5 @@
 		said.weight = &weight
 		return said
 	}
-	state := Answered
-	if a.status >= 500 {
-		state = Failed
-	}
-	return outcome{state: state, arrived: true, answer: a, weight: &weight, waited: time.Duration(weight.Waited) * time.Millisecond}
+	return outcome{state: stateOf(a.status), arrived: true, answer: a, weight: &weight, waited: time.Duration(weight.Waited) * time.Millisecond}
 }
--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -12,6 +12,7 @@
 	if ask.From != "" {
 		m.heard[ask.From] = m.now
 	}
+	reply = withoutKnownMembership(ask.Generation, reply)
 	switch question := ask.Ask.(type) {
 	case *wire.ReplicaRequest_Promise:
 		m.ifVoter(ask, reply, func() { m.promise(question.Promise, reply) })
@@ -37,6 +38,16 @@
 	}
 }
 
+// withoutKnownMembership leaves out of a reply the membership of the generation that the asker named as its own.
+func withoutKnownMembership(known uint64, reply func(*wire.ReplicaReply)) func(*wire.ReplicaReply) {
+	return func(answer *wire.ReplicaReply) {
+		if answer != nil && answer.Membership.GetGeneration() == known {
+			answer.Membership = nil
+		}
+		reply(answer)
+	}
+}
+
 // answer replies at once, with a standing only.
 func (m *Machine) answer(reply func(*wire.ReplicaReply), standing wire.Standing) {
 	answer := m.blankReply(standing)
@@ -141,8 +152,12 @@
 	m.answerSaved(reply, m.blankReply(wire.Standing_GRANTED))
 }
 
-// confirm says whether a term is still the highest promised, here and on this disk.
+// confirm says whether a term is still the highest promised, here and on this disk, in a generation that is on it too.
 func (m *Machine) confirm(ask *wire.ConfirmAsk, reply func(*wire.ReplicaReply)) {
+	if m.durable.Membership.GetGeneration() != m.generation() {
+		m.answer(reply, wire.Standing_FAILED)
+		return
+	}
 	standing := wire.Standing_GRANTED
 	onDisk := m.durable.Registers[ask.Key].GetPromised()
 	if compareTerms(m.register(ask.Key).Promised, ask.Term) != 0 || compareTerms(onDisk, ask.Term) != 0 {
--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -232,7 +232,7 @@
 		return false
 	}
 	if !p.founded() {
-		return p.emptied < (p.schedule.Founders-1)/2
+		return p.emptied < (len(p.world.seeds)-1)/2 // the seeds alone found
 	}
 	id := n.diskState().GetId()
 	return id == "" || !p.world.check.counts(id) || p.world.check.isLost(id) || p.world.check.tolerates()
@@ -301,8 +301,8 @@
 		p.restart(n)
 	}
 	p.healed = w.now
-	if !w.run(10*recoveryBound, p.settled) {
-		return w.check.failure + "after all is healed: " + p.unsettled()
+	if !w.run(recoveryBound, p.settled) {
+		return fmt.Sprintf("%v after all is healed: %s", recoveryBound, p.unsettled())
 	}
 	p.converged = w.now - p.healed
 	for _, voter := range w.check.newest.Voters {
