Spans kept for a learner that can write nothing are bounded

Read in the code by the review of a control machine that is cut off: its learner kept every span until the next write. The new test fails without the bound.

--- a/internal/controlplane/learn.go
+++ b/internal/controlplane/learn.go
@@ -107,8 +107,8 @@
 func (l *learner) learn(s base.Scope, chart *wire.Chart, holder string) {
 	bounded, cancel := s.Within(l.cycle)
 	defer cancel()
-	l.kept = append(l.kept, l.recent(bounded)...)
-	spans := l.kept[max(0, len(l.kept)-recentMost):]
+	l.kept = newest(l.kept, l.recent(bounded), recentMost)
+	spans := l.kept
 	if len(spans) == 0 && holder == l.moor.self {
 		return
 	}
@@ -134,6 +134,12 @@
 	}
 }
 
+// newest joins spans that were kept with later ones and keeps the last most of them, also while nothing can be learned.
+func newest(kept, later []*wire.Span, most int) []*wire.Span {
+	joined := append(kept, later...)
+	return slices.Clone(joined[max(0, len(joined)-most):])
+}
+
 func (l *learner) cursor(address string) *cursor {
 	at := l.cursors[address]
 	if at == nil {
--- a/internal/controlplane/learn_test.go
+++ b/internal/controlplane/learn_test.go
@@ -135,3 +135,16 @@
 		Expect(time.Since(begun)).To(BeNumerically("<", 100*time.Millisecond))
 	})
 })
+
+var _ = ginkgo.Describe("spans that wait for the learner", func() {
+	ginkgo.It("given a learner that can write nothing, when spans keep coming, then only the newest are kept", func() {
+		var kept []*wire.Span
+		for i := range 10 {
+			kept = newest(kept, []*wire.Span{{Id: fmt.Sprint(2 * i)}, {Id: fmt.Sprint(2*i + 1)}}, 5)
+			Expect(len(kept)).To(BeNumerically("<=", 5))
+		}
+		Expect(kept).To(HaveLen(5))
+		Expect(kept[0].Id).To(Equal("15"))
+		Expect(kept[4].Id).To(Equal("19"))
+	})
+})
