Doc comments for the exported items of both planes and the open test fleet

Cause: revive asked for 58 doc comments and 2 package comments in internal/controlplane, internal/dataplane and fleet/open.

Only comments change, and the alignment that gofumpt gives to constants which now have a comment each. The token streams of all 11 files, comments left out, are the same before and after.

revive, findings before and after: exported 58, 0; package-comments 2, 0; function-length 15, 15; cognitive-complexity 14, 14. gofumpt and go vet are clean. No tests were run.

--- a/fleet/open/doors.go
+++ b/fleet/open/doors.go
@@ -75,6 +75,7 @@
 	web   *http.Client
 }
 
+// Operator returns a client of the control plane for one operator, with a call timeout of 1 s.
 func (f *Fleet) Operator(name string) *Operator {
 	s := f.scope("operator "+name, "10.9.9.8", f.Scope.Disk, f.Scope.Clock, f.Scope.Journal)
 	return &Operator{fleet: f, scope: s, web: &http.Client{Transport: &http.Transport{DialContext: s.Net.Dial, DisableKeepAlives: true}, Timeout: time.Second}}
@@ -100,6 +101,9 @@
 	return proto.Unmarshal(text, into)
 }
 
+// Propose sends a proposal to one replica after the other until one returns an outcome, and records it as
+// the configuration whole. An outcome with a Kind is a refusal; nil means that none came within longest, so
+// that the proposal may or may not be accepted.
 func (o *Operator) Propose(p *wire.ChartProposal, whole *wire.Chart, longest time.Duration) *wire.ChartOutcome {
 	h := o.fleet.History
 	sent := &Sent{Chart: whole, At: h.Now(), Acked: -1}
@@ -125,6 +129,8 @@
 	return nil
 }
 
+// Read returns the configuration that one control plane replica serves. It fails on a transport error, a
+// status other than 200 or a malformed body.
 func (o *Operator) Read(keel *Machine) (*wire.Chart, error) {
 	chart := &wire.Chart{}
 	err := o.call(http.MethodGet, keel.At(operatorsPort), nil, chart)
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -45,6 +45,8 @@
 	repeatSlack   = 20
 )
 
+// Machine is a simulated machine. Its process is either a replica of the control plane (Core) or a data
+// plane node with an Upstream beside it; Keel and Node are nil while no process runs.
 type Machine struct {
 	Name     string
 	Zone     string
@@ -67,10 +69,15 @@
 	cancel   context.CancelFunc
 }
 
+// At returns the machine's address for a port, as "ip:port".
 func (m *Machine) At(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
 func (m *Machine) owner() string { return fmt.Sprintf("%s life %d", m.Name, m.lives.Load()) }
 
+// Fleet is a simulated mesh: control plane replicas, data plane nodes with their upstreams, clients and
+// operators, on one simulated network. Plan is the client workload, Habits are given to new upstreams, Size
+// returns their capacity and queue length in requests, and Tune, if set, adjusts the settings of each node
+// before it starts. The same Seed gives the same random choices.
 type Fleet struct {
 	Scope    base.Scope
 	Seed     uint64
@@ -97,6 +104,8 @@
 	count    atomic.Int64
 }
 
+// New builds a fleet of so many control plane replicas and, for each service, so many nodes, spread over
+// three zones. No process runs until Raise.
 func New(seed uint64, keels int, services map[string]int) *Fleet {
 	f := &Fleet{Seed: seed, born: time.Now()}
 	f.World = rig.NewWorld(f.rand("world"), func(from, to string) time.Duration {
@@ -167,6 +176,8 @@
 	}
 }
 
+// Raise starts the machine's process on the disk that earlier runs left, and ends a disturbance that Kill
+// or PowerLoss recorded. It returns the error of the start.
 func (f *Fleet) Raise(m *Machine) error {
 	m.lives.Add(1)
 	m.mount = rig.NewMount(m.Disk)
@@ -212,6 +223,7 @@
 	return u
 }
 
+// Upstream returns a new instance of a service on a machine and port, without starting it.
 func (f *Fleet) Upstream(m *Machine, service string, port int) *Upstream {
 	capacity, queue := f.Size(service)
 	id := fmt.Sprintf("i-%s-%d", service, f.uppers.Add(1))
@@ -227,6 +239,8 @@
 	}
 }
 
+// Kill ends the machine's process at once, without a graceful stop, and records an unplanned disturbance
+// until Raise. The upstream keeps running.
 func (f *Fleet) Kill(m *Machine) {
 	f.down(m, "killed")
 	f.kill(m, false)
@@ -260,6 +274,8 @@
 // Power lets a machine that lost it be raised again.
 func (f *Fleet) Power(m *Machine) { f.dark(m, false) }
 
+// Stop ends the machine's process gracefully and waits for it, as a planned disturbance that lasts until 1
+// s after the end.
 func (f *Fleet) Stop(m *Machine) {
 	end := f.History.Spell(m.Name, "stop", true)
 	if m.Node != nil {
@@ -289,6 +305,8 @@
 	m.Keel, m.Node, m.cancel = nil, nil, nil
 }
 
+// End stops the clients, kills every process and upstream, and closes the network. The fleet can't be used
+// afterwards.
 func (f *Fleet) End() {
 	f.Away()
 	for _, m := range append(f.Nodes, f.gone...) {
@@ -305,8 +323,10 @@
 	time.Sleep(time.Minute)
 }
 
+// Pass waits for d on the fleet's clock.
 func (f *Fleet) Pass(d time.Duration) { base.Await(f.Scope, d) }
 
+// Until checks reached every 5 ms, for at most longest, and reports whether it became true.
 func (f *Fleet) Until(longest time.Duration, reached func() bool) bool {
 	for begun := time.Now(); time.Since(begun) < longest; f.Pass(5 * time.Millisecond) {
 		if reached() {
@@ -316,6 +336,7 @@
 	return reached()
 }
 
+// Of returns the machines that carry a service, in the order of their enrolment.
 func (f *Fleet) Of(service string) (found []*Machine) {
 	for _, m := range f.Nodes {
 		if m.Service == service {
@@ -325,6 +346,8 @@
 	return found
 }
 
+// Ready reports whether all processes on the machines are ready. A machine without a running process counts
+// as ready.
 func (f *Fleet) Ready(machines []*Machine) bool {
 	for _, m := range machines {
 		if m.Keel != nil && !m.Keel.Ready() || m.Node != nil && !m.Node.Ready() {
@@ -355,8 +378,10 @@
 	return response.StatusCode, response.Body.Close()
 }
 
+// Trouble records an unplanned disturbance of the named machine from now until end is called.
 func (f *Fleet) Trouble(name, cause string) (end func()) { return f.History.Spell(name, cause, false) }
 
+// Cut drops all traffic between two machines, in both directions.
 func (f *Fleet) Cut(a, b *Machine) {
 	f.World.Cut(a.IP, b.IP)
 	f.World.Cut(b.IP, a.IP)
@@ -373,6 +398,8 @@
 	m.Upstream.Kill()
 }
 
+// Freeze suspends the machine's process (its clock, network and disk) until thaw is called, and records an
+// unplanned disturbance for that time.
 func (f *Fleet) Freeze(m *Machine) (thaw func()) {
 	end := f.Trouble(m.Name, "frozen")
 	life := m.owner()
--- a/fleet/open/history.go
+++ b/fleet/open/history.go
@@ -12,6 +12,10 @@
 	"curlewreach/proto/wire"
 )
 
+// Ask records one request attempt as a client sent it. At and Until (its deadline) are readings of the
+// History's monotonic clock; Aim is the route's latency target. Life counts the starts of the node, Inner
+// marks a call made by an upstream, Repeats a call made while serving a retry, and Proof a request whose
+// rejection is allowed.
 type Ask struct {
 	At      time.Duration
 	ID      string
@@ -32,6 +36,9 @@
 	Proof   bool
 }
 
+// Told records the outcome of the attempt ID. Broken is the transport error, or empty; Status may be zero
+// with it. Again is the Retry-After delay, Kind the error kind of a node's own response, and Mixed what
+// shows that a response belongs to another request. Read tells whether the node had read the whole request.
 type Told struct {
 	ID     string
 	At     time.Duration
@@ -44,6 +51,10 @@
 	Read   bool
 }
 
+// Arrival records one attempt as an upstream received it. At and Ended are readings of the History's
+// monotonic clock. Missed marks an attempt addressed to another instance, Ran one whose work began, Broke
+// one whose response was spoilt by a Fault, and Gone one whose caller closed the connection before the work
+// ended.
 type Arrival struct {
 	ID      string
 	At      time.Duration
@@ -62,6 +73,9 @@
 	Gone    bool
 }
 
+// Job records one client operation with all its retries. At and Ended are readings of the History's
+// monotonic clock; Aim is the route's latency target; Early is how long a first attempt took to be rejected
+// as not run, and Fresh how long the successful attempt took, or zero.
 type Job struct {
 	ID     string
 	Route  string
@@ -76,6 +90,9 @@
 	Fresh  time.Duration
 }
 
+// Sent records a configuration that an operator proposed. At and Acked are readings of the History's
+// monotonic clock; Acked is -1 until the control plane accepts it. Bad marks a configuration that must be
+// refused.
 type Sent struct {
 	Chart   *wire.Chart
 	At      time.Duration
@@ -84,11 +101,15 @@
 	Bad     bool
 }
 
+// Departure records when the node acknowledged that an instance is leaving, as a reading of the History's
+// monotonic clock.
 type Departure struct {
 	Berth string
 	Acked time.Duration
 }
 
+// Readback records the configuration that a control plane replica returned at a time, or the error of the
+// read.
 type Readback struct {
 	At    time.Duration
 	Keel  string
@@ -96,6 +117,8 @@
 	Err   error
 }
 
+// History collects everything observed in a run, for Check to judge. It is safe for concurrent use; its
+// records are changed only under Mark.
 type History struct {
 	clock    base.Clock
 	mu       sync.Mutex
@@ -111,6 +134,7 @@
 	reads    []Readback
 }
 
+// NewHistory returns an empty History whose times are readings of clock.
 func NewHistory(clock base.Clock) *History {
 	return &History{clock: clock, told: map[string]*Told{}, ran: map[string]int{}}
 }
@@ -121,16 +145,21 @@
 	*rows = append(*rows, row)
 }
 
+// Asked records an attempt before it is sent.
 func (h *History) Asked(ask *Ask) { note(h, &h.asks, ask) }
 
+// Told records the outcome of an attempt, in place of any earlier one with the same ID.
 func (h *History) Told(told *Told) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.told[told.ID] = told
 }
 
+// Arrived records that an upstream received an attempt.
 func (h *History) Arrived(a *Arrival) { note(h, &h.arrivals, a) }
 
+// Ran marks that the work of an attempt began, and reports whether an attempt with the same ID had begun
+// before.
 func (h *History) Ran(a *Arrival) (again bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -139,14 +168,17 @@
 	return h.ran[a.ID] > 1
 }
 
+// Now returns the time on the monotonic clock that all records use.
 func (h *History) Now() time.Duration { return h.clock.Mono() }
 
+// Mark runs change under the History's lock. change must not call other methods of the History.
 func (h *History) Mark(change func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	change()
 }
 
+// Arrivals returns the arrivals of the attempt id at all upstreams.
 func (h *History) Arrivals(id string) (found []*Arrival) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -158,12 +190,15 @@
 	return found
 }
 
+// Jobs returns a copy of the list of finished jobs; the jobs themselves are shared.
 func (h *History) Jobs() []*Job {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return slices.Clone(h.jobs)
 }
 
+// Spell records that a disturbance of the named machine begins now; end records that it is over. A planned
+// one is a graceful stop, which excuses no lost request.
 func (h *History) Spell(name, cause string, planned bool) (end func()) {
 	spell := &judge.Spell{Node: name, Cause: cause, Planned: planned, From: h.Now(), Till: -1}
 	note(h, &h.spells, spell)
--- a/fleet/open/rules.go
+++ b/fleet/open/rules.go
@@ -16,20 +16,34 @@
 	"curlewreach/proto/wire"
 )
 
+// The names of the rules that Check judges.
 const (
-	Twice   = "twice"
+	// Twice requires: no request of a route that forbids retries runs more than once.
+	Twice = "twice"
+	// Refused requires: a request of such a route that was rejected as not run has not run.
 	Refused = "refused"
-	Mixed   = "mixed"
+	// Mixed requires: each response is well formed and belongs to its request, and nothing else is received.
+	Mixed = "mixed"
+	// Unasked requires: upstreams receive only requests that were sent, unchanged, with the true caller.
 	Unasked = "unasked"
-	Routed  = "route"
-	Drain   = "drain"
-	Lost    = "lost"
-	Config  = "config"
-	Back    = "going back"
-	Race    = "race"
-	Kept    = "kept"
-	Budget  = "budget"
-	Denied  = "denied"
+	// Routed requires: a request runs only at a service to which some configuration routes it.
+	Routed = "route"
+	// Drain requires: a leaving instance gets no request once the leaving bound has passed.
+	Drain = "drain"
+	// Lost requires: a graceful stop of a node fails no request that could be served.
+	Lost = "lost"
+	// Config requires: a request is handled by a configuration that may be in force at the time.
+	Config = "config"
+	// Back requires: a node that used a configuration doesn't return to an older one.
+	Back = "going back"
+	// Race requires: no invalid configuration is accepted, nor two on the same base version.
+	Race = "race"
+	// Kept requires: an accepted configuration is not lost and is read back as it was sent.
+	Kept = "kept"
+	// Budget requires: retries towards a service stay within its retry budget.
+	Budget = "budget"
+	// Denied requires: nodes don't reject requests of known routes as client errors, but for a few.
+	Denied = "denied"
 )
 
 type book struct {
--- a/fleet/open/tally.go
+++ b/fleet/open/tally.go
@@ -20,6 +20,8 @@
 	How     map[string]int
 }
 
+// Tally counts the jobs that began at or after from and before till, as readings of the History's clock. A
+// till of zero sets no end; a nil fits selects every job.
 func (f *Fleet) Tally(from, till time.Duration, fits func(*Job) bool) Tally {
 	h := f.History
 	h.mu.Lock()
@@ -58,8 +60,10 @@
 	return t
 }
 
+// Share returns the fraction of jobs that were served, from 0 to 1.
 func (t Tally) Share() float64 { return float64(t.Served) / float64(max(t.Jobs, 1)) }
 
+// Aimed returns the fraction of jobs that were served within their route's latency target, from 0 to 1.
 func (t Tally) Aimed() float64 { return float64(t.InAim) / float64(max(t.Jobs, 1)) }
 
 func (t Tally) String() string {
--- a/fleet/open/upstream.go
+++ b/fleet/open/upstream.go
@@ -25,6 +25,9 @@
 	stuckFor   = time.Hour
 )
 
+// Habit describes how an upstream serves paths with a prefix. The work takes Base plus a uniform random
+// part of Swing, then makes Calls in order, each "METHOD host path". Size is the approximate response size
+// in bytes; Chunks selects chunked encoding.
 type Habit struct {
 	Prefix string
 	Base   time.Duration
@@ -34,6 +37,11 @@
 	Chunks bool
 }
 
+// Upstream is a simulated service instance beside a node. At most Capacity requests run at a time and Queue
+// more wait; the others are rejected, or reset with FullReset. Rest is the idle timeout of its connections
+// (30 s if zero), which TellRest announces in a Keep-Alive header. ConnLimit is the most open connections
+// (zero sets no limit), Boast is added to the capacity that its heartbeats report, and Dumb sends no
+// heartbeats.
 type Upstream struct {
 	ID        string
 	Service   string
@@ -68,6 +76,8 @@
 	speed     float64
 }
 
+// Start listens on the instance's address and begins its heartbeats. It returns the error of the listen
+// call.
 func (u *Upstream) Start() error {
 	s, cancel := u.scope.Child()
 	u.cancel = cancel
@@ -122,6 +132,7 @@
 	return longRest
 }
 
+// Berth returns the body of the next heartbeat, with a new sequence number.
 func (u *Upstream) Berth() *wire.Berth {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -156,6 +167,8 @@
 	u.end(false)
 }
 
+// Announce reports to the node that the instance is leaving, up to 50 times at 100 ms intervals, and
+// records when the node acknowledges it.
 func (u *Upstream) Announce() {
 	u.mu.Lock()
 	u.leaving = true
@@ -170,6 +183,7 @@
 	}
 }
 
+// Kill ends the instance at once and closes its connections, without draining and without a last heartbeat.
 func (u *Upstream) Kill() { u.end(true) }
 
 func (u *Upstream) end(hard bool) {
@@ -203,6 +217,7 @@
 	u.speed = times
 }
 
+// Running returns how many requests hold a slot of the instance's capacity.
 func (u *Upstream) Running() int { return len(u.slots) }
 
 func (u *Upstream) habit(path string) Habit {
--- a/fleet/open/visitors.go
+++ b/fleet/open/visitors.go
@@ -20,6 +20,9 @@
 	missesOut    = 2
 )
 
+// Plan describes one class of requests in the client workload. Part is its share of all requests, relative
+// to the sum of the parts; Body is the request body size in bytes; Within is the client's deadline for a
+// job, retries included, and 2 s if zero. A number is appended to Path for each job.
 type Plan struct {
 	Method string
 	Host   string
@@ -32,6 +35,8 @@
 // Visit brings visitors to the machines whose nodes are ready, so many a second, until Away.
 func (f *Fleet) Visit(rate float64) { f.VisitBy(func(time.Duration) float64 { return rate }) }
 
+// VisitBy starts Poisson arrivals of clients at the ready nodes, until Away. rate returns the arrivals per
+// second, given the time since the call. Repeated calls add their loads.
 func (f *Fleet) VisitBy(rate func(since time.Duration) float64) {
 	if f.visiting == nil {
 		s, cancel := f.Scope.Child()
@@ -47,6 +52,7 @@
 	f.crew.Go(func() { f.arrive(s, rate) })
 }
 
+// Away stops all client load and waits for the jobs under way to end.
 func (f *Fleet) Away() {
 	if f.visiting != nil {
 		f.visiting()
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -1,5 +1,6 @@
-// Package moor is the control plane of an open fleet: members aren't listed, operators sign nothing,
-// and a chart is in force once a majority of core disks has it.
+// Package controlplane is the replicated control plane of a fleet whose members no configuration lists.
+// Operators propose configurations unsigned; one is in force once a majority of the core replicas has it on
+// disk.
 package controlplane
 
 import (
@@ -18,8 +19,9 @@
 )
 
 const (
-	// ChartKey and LearningKey name the registers kept on the core disks.
-	ChartKey    = "chart"
+	// ChartKey names the replicated register that holds the current configuration.
+	ChartKey = "chart"
+	// LearningKey names the replicated register that holds the sampling odds and findings of tracing.
 	LearningKey = "learning"
 
 	roundRatio   = 0.1   // of the ack bound: one round of disks
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -1,4 +1,6 @@
-// Package ford carries requests in an open fleet, whose members no bundle lists: each node learns its mates from the keels.
+// Package dataplane carries requests between the nodes of a fleet whose members no configuration lists.
+// Each node learns its peers and the current configuration from the control plane, and applies routing,
+// retry budgets and admission queues to the requests of its clients and of its upstream.
 package dataplane
 
 import (
@@ -79,7 +81,8 @@
 	crew        base.Crew
 }
 
-// Usual fills in what params leave out.
+// UsualParams sets defaults in p, in place: log level info, a retry ratio of 0.2, and a contact bound
+// derived from the in-force bound.
 func UsualParams(p *wire.FordParams) {
 	if p.Log == "" {
 		p.Log = "info"
--- a/internal/dataplane/ledger.go
+++ b/internal/dataplane/ledger.go
@@ -7,14 +7,19 @@
 	"curlewreach/base"
 )
 
-// State of an attempt.
+// State is the state of one attempt of a request. The outcome decides whether a retry is safe.
 type State int
 
 const (
+	// Running means: sent, no outcome yet.
 	Running State = iota
+	// Answered means: the upstream gave a response to pass on to the client.
 	Answered
+	// Failed means: the upstream answered with a failure status; it may have run the request.
 	Failed
+	// NotRun means: the attempt certainly never ran, so that a retry is always safe.
 	NotRun
+	// Doubtful means: no usable response, and the upstream may have run the request.
 	Doubtful
 )
 
@@ -33,9 +38,13 @@
 type Move int
 
 const (
+	// Try sends a further attempt.
 	Try Move = iota
+	// Await waits for an attempt that is still running.
 	Await
+	// Relay passes the best response on to the client.
 	Relay
+	// GiveUp answers the client with an error of the node's own.
 	GiveUp
 )
 
