--- a/cmd/drill/open.go
+++ b/cmd/drill/open.go
@@ -58,19 +58,29 @@
 	children []*exec.Cmd
 }
 
+// parseCommand reads the words of a subcommand; clean removes the folder that it made where none was named.
+func parseCommand(program string, words []string, into any, folder *string) (clean func(), err error) {
+	parser, err := arg.NewParser(arg.Config{Program: program}, into)
+	if err != nil {
+		return nil, err
+	}
+	parser.MustParse(words)
+	if *folder != "" {
+		return func() {}, nil
+	}
+	if *folder, err = os.MkdirTemp("", "drill"); err != nil {
+		return nil, err
+	}
+	return func() { _ = os.RemoveAll(*folder) }, nil
+}
+
 func openMain(words []string) error {
 	f := &openFleet{}
-	parser, err := arg.NewParser(arg.Config{Program: "drill open"}, &f.openArgs)
+	clean, err := parseCommand("drill open", words, &f.openArgs, &f.Folder)
 	if err != nil {
 		return err
 	}
-	parser.MustParse(words)
-	if f.Folder == "" {
-		if f.Folder, err = os.MkdirTemp("", "drill"); err != nil {
-			return err
-		}
-		defer os.RemoveAll(f.Folder)
-	}
+	defer clean()
 	defer f.fell()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/cmd/drill/replace.go
+++ b/cmd/drill/replace.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -52,17 +51,11 @@
 
 func replaceMain(words []string) error {
 	args := &replaceArgs{}
-	parser, err := arg.NewParser(arg.Config{Program: "drill replace"}, args)
+	clean, err := parseCommand("drill replace", words, args, &args.Folder)
 	if err != nil {
 		return err
 	}
-	parser.MustParse(words)
-	if args.Folder == "" {
-		if args.Folder, err = os.MkdirTemp("", "drill"); err != nil {
-			return err
-		}
-		defer os.RemoveAll(args.Folder)
-	}
+	defer clean()
 	fleet := &openFleet{openArgs: openArgs{Nodes: args.Nodes, Folder: args.Folder, Log: args.Log}}
 	defer fleet.fell()
 	if err := fleet.raise(); err != nil {
