--- a/internal/controlplane/replace_test.go
+++ b/internal/controlplane/replace_test.go
@@ -80,7 +80,7 @@
 			Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second))
 			<-stopped
 			f.lose(old)
-			f.joins(fresh)
+			Expect(f.within(200*time.Millisecond, f.keels[fresh].moor.Ready)).To(BeTrue(), "the one that left has handed its vote over")
 			Expect(f.voters(fresh)).NotTo(ContainElement(at(old)))
 			Expect(f.voters(fresh)).To(HaveLen(3))
 		}
