--- a/deploy/daygen/summary.go
+++ b/deploy/daygen/summary.go
@@ -26,12 +26,19 @@
 	Short []any `json:"short"`
 	// Breaks counts the breaks of each rule.
 	Breaks map[string]any `json:"breaks"`
-	// First tells the first breaks in words.
-	First []any `json:"first"`
+	// First tells the first breaks.
+	First []Break `json:"first"`
 	// Missed names duties that were missed.
 	Missed []any `json:"missed"`
 }
 
+// Break is one break of a rule, as the bench tells it.
+type Break struct {
+	AtS  float64 `json:"at_s"`
+	Rule string  `json:"rule"`
+	What string  `json:"what"`
+}
+
 // ReadReport reads a report as the bench writes it.
 func ReadReport(from io.Reader) (Report, error) {
 	var report Report
@@ -67,7 +74,9 @@
 	}
 	parts = appendList(parts, "short", r.Short)
 	parts = appendList(parts, "missed", r.Missed)
-	parts = appendList(parts, "first", r.First)
+	for _, first := range r.First {
+		parts = append(parts, fmt.Sprintf("%s at %.3f s: %s", first.Rule, first.AtS, first.What))
+	}
 	return strings.Join(parts, "; ")
 }
 
