A survey without known members asks nobody; open files of control machines back

Cause: while a control machine doesn't know the voters yet, each node that wants its configuration confirmed made it survey the register ten times a second, and each such survey asked every seed. With 77 nodes that is over a thousand questions a second between control machines of a sixth of a core, each on a connection of its own, in the first seconds of the first start.

Now only the watch, once in an eighth of the in-force bound, asks seeds; a survey without known members fails at once. The new test fails on the code before: 200 surveys asked 600 times.

--- a/internal/replica/machine.go
+++ b/internal/replica/machine.go
@@ -283,7 +283,7 @@
 	}
 	if now >= m.nextStatus {
 		m.nextStatus = now + m.settings.Watch
-		m.startStatusRound(nil)
+		m.watchMembers()
 	}
 	m.found()
 	m.forgetLearners()
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -30,18 +30,24 @@
 	m.drain()
 }
 
-// startStatusRound asks all members what they hold.
+// watchMembers runs once in each Watch: a status round and, where this replica has no vote or hardly hears the voters,
+// a search for others.
+func (m *Machine) watchMembers() {
+	m.rounds++
+	if !m.votes() || m.rounds%seedRounds == 0 && m.lonely() {
+		m.searchMembers()
+	}
+	m.startStatusRound(nil)
+}
+
+// startStatusRound asks all members what they hold. Where none are known its surveys fail at once, without a question
+// to anybody: callers ask again within moments, and only watchMembers bounds how often the seeds are asked.
 func (m *Machine) startStatusRound(surveys []*survey) {
 	members := m.members()
 	if members == nil {
-		m.searchMembers()
 		m.endSurveys(surveys, nil)
 		return
 	}
-	m.rounds++
-	if !m.votes() || m.rounds%seedRounds == 0 && m.lonely() {
-		m.searchMembers()
-	}
 	have, began := m.heldVersions(), m.now
 	m.poll(members, func() *wire.ReplicaRequest { return m.statusAsk(have) }, func(r *round, reply *wire.ReplicaReply) {
 		m.hearStatus(reply, have)
--- a/internal/replica/survey_test.go
+++ b/internal/replica/survey_test.go
@@ -114,3 +114,31 @@
 		}
 	}
 }
+
+// TestSurveysWithoutKnownMembersAskNobody: hundreds of nodes want the configuration confirmed while this replica still
+// looks for the voters; only its own watch asks the seeds.
+func TestSurveysWithoutKnownMembersAskNobody(t *testing.T) {
+	const callers = 200
+	m := NewMachine(Settings{
+		Address: "d:1", Seeds: []string{"a:1", "b:1", "c:1"}, Watch: simWatch, Silence: simSilence, NewID: func() string { return "d" },
+	}, nil, 0)
+	m.Saved(0, m.Take().Save.Number, true)
+	m.Tick(simTick)
+	if asked := len(m.Take().Requests); asked != 3 {
+		t.Fatalf("the watch asked %d times, want each seed once", asked)
+	}
+	for ticket := range uint64(callers) {
+		m.Survey(simTick, ticket+1, "k")
+	}
+	out := m.Take()
+	if len(out.Requests) > 0 {
+		t.Errorf("%d surveys asked %d times", callers, len(out.Requests))
+	}
+	if len(out.Results) != callers {
+		t.Errorf("%d of %d surveys have a result", len(out.Results), callers)
+	}
+	m.Tick(simTick + simWatch)
+	if asked := len(m.Take().Requests); asked != 3 {
+		t.Errorf("the next watch asked %d times, want each seed once", asked)
+	}
+}
