A founder that lost its disk before the first generation founds again

Cause: only at a first start did a control machine count its own address among the seeds, so an emptied founder that returned without founding could not see that it was the one whom the others wait for, and the fleet waited for a new start.

Now a seed always counts itself. What makes it safe is unchanged: it founds only if all other seeds say that they wait for the first generation, and those heed only the newest replica at the founder's address from then on (the model draws it).

Ruled out by reading: a later list of seeds whose first is a newcomer: its own seeds never ask it, so its generation has no voters, and it joins as a learner.

Also gone: exported methods that nothing calls (Replica.Members, Machine.Keys, Roster.Spoke), and Dock.Void, which was Leave.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -239,7 +239,7 @@
 	}
 	m.params.Store(p)
 	if c := m.core.Load(); c != nil {
-		c.replica.Reload(others(p))
+		c.replica.Reload(replicaSeeds(p))
 	}
 	m.scope.Log.SetLevel(hclog.LevelFromString(p.Log))
 	return nil
--- a/internal/controlplane/join.go
+++ b/internal/controlplane/join.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -71,14 +70,10 @@
 		moors: map[string]wireconnect.MoorClient{}, lenses: map[string]wireconnect.LensClient{},
 	}
 	settings := replica.Settings{
-		Address: m.self, Seeds: others(p), Founding: p.Founding && state == nil && err == nil,
+		Address: m.self, Seeds: replicaSeeds(p), Founding: p.Founding && state == nil && err == nil,
 		Target: votersPerLoss*int(p.Tolerated) + 1, Watch: part(p.InForce, watchRatio), Silence: part(p.Ack, silenceRatio),
 		Patience: part(p.InForce, settleRatio), FoundingWait: part(p.Ack, foundRatio),
 	}
-	if settings.Founding && isSeed(p) {
-		settings.Seeds = append(settings.Seeds, m.self)
-		slices.Sort(settings.Seeds)
-	}
 	c.replica = replica.New(s, settings, store, state, m.web, part(p.Ack, roundRatio))
 	c.traces = tracing.OpenStore(s, min(int(p.MemoryMb)*spansEachMb, spansMost))
 	c.traces.FollowMates(c.otherLenses)
--- a/internal/controlplane/join_test.go
+++ b/internal/controlplane/join_test.go
@@ -108,6 +108,24 @@
 		}
 	})
 
+	story("given a founder that loses its disk before the first generation, when it returns without founding, then the fleet still begins", func(f *fleet) {
+		for round := range 6 {
+			for i := range f.keels {
+				f.wipe(i)
+			}
+			for i := range f.keels {
+				f.raise(i, true)
+			}
+			time.Sleep(time.Duration(100+f.scope.Rand.Below(800)) * time.Millisecond)
+			Expect(f.ready()).To(BeFalse())
+			f.wipe(0)
+			time.Sleep(time.Duration(f.scope.Rand.Below(400)) * time.Millisecond)
+			f.raise(0, false)
+			Expect(f.until(f.ready)).To(BeTrue())
+			Expect(f.insist(round, whole(1, 0)).Kind).To(BeEmpty())
+		}
+	})
+
 	storyOf(5, "given five keels, when any two are wiped again and again, then what was acked by the barest majority stays", func(f *fleet) {
 		on := uint64(0)
 		for round := range 6 {
--- a/internal/controlplane/params.go
+++ b/internal/controlplane/params.go
@@ -53,16 +53,14 @@
 	)
 }
 
-func others(p *wire.MoorParams) []string {
+// replicaSeeds lists the addresses of the seeds' replicas, this machine's own among them if it is a seed: a founder that
+// has lost its disk recognises by that list that it is the one to found again.
+func replicaSeeds(p *wire.MoorParams) []string {
 	_, port, _ := net.SplitHostPort(p.Mates)
 	var found []string
 	for _, seed := range p.Seeds {
-		at, err := netip.ParseAddrPort(seed)
-		if err != nil {
-			continue
-		}
-		if address := net.JoinHostPort(at.Addr().String(), port); address != p.Mates {
-			found = append(found, address)
+		if at, err := netip.ParseAddrPort(seed); err == nil {
+			found = append(found, net.JoinHostPort(at.Addr().String(), port))
 		}
 	}
 	slices.Sort(found)
@@ -72,11 +70,3 @@
 func part(d *durationpb.Duration, ratio float64) time.Duration {
 	return time.Duration(float64(d.AsDuration()) * ratio)
 }
-
-func isSeed(p *wire.MoorParams) bool {
-	own, _, _ := net.SplitHostPort(p.Mates)
-	return slices.ContainsFunc(p.Seeds, func(seed string) bool {
-		host, _, _ := net.SplitHostPort(seed)
-		return host == own
-	})
-}
--- a/internal/dataplane/dock.go
+++ b/internal/dataplane/dock.go
@@ -73,7 +73,7 @@
 	d.changed.Ring()
 }
 
-// Leave takes an upstream's last word.
+// Leave takes an upstream out: it said so, or another was found in its place.
 func (d *Dock) Leave(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -84,9 +84,6 @@
 	}
 }
 
-// Void drops an upstream that another was found in place of.
-func (d *Dock) Void(id string) { d.Leave(id) }
-
 // Now tells who is there, and the gate in front of it.
 func (d *Dock) Now() (*wire.Berth, *Gate, uint64) {
 	d.mu.Lock()
--- a/internal/dataplane/far.go
+++ b/internal/dataplane/far.go
@@ -129,7 +129,7 @@
 		land(0)
 		if status == http.StatusMisdirectedRequest {
 			n.scope.Note("berth-void", berth.Id, "another upstream listens there")
-			n.dock.Void(berth.Id)
+			n.dock.Leave(berth.Id)
 		}
 		o := bounced(base.Bounce(base.Crowded, "", "the upstream turned it away with %d", status).Later(n.gateWait(gate)))
 		o.arrived = status != http.StatusMisdirectedRequest
--- a/internal/dataplane/roster.go
+++ b/internal/dataplane/roster.go
@@ -136,13 +136,6 @@
 	at.post, at.heard = post, r.clock.Mono()
 }
 
-// Spoke notes that a keel answered without news.
-func (r *Roster) Spoke(keel string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.keels[keel] = r.clock.Mono()
-}
-
 // Forget drops the word of a keel that is asked no longer.
 func (r *Roster) Forget(keel string) {
 	r.mu.Lock()
--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -1,11 +1,6 @@
 package replica
 
-import (
-	"maps"
-	"slices"
-
-	"curlewreach/proto/wire"
-)
+import "curlewreach/proto/wire"
 
 // handle answers a question; reply runs when what the answer says is on disk.
 func (m *Machine) handle(ask *wire.ReplicaRequest, reply func(*wire.ReplicaReply)) {
@@ -238,9 +233,3 @@
 
 // Chosen is the newest version of a key known to be chosen, or nil.
 func (m *Machine) Chosen(key string) *wire.Version { return m.chosen[key] }
-
-// Keys lists the keys held.
-func (m *Machine) Keys() []string {
-	keys := slices.Sorted(maps.Keys(m.state.Registers))
-	return slices.DeleteFunc(keys, func(key string) bool { return key == membershipKey })
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -309,18 +308,6 @@
 	return addresses
 }
 
-// Members gives the addresses of voters and of learners heard, sorted.
-func (r *Replica) Members() (addresses []string) {
-	r.look(func(m *Machine) {
-		addresses = addressesOf(m.members())
-		for _, each := range m.learners {
-			addresses = append(addresses, each.address)
-		}
-	})
-	slices.Sort(addresses)
-	return slices.Compact(addresses)
-}
-
 // Hears says whether the voter at an address was heard lately.
 func (r *Replica) Hears(address string, lately time.Duration) (hears bool) {
 	r.look(func(m *Machine) { hears = m.Hears(address, lately) })
