Long functions of the request path become steps with names

outward, next, run, hand, inward, carryOnce, Roster.Heard, Roster.Options and Start; behaviour as before. The table of request events is split by theme.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -124,13 +124,30 @@
 		return nil, err
 	}
 	s, cancel := s.Child()
+	n := newNode(s, p, speech)
+	n.cancel = cancel
+	n.openViews(s)
+	if err := n.openDoors(s, control(n)); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	n.crew.Go(func() { n.search(s) })
+	n.crew.Go(func() { n.serveUnconfirmed(s) })
+	n.crew.Go(func() { n.watchDock(s) })
+	n.crew.Go(func() { n.sink.Run(s, spanEvery) })
+	n.crew.Go(func() { base.Tick(s, sweepEvery, func(base.Scope) { n.sweep() }) })
+	s.Log.Info("started", "zone", p.Zone, "service", p.Service)
+	return n, nil
+}
+
+func newNode(s base.Scope, p *wire.FordParams, speech Speech) *Node {
 	force, contact := p.InForce.AsDuration(), p.Contact.AsDuration()
 	n := &Node{
 		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.WireWithin(s, portion(contact, dialPatience)),
 		across: NewLines(s.Net, s.Clock, mateIdle, portion(force, dialRatio), portion(force, silentRatio)),
 		upward: NewLines(s.Net, s.Clock, upIdle, portion(force, dialRatio), portion(force, silentRatio)),
 		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{}, cancel: cancel,
+		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{},
 	}
 	n.roster.live = n.weight
 	n.fences = newFences(s, n.incarnation, force, p.MemoryMb)
@@ -140,7 +157,11 @@
 	n.sink = tracing.NewSink(s, n.web, n.directory.live, spansBound)
 	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
 	n.clients = NewClientConnections(s.Clock, force, n.clientIdle)
-	n.openViews(s)
+	return n
+}
+
+// openDoors opens the node's servers, that of its clients last.
+func (n *Node) openDoors(s base.Scope, control http.Handler) error {
 	usual := func(server *http.Server) {
 		server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = headBytes, headTime, idleTime
 	}
@@ -153,35 +174,29 @@
 		handler http.Handler
 		set     func(*http.Server)
 	}{
-		{p.Inward, http.HandlerFunc(n.inward), usual},
-		{p.Control, control(n), usual},
-		{p.Ready, http.HandlerFunc(n.readiness), usual},
-		{p.Outward, http.HandlerFunc(n.outward), forClients},
+		{n.params.Inward, http.HandlerFunc(n.inward), usual},
+		{n.params.Control, control, usual},
+		{n.params.Ready, http.HandlerFunc(n.readiness), usual},
+		{n.params.Outward, http.HandlerFunc(n.outward), forClients},
 	} {
 		door, err := base.OpenWith(s, each.address, each.handler, each.set)
 		if err != nil {
-			n.Kill()
-			return nil, err
+			return err
 		}
 		n.doors = append(n.doors, door)
 	}
-	n.crew.Go(func() { n.search(s) })
-	n.crew.Go(func() { n.serveUnconfirmed(s) })
-	n.crew.Go(func() { n.watchDock(s) })
-	n.crew.Go(func() { n.sink.Run(s, spanEvery) })
-	n.crew.Go(func() {
-		base.Tick(s, sweepEvery, func(base.Scope) {
-			n.clients.Sweep()
-			n.dock.Sweep()
-			n.roster.Own(n.post())
-			n.across.Sweep()
-			n.upward.Sweep()
-			n.fences.table.Sweep()
-			n.roster.Sweep(forgetAfter)
-		})
-	})
-	s.Log.Info("started", "zone", p.Zone, "service", p.Service)
-	return n, nil
+	return nil
+}
+
+// sweep forgets what has grown old.
+func (n *Node) sweep() {
+	n.clients.Sweep()
+	n.dock.Sweep()
+	n.roster.Own(n.post())
+	n.across.Sweep()
+	n.upward.Sweep()
+	n.fences.table.Sweep()
+	n.roster.Sweep(forgetAfter)
 }
 
 func (n *Node) serial() uint64 {
--- a/internal/dataplane/far.go
+++ b/internal/dataplane/far.go
@@ -36,6 +36,12 @@
 	return outcome{state: NotRun, kind: mishap.Kind, reason: mishap.Reason, after: mishap.After}
 }
 
+// refused is the outcome of a request that is turned away before it runs.
+func refused(mishap *base.Mishap) *outcome {
+	o := bounced(mishap)
+	return &o
+}
+
 func doubt(kind base.Kind, reason string) outcome {
 	return outcome{state: Doubtful, kind: kind, reason: reason, arrived: true}
 }
@@ -53,102 +59,167 @@
 	return berth, gate, nil
 }
 
+// delivery is a request on its way through the admission queue to the upstream beside this node.
+type delivery struct {
+	node    *Node
+	way     Way
+	message *message
+	id      string        // the request's own, which its answer must bear
+	until   time.Duration // its deadline by the steady clock
+	gate    *Gate
+	berth   *wire.Berth
+	flight  *flight
+	leave   func()        // gives the turn back
+	waited  time.Duration // for the turn
+	further bool          // it is a call of another upstream
+}
+
 // hand passes a request to the upstream beside this node.
 func (n *Node) hand(ctx context.Context, way Way, m *message, attempt string, until time.Duration) outcome {
-	berth, gate, mishap := n.berthFor(way)
+	d := &delivery{node: n, way: way, message: m, id: attempt, until: until}
+	if refusal := d.enter(ctx); refusal != nil {
+		return *refusal
+	}
+	if refusal := d.begin(ctx); refusal != nil {
+		d.leave()
+		return *refusal
+	}
+	return d.exchange(ctx)
+}
+
+// enter waits for a turn in the admission queue.
+func (d *delivery) enter(ctx context.Context) (refusal *outcome) {
+	n, way := d.node, d.way
+	_, gate, mishap := n.berthFor(way)
 	if mishap != nil {
-		return bounced(mishap)
+		return refused(mishap)
 	}
-	if repeatable, _, _ := n.repeatableNow(way, m); way.Repeat && !way.Once && !repeatable {
-		return bounced(base.Bounce(base.Crowded, "", "the route's requests may run once by now"))
+	if repeatable, _, _ := n.repeatableNow(way, d.message); way.Repeat && !way.Once && !repeatable {
+		return refused(base.Bounce(base.Crowded, "", "the route's requests may run once by now"))
 	}
 	now := n.scope.Clock.Mono()
-	further := false
-	if caller := m.header.Get(n.speech.Caller); caller != "" {
-		if further = n.callers.Further(way.Route, caller, n.roster.Services(n.params.Zone)); further {
-			way.Rank = min(way.Rank, topRank)
+	rank := way.Rank
+	if caller := d.message.header.Get(n.speech.Caller); caller != "" {
+		if d.further = n.callers.Further(way.Route, caller, n.roster.Services(n.params.Zone)); d.further {
+			rank = min(rank, topRank)
 		}
 	}
-	leave, mishap := gate.Enter(ctx, Ask{Rank: way.Rank, AimBy: now + way.Aim, DieBy: now + way.Stay, Patience: way.Patience})
+	d.gate = gate
+	d.leave, mishap = gate.Enter(ctx, Ask{Rank: rank, AimBy: now + way.Aim, DieBy: now + way.Stay, Patience: way.Patience})
 	if mishap != nil {
-		o := bounced(mishap)
-		o.further = further
-		return o
+		refusal = refused(mishap)
+		refusal.further = d.further
+		return refusal
 	}
-	waited := n.scope.Clock.Mono() - now
-	if berth, _, mishap = n.berthFor(way); mishap != nil {
-		leave()
-		return bounced(mishap)
+	d.waited = n.scope.Clock.Mono() - now
+	return nil
+}
+
+// begin makes the request ready to be written, once its turn has come: from here on it may run. The upstream may have
+// left while the request waited.
+func (d *delivery) begin(ctx context.Context) (refusal *outcome) {
+	n := d.node
+	berth, _, mishap := n.berthFor(d.way)
+	if mishap != nil {
+		return refused(mishap)
 	}
-	left := until - n.scope.Clock.Mono() - leftPad
+	left := d.until - n.scope.Clock.Mono() - leftPad
 	if left <= 0 || ctx.Err() != nil {
-		leave()
-		return bounced(base.Bounce(base.Expired, "", "no time was left at the turn"))
-	}
-	m.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	m.header[n.speech.Target] = []string{berth.Id}
-	m.certain = way.Once
-	if !way.Attempt.begin() {
-		leave()
-		return bounced(base.Bounce(base.Fenced, "", "this attempt was declared never to begin"))
-	}
-	f := n.ties.board(way, until, left)
-	own := func(r *http.Response) bool {
-		id := r.Header.Get(n.speech.Attempt)
-		return id == attempt || id == "" && (r.Header.Get(n.speech.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest)
-	}
-	land := func(status int) {
-		leave()
-		n.ties.land(f, berth, status)
-	}
-	r, sent, err := n.upward.exchange(ctx, berth.Address, m, own)
+		return refused(base.Bounce(base.Expired, "", "no time was left at the turn"))
+	}
+	d.message.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	d.message.header[n.speech.Target] = []string{berth.Id}
+	d.message.certain = d.way.Once
+	if !d.way.Attempt.begin() {
+		return refused(base.Bounce(base.Fenced, "", "this attempt was declared never to begin"))
+	}
+	d.berth, d.flight = berth, n.ties.board(d.way, d.until, left)
+	return nil
+}
+
+// land gives the turn back and closes the request's span; status 0 makes no span.
+func (d *delivery) land(status int) {
+	d.leave()
+	d.node.ties.land(d.flight, d.berth, status)
+}
+
+// exchange writes the request to the upstream and reads what comes back.
+func (d *delivery) exchange(ctx context.Context) outcome {
+	r, sent, err := d.node.upward.exchange(ctx, d.berth.Address, d.message, d.owns)
 	if err != nil {
-		land(0)
-		switch {
-		case !sent:
-			n.scope.Note("dial-failed", berth.Id, err.Error())
-			return bounced(base.Bounce(base.Unreachable, "", "the upstream could not be dialled"))
-		case ctx.Err() != nil:
-			return doubt(base.Expired, "no answer in time")
-		}
-		n.ills.Saw(berth.Id, false)
-		n.scope.Note("answer-lost", berth.Id, err.Error())
-		return doubt(base.Lost, err.Error())
+		return d.unanswered(ctx, sent, err)
 	}
-	status := r.StatusCode
-	turnedAway := status >= http.StatusBadRequest && r.Header.Get(n.speech.NotRun) != "" || status == http.StatusMisdirectedRequest
-	if turnedAway && r.Header.Get(n.speech.Attempt) == "" && !r.first() {
-		r.broken()
-		land(0)
-		n.scope.Note("answer-unowned", berth.Id, "")
-		return doubt(base.Garbled, "a refusal without an id, perhaps of another request")
+	if !d.turnsAway(r) {
+		return d.answered(r)
 	}
-	if turnedAway {
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, farHeld))
+	if r.Header.Get(d.node.speech.Attempt) == "" && !r.first() {
 		r.broken()
-		land(0)
-		if status == http.StatusMisdirectedRequest {
-			n.scope.Note("berth-void", berth.Id, "another upstream listens there")
-			n.dock.Leave(berth.Id)
-		}
-		o := bounced(base.Bounce(base.Crowded, "", "the upstream turned it away with %d", status).Later(n.gateWait(gate)))
-		o.arrived = status != http.StatusMisdirectedRequest
-		return o
+		d.land(0)
+		d.node.scope.Note("answer-unowned", d.berth.Id, "")
+		return doubt(base.Garbled, "a refusal without an id, perhaps of another request")
 	}
-	sealed := status >= 300 || r.Header.Get(n.speech.Seal) != ""
+	return d.turnedAway(r)
+}
+
+// owns tells whether an answer belongs to this request. Only refusals may come without an id.
+func (d *delivery) owns(r *http.Response) bool {
+	id := r.Header.Get(d.node.speech.Attempt)
+	return id == d.id || id == "" && (r.Header.Get(d.node.speech.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest)
+}
+
+// turnsAway tells whether an answer says that the request has not run.
+func (d *delivery) turnsAway(r *reply) bool {
+	return r.StatusCode >= http.StatusBadRequest && r.Header.Get(d.node.speech.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+}
+
+// unanswered ends a request to which no answer came; sent tells whether a byte of it may have left.
+func (d *delivery) unanswered(ctx context.Context, sent bool, err error) outcome {
+	d.land(0)
+	n := d.node
+	switch {
+	case !sent:
+		n.scope.Note("dial-failed", d.berth.Id, err.Error())
+		return bounced(base.Bounce(base.Unreachable, "", "the upstream could not be dialled"))
+	case ctx.Err() != nil:
+		return doubt(base.Expired, "no answer in time")
+	}
+	n.ills.Saw(d.berth.Id, false)
+	n.scope.Note("answer-lost", d.berth.Id, err.Error())
+	return doubt(base.Lost, err.Error())
+}
+
+// turnedAway ends a request that the upstream says it has not run.
+func (d *delivery) turnedAway(r *reply) outcome {
+	n, status := d.node, r.StatusCode
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, farHeld))
+	r.broken()
+	d.land(0)
+	if status == http.StatusMisdirectedRequest {
+		n.scope.Note("berth-void", d.berth.Id, "another upstream listens there")
+		n.dock.Leave(d.berth.Id)
+	}
+	o := bounced(base.Bounce(base.Crowded, "", "the upstream turned it away with %d", status).Later(n.gateWait(d.gate)))
+	o.arrived = status != http.StatusMisdirectedRequest
+	return o
+}
+
+// answered reads the upstream's answer. One that is not whole, or a success without its seal, counts as lost.
+func (d *delivery) answered(r *reply) outcome {
+	n, status := d.node, r.StatusCode
+	sealed := status >= http.StatusMultipleChoices || r.Header.Get(n.speech.Seal) != ""
 	if !sealed {
 		r.distrust()
 	}
-	a, err := take(r, farHeld, func(bool) { land(status) })
+	a, err := take(r, farHeld, func(bool) { d.land(status) })
 	if err != nil || !sealed {
 		r.broken()
-		land(0)
-		n.ills.Saw(berth.Id, false)
-		n.scope.Note("answer-garbled", berth.Id, "")
+		d.land(0)
+		n.ills.Saw(d.berth.Id, false)
+		n.scope.Note("answer-garbled", d.berth.Id, "")
 		return doubt(base.Garbled, "the upstream's answer was not whole")
 	}
-	n.ills.Saw(berth.Id, status < 500)
-	return outcome{state: stateOf(status), arrived: true, answer: a, waited: waited, further: further}
+	n.ills.Saw(d.berth.Id, status < http.StatusInternalServerError)
+	return outcome{state: stateOf(status), arrived: true, answer: a, waited: d.waited, further: d.further}
 }
 
 func (n *Node) gateWait(gate *Gate) time.Duration {
@@ -165,7 +236,23 @@
 	return w
 }
 
-// inward serves mates.
+// forwarded is a request that another node passes to the upstream beside this one.
+type forwarded struct {
+	way   Way
+	id    string        // the request's own
+	left  time.Duration // until its deadline
+	began time.Duration
+}
+
+// readForwarded reads what the other node says of a request; ok is false if a header is missing or can't be read.
+func (n *Node) readForwarded(r *http.Request) (f forwarded, ok bool) {
+	way, ok := readWay(r.Header.Get(wayHeader))
+	ms, err := strconv.ParseInt(r.Header.Get(n.speech.Left), 10, 64)
+	f = forwarded{way: way, id: r.Header.Get(n.speech.Attempt), left: time.Duration(ms) * time.Millisecond, began: n.scope.Clock.Mono()}
+	return f, ok && err == nil && f.id != ""
+}
+
+// inward serves other nodes: their requests to the upstream beside this one, and their questions about them.
 func (n *Node) inward(w http.ResponseWriter, r *http.Request) {
 	n.inside.Add(1)
 	defer n.inside.Add(-1)
@@ -173,15 +260,12 @@
 		n.fences.questions.ServeHTTP(w, r)
 		return
 	}
-	began := n.scope.Clock.Mono()
-	attempt := r.Header.Get(n.speech.Attempt)
-	way, ok := readWay(r.Header.Get(wayHeader))
-	ms, err := strconv.ParseInt(r.Header.Get(n.speech.Left), 10, 64)
-	if !ok || err != nil || attempt == "" {
+	f, ok := n.readForwarded(r)
+	if !ok {
 		base.Reply(w, http.StatusBadRequest, map[string]string{"kind": string(base.Malformed), "reason": "this door is for mates"})
 		return
 	}
-	if way.Serial > n.serial() {
+	if f.way.Serial > n.serial() {
 		n.behind.Ring()
 	}
 	body, done, mishap := n.hold.Read(r, n.hold.most)
@@ -189,43 +273,62 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer done()
-	until := began + time.Duration(ms)*time.Millisecond
-	var said *outcome
-	way.Attempt, said = n.fences.accept(r.Header.Get(attemptHeader))
-	ctx, cancel := n.fences.lifetime(n.scope, r.Context(), until-began, way.Attempt)
+	attempt, refusal := n.fences.accept(r.Header.Get(attemptHeader))
+	f.way.Attempt = attempt
+	ctx, cancel := n.fences.lifetime(n.scope, r.Context(), f.left, attempt)
 	defer cancel()
-	m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
+	if refusal != nil {
+		n.tally(countRefused)
+	} else {
+		refusal = n.noRoom(f.way, mishap)
+	}
 	var o outcome
 	settle := func(int64) {}
-	if said != nil {
-		n.tally(countRefused)
-		o = *said
-	} else if mishap != nil {
-		o = bounced(base.Bounce(base.Crowded, "", "the body has no room now").Later(holdAgain))
-	} else if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
-		o = bounced(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
+	if refusal != nil {
+		o = *refusal
 	} else {
-		settle = n.spout.Owe(way.Route)
-		o = n.hand(ctx, way, m, attempt, until)
+		settle = n.spout.Owe(f.way.Route)
+		m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
+		o = n.hand(ctx, f.way, m, f.id, f.began+f.left)
 	}
-	way.Attempt.finish(o)
+	attempt.finish(o)
 	n.fences.tell(w.Header(), r.Header)
+	n.answerNode(ctx, w, f.id, o, settle)
+}
+
+// noRoom refuses a request whose body was not read for want of memory, or whose large answer would wait too long for
+// this machine's link.
+func (n *Node) noRoom(way Way, unread *base.Mishap) (refusal *outcome) {
+	if unread != nil {
+		return refused(base.Bounce(base.Crowded, "", "the body has no room now").Later(holdAgain))
+	}
+	if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
+		return refused(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
+	}
+	return nil
+}
+
+// answerNode tells another node how its request went, and how full the upstream here is. settle takes the size of the
+// answer off what this machine's link owes.
+func (n *Node) answerNode(ctx context.Context, w http.ResponseWriter, id string, o outcome, settle func(size int64)) {
 	weight := n.weight()
 	weight.Waited, weight.Further = int(o.waited.Milliseconds()), o.further
-	w.Header()[weightHeader] = []string{weight.text()}
+	header := w.Header()
+	header[weightHeader] = []string{weight.text()}
 	if n.stopping.Load() {
-		w.Header().Set("Connection", "close")
+		header.Set("Connection", "close")
 	}
 	if o.answer != nil {
-		settle(int64(len(o.answer.body)))
-		n.spout.Pass(ctx, int64(len(o.answer.body))+headGuess)
+		size := int64(len(o.answer.body))
+		settle(size)
+		n.spout.Pass(ctx, size+headGuess)
 		relay(w, o.answer)
 		return
 	}
 	settle(0)
-	w.Header()[n.speech.Attempt] = []string{attempt}
-	w.Header()[outcomeHeader] = []string{o.text()}
-	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
+	header[n.speech.Attempt] = []string{id}
+	header[outcomeHeader] = []string{o.text()}
+	header["Date"], header["Content-Type"] = nil, nil
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -274,31 +377,57 @@
 	mine.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	mine.header[wayHeader] = []string{way.text()}
 	way.Attempt.sendIn(mine.header)
+	h := hop{node: n, to: to, way: way, id: attempt, until: until}
 	r, sent, err := n.across.exchange(ctx, to.inward, &mine, func(r *http.Response) bool { return r.Header.Get(n.speech.Attempt) == attempt })
 	if err != nil {
-		switch {
-		case ctx.Err() != nil && sent:
-			return doubt(base.Expired, "no answer in time")
-		case ctx.Err() != nil:
-			return bounced(base.Bounce(base.Expired, "", "no time was left"))
-		}
-		n.scope.Note("mate-lost", to.node, err.Error())
-		n.roster.Avoid(to.node)
-		if !sent {
-			return bounced(base.Bounce(base.Unreachable, "", "the mate could not be reached"))
-		}
-		n.across.Forget(to.inward)
-		o := n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Lost, err.Error()))
-		if way.Attempt.id != "" && o.state == Doubtful {
-			n.roster.Avoid(to.node)
-		}
-		return o
+		return h.broken(ctx, sent, err)
+	}
+	return h.answered(ctx, r)
+}
+
+// hop is one attempt's way to the node beside an upstream.
+type hop struct {
+	node  *Node
+	to    Option
+	way   Way
+	id    string // the request's own
+	until time.Duration
+}
+
+// broken ends an attempt whose connection gave no answer; sent tells whether a byte of it may have left.
+func (h hop) broken(ctx context.Context, sent bool, err error) outcome {
+	n, name := h.node, h.to.node
+	switch {
+	case ctx.Err() != nil && sent:
+		return doubt(base.Expired, "no answer in time")
+	case ctx.Err() != nil:
+		return bounced(base.Bounce(base.Expired, "", "no time was left"))
+	}
+	n.scope.Note("mate-lost", name, err.Error())
+	n.roster.Avoid(name)
+	if !sent {
+		return bounced(base.Bounce(base.Unreachable, "", "the mate could not be reached"))
 	}
+	n.across.Forget(h.to.inward)
+	o := h.resolve(ctx, doubt(base.Lost, err.Error()))
+	if h.way.Attempt.id != "" && o.state == Doubtful {
+		n.roster.Avoid(name)
+	}
+	return o
+}
+
+func (h hop) resolve(ctx context.Context, doubted outcome) outcome {
+	return h.node.resolve(ctx, h.to, h.way.Attempt, h.id, h.until, doubted)
+}
+
+// answered reads what the other node says: an upstream's answer, or an outcome without one.
+func (h hop) answered(ctx context.Context, r *reply) outcome {
+	n := h.node
 	weight, weighed := readWeight(r.Header.Get(weightHeader))
 	if weighed && weight.Serial > n.serial() {
 		n.behind.Ring()
 	}
-	n.fences.heard(to.node, r.Header.Get(memoryHeader))
+	n.fences.heard(h.to.node, r.Header.Get(memoryHeader))
 	said, isOutcome := readOutcome(r.Header.Get(outcomeHeader))
 	if !weighed {
 		r.distrust()
@@ -306,7 +435,7 @@
 	a, err := take(r, nearHeld, func(bool) {})
 	if err != nil {
 		r.broken()
-		return n.resolve(ctx, to, way.Attempt, attempt, until, doubt(base.Garbled, "the answer broke off between nodes"))
+		return h.resolve(ctx, doubt(base.Garbled, "the answer broke off between nodes"))
 	}
 	if !weighed {
 		a.drop()
--- a/internal/dataplane/near.go
+++ b/internal/dataplane/near.go
@@ -63,75 +63,114 @@
 	base.Reply(w, status, map[string]string{"kind": string(kind), "reason": reason})
 }
 
+// clientRequest is what a request of a client, or of the upstream beside this node, tells before its body is read.
+type clientRequest struct {
+	id    string
+	began time.Duration
+	left  time.Duration // until the client's deadline
+	table *config.Table
+	route *config.Route
+}
+
+// limit is for how long the request may be held.
+func (c *clientRequest) limit() time.Duration { return min(c.left, c.route.Cutoff()) }
+
+// refusal is an answer of this node's own.
+type refusal struct {
+	kind   base.Kind
+	reason string
+	after  time.Duration // when to come back
+	left   time.Duration // until the client's deadline, where that is known
+}
+
+// readClientRequest reads the head of a request, or says why it is refused.
+func (n *Node) readClientRequest(r *http.Request) (*clientRequest, *refusal) {
+	c := &clientRequest{id: r.Header.Get(n.speech.Attempt), began: n.scope.Clock.Mono(), left: usualCutoff, table: n.table.Load()}
+	if ms, err := strconv.ParseFloat(r.Header.Get(n.speech.Left), 64); err == nil {
+		c.left = time.Duration(ms * float64(time.Millisecond))
+	}
+	if c.table == nil || n.closed.Load() {
+		return nil, &refusal{base.Stopping, "this node is starting or stopping", startingWait, c.left}
+	}
+	route, known := c.table.Find(r.Host, r.URL.Path)
+	switch {
+	case !known:
+		return nil, &refusal{kind: base.NoRoute, reason: "no route here fits"}
+	case c.id == "":
+		return nil, &refusal{kind: base.Malformed, reason: "a request carries an id"}
+	}
+	c.route = route
+	if c.limit() <= 0 {
+		return nil, &refusal{kind: base.Crowded, reason: "no time was left", after: startingWait}
+	}
+	return c, nil
+}
+
+// bodyLimit is the longest body in bytes that the configuration allows.
+func (c *clientRequest) bodyLimit() int64 {
+	if most := int64(c.table.Chart().GetLimits().GetBodyBytes()); most > 0 {
+		return most
+	}
+	return bodyUsual
+}
+
 // outward serves visitors and the upstream beside this node.
 func (n *Node) outward(w http.ResponseWriter, r *http.Request) {
 	n.inside.Add(1)
 	defer n.inside.Add(-1)
-	began := n.scope.Clock.Mono()
-	attemptId := r.Header.Get(n.speech.Attempt)
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	left := usualCutoff
-	if ms, err := strconv.ParseFloat(r.Header.Get(n.speech.Left), 64); err == nil {
-		left = time.Duration(ms * float64(time.Millisecond))
-	}
-	table := n.table.Load()
-	if table == nil || n.closed.Load() {
-		n.refuse(w, base.Stopping, "this node is starting or stopping", startingWait, left)
+	c, no := n.readClientRequest(r)
+	if no != nil {
+		n.refuse(w, no.kind, no.reason, no.after, no.left)
 		return
 	}
-	route, known := table.Find(r.Host, r.URL.Path)
-	if !known {
-		n.refuse(w, base.NoRoute, "no route here fits", 0, 0)
-		return
-	}
-	if attemptId == "" {
-		n.refuse(w, base.Malformed, "a request carries an id", 0, 0)
-		return
-	}
-	part := n.usual.Part(route.Name(), left)
-	limit := min(left, route.Cutoff())
-	if limit <= 0 {
-		n.refuse(w, base.Crowded, "no time was left", startingWait, 0)
-		return
-	}
-	most := int64(table.Chart().GetLimits().GetBodyBytes())
-	if most <= 0 {
-		most = bodyUsual
-	}
-	body, done, mishap := n.hold.Read(r, most)
+	part := n.usual.Part(c.route.Name(), c.left)
+	body, done, mishap := n.hold.Read(r, c.bodyLimit())
 	if mishap != nil {
 		if mishap.Kind == base.Malformed {
 			panic(http.ErrAbortHandler)
 		}
-		n.refuse(w, mishap.Kind, mishap.Reason, mishap.After, left)
+		n.refuse(w, mishap.Kind, mishap.Reason, mishap.After, c.left)
 		return
 	}
 	defer done()
-	header := passing(r.Header, n.speech.Target, n.speech.Caller)
+	v := n.newVisit(c, &message{method: r.Method, target: r.RequestURI, host: r.Host, header: n.headerOnwards(r.Header), body: body}, part)
+	gone := context.AfterFunc(r.Context(), v.cancel)
+	defer gone()
+	defer v.finish()
+	v.run(w, r.Context())
+	n.ties.inner(v.way.Trace, c.began, v.now())
+	n.took(v)
+}
+
+// headerOnwards is a client's header as an upstream is to get it.
+func (n *Node) headerOnwards(from http.Header) http.Header {
+	header := passing(from, n.speech.Target, n.speech.Caller)
 	header[n.speech.Caller] = []string{n.params.Service}
 	if _, given := header["User-Agent"]; !given {
 		delete(header, "User-Agent")
 	}
+	return header
+}
+
+func (n *Node) newVisit(c *clientRequest, m *message, part float64) *visit {
+	route, until := c.route, c.began+c.limit()
 	service := route.Pick(n.scope.Rand.Float64())
 	v := &visit{
-		node: n, route: route, attempt: attemptId, began: began, until: began + limit, left: left, part: part,
-		m:      &message{method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: body},
-		way:    Way{Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Once: !route.Repeatable(), Serial: table.Serial(), Sampled: true, Trace: n.parent(route, began, left)},
+		node: n, route: route, attempt: c.id, began: c.began, until: until, left: c.left, part: part, m: m,
+		way: Way{
+			Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Once: !route.Repeatable(), Serial: c.table.Serial(),
+			Sampled: true, Trace: n.parent(route, c.began, c.left),
+		},
 		usual:  n.usual.Mean(route.Name(), time.Duration(float64(route.Aim())*firstGuess)),
-		ledger: &Ledger{repeatable: route.Repeatable(), tries: route.Tries(), until: began + limit},
+		ledger: &Ledger{repeatable: route.Repeatable(), tries: route.Tries(), until: until},
 		ended:  make(chan landed, mostBounces+1),
 	}
 	n.purse.Earn(service)
-	ctx, cancel := context.WithTimeout(n.scope.Context, v.until-v.now())
-	gone := context.AfterFunc(r.Context(), cancel)
-	defer gone()
-	v.ctx, v.cancel = ctx, cancel
-	defer v.finish()
-	v.run(w, r.Context())
-	n.ties.inner(v.way.Trace, began, v.now())
-	n.took(v)
+	v.ctx, v.cancel = context.WithTimeout(n.scope.Context, until-v.now())
+	return v
 }
 
 // finish frees what the visit still holds, however it ended: answers that were not passed on, and attempts still running.
@@ -179,35 +218,19 @@
 	n := v.node
 	way = v.way
 	options := n.roster.Options(v.way.Service, n.params.Zone, v.way.Rank, v.usual, v.ledger.tried, n.scope.Rand)
-	for _, o := range options {
-		if o.avoided || hedging && !o.free {
-			continue
-		}
-		if o.free {
-			_, way.Aim, way.Stay = v.allow()
-			return o, way, nil
-		}
-		break
+	if free, found := firstFree(options, hedging); found {
+		_, way.Aim, way.Stay = v.allow()
+		return free, way, nil
 	}
 	if hedging {
 		return to, way, base.Bounce(base.Crowded, "", "no free place")
 	}
 	way.Patience, way.Aim, way.Stay = v.allow()
-	wait, known := time.Duration(0), len(options) > 0
-	if known {
-		to, wait = options[0], options[0].wait
-	}
-	for _, each := range v.ledger.attempts {
-		if each.state == NotRun && each.kind == base.Crowded && !each.arrived && !v.ledger.waitedAt(each.node) && (!known || each.after < wait) {
-			if o, there := n.roster.Option(each.node, v.way.Service); there {
-				to, wait, known = o, each.after, true
-			}
-		}
-	}
+	to, wait, known := v.shortestWait(options)
 	if !known {
 		return to, way, base.Bounce(base.NoSeat, "", "no upstream of %s is known here", v.way.Service).Later(startingWait)
 	}
-	if wait > way.Patience && (way.Patience <= 0 || v.ledger.count(func(a *attempt) bool { return a.kind == base.Crowded }) >= fewestAsked) {
+	if wait > way.Patience && (way.Patience <= 0 || v.crowded() >= fewestAsked) {
 		wait = max(wait, time.Duration(leastOfAim*float64(v.route.Aim())))
 		wait = time.Duration(float64(wait) * (1 + spread*(n.scope.Rand.Float64()-0.5)))
 		return to, way, base.Bounce(base.Crowded, "", "every upstream of %s is taken", v.way.Service).Later(wait)
@@ -215,6 +238,44 @@
 	return to, way, nil
 }
 
+// firstFree finds the best place if it has room. A hedge also goes to a later one; places that could not be reached
+// lately are passed over.
+func firstFree(options []Option, hedging bool) (free Option, found bool) {
+	for _, each := range options {
+		switch {
+		case each.avoided || hedging && !each.free:
+		case each.free:
+			return each, true
+		default:
+			return free, false
+		}
+	}
+	return free, false
+}
+
+// shortestWait finds the place where the request would wait least: the best of those not asked yet, or one that has
+// turned it away for want of room.
+func (v *visit) shortestWait(options []Option) (to Option, wait time.Duration, known bool) {
+	if known = len(options) > 0; known {
+		to, wait = options[0], options[0].wait
+	}
+	for _, each := range v.ledger.attempts {
+		full := each.state == NotRun && each.kind == base.Crowded && !each.arrived
+		if !full || v.ledger.waitedAt(each.node) || known && each.after >= wait {
+			continue
+		}
+		if o, there := v.node.roster.Option(each.node, v.way.Service); there {
+			to, wait, known = o, each.after, true
+		}
+	}
+	return to, wait, known
+}
+
+// crowded counts the attempts that were turned away for want of room.
+func (v *visit) crowded() int {
+	return v.ledger.count(func(a *attempt) bool { return a.kind == base.Crowded })
+}
+
 func (v *visit) start(to Option, way Way) {
 	at := &attempt{node: to.node, began: v.now(), patient: way.Patience > 0}
 	v.ledger.attempts = append(v.ledger.attempts, at)
@@ -247,6 +308,7 @@
 	at.state, at.kind, at.arrived, at.after, at.answer = o.state, o.kind, o.arrived, o.after, o.answer
 }
 
+// run makes attempts until there is an answer for the client.
 func (v *visit) run(w http.ResponseWriter, visitor context.Context) {
 	n := v.node
 	hedge := time.NewTimer(time.Hour)
@@ -260,55 +322,24 @@
 		v.narrow()
 		switch v.ledger.Next(v.now()) {
 		case Relay:
-			best := v.ledger.best()
-			if best == nil {
-				best = v.ledger.failed()
-			}
-			n.tally("answered")
-			v.pass(w, best.answer)
+			v.relayBest(w)
 			return
 		case GiveUp:
 			v.giveUp(w, nil)
 			return
 		case Try:
-			repeat := v.ledger.arrivals() > 0
-			if repeat && !n.purse.Spend(v.way.Service) {
-				n.tally("repeat-unpaid")
-				if failed := v.ledger.failed(); failed != nil {
-					v.pass(w, failed.answer)
-					return
-				}
-				v.giveUp(w, nil)
-				return
-			}
-			to, way, mishap := v.next(false)
-			if mishap != nil {
-				if repeat {
-					n.purse.Refund(v.way.Service)
-				}
-				if failed := v.ledger.failed(); failed != nil {
-					v.pass(w, failed.answer)
-					return
-				}
-				v.giveUp(w, mishap)
+			if tried, mishap := v.try(); !tried {
+				v.endWithout(w, mishap)
 				return
 			}
-			way.Repeat = repeat
-			v.start(to, way)
 			continue
 		}
 		select {
 		case each := <-v.ended:
 			v.settle(each)
 		case <-hedge.C:
-			if v.mayHedge() {
-				if to, way, mishap := v.next(true); mishap == nil && n.purse.Spend(v.way.Service) {
-					way.Repeat = true
-					n.tally("hedged")
-					v.start(to, way)
-				} else {
-					hedge.Reset(hedgeAgain)
-				}
+			if v.mayHedge() && !v.hedge() {
+				hedge.Reset(hedgeAgain)
 			}
 		case <-visitor.Done():
 			n.tally("visitor-gone")
@@ -320,6 +351,57 @@
 	}
 }
 
+// relayBest passes on a success, or else an upstream's failure.
+func (v *visit) relayBest(w http.ResponseWriter) {
+	best := v.ledger.best()
+	if best == nil {
+		best = v.ledger.failed()
+	}
+	v.node.tally("answered")
+	v.pass(w, best.answer)
+}
+
+// try starts one more attempt. If it can't, it says why, or nothing where a repeat could not be paid.
+func (v *visit) try() (tried bool, mishap *base.Mishap) {
+	n := v.node
+	repeat := v.ledger.arrivals() > 0
+	if repeat && !n.purse.Spend(v.way.Service) {
+		n.tally("repeat-unpaid")
+		return false, nil
+	}
+	to, way, mishap := v.next(false)
+	if mishap != nil {
+		if repeat {
+			n.purse.Refund(v.way.Service)
+		}
+		return false, mishap
+	}
+	way.Repeat = repeat
+	v.start(to, way)
+	return true, nil
+}
+
+// endWithout ends a request for which no further attempt can be made.
+func (v *visit) endWithout(w http.ResponseWriter, mishap *base.Mishap) {
+	if failed := v.ledger.failed(); failed != nil {
+		v.pass(w, failed.answer)
+		return
+	}
+	v.giveUp(w, mishap)
+}
+
+// hedge starts a second attempt beside a slow one, if a place is free and the repeat can be paid.
+func (v *visit) hedge() (started bool) {
+	to, way, mishap := v.next(true)
+	if mishap != nil || !v.node.purse.Spend(v.way.Service) {
+		return false
+	}
+	way.Repeat = true
+	v.node.tally("hedged")
+	v.start(to, way)
+	return true
+}
+
 // pass sends an upstream's answer back as it is. A status that would promise more than is known is replaced, with no
 // seal, by an answer of this node's own.
 func (v *visit) pass(w http.ResponseWriter, a *answer) {
--- a/internal/dataplane/path_bench_test.go
+++ b/internal/dataplane/path_bench_test.go
@@ -265,18 +265,21 @@
 		sights := benchSights(all, 0, func(int) string { return "10.0.0.1:1" })
 		near.roster.Heard("keel", true, append(sights, sight))
 		b.Run(fmt.Sprint("mesh/roster=", all), func(b *testing.B) {
-			benchTimes(b, func() {
-				r, _, err := lines.exchange(context.Background(), near.params.Outward, m, func(*http.Response) bool { return true })
-				if err != nil {
-					b.Fatal(err)
-				}
-				if r.StatusCode != http.StatusOK {
-					body, _ := io.ReadAll(r.Body)
-					b.Fatal(r.StatusCode, string(body))
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				r.whole()
-			})
+			benchTimes(b, func() { benchCall(b, lines, near.params.Outward, m) })
 		})
 	}
 }
+
+// benchCall sends a request to a node and reads its answer, which must be a success.
+func benchCall(b *testing.B, lines *Lines, address string, m *message) {
+	r, _, err := lines.exchange(context.Background(), address, m, func(*http.Response) bool { return true })
+	if err != nil {
+		b.Fatal(err)
+	}
+	if r.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(r.Body)
+		b.Fatal(r.StatusCode, string(body))
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	r.whole()
+}
--- a/internal/dataplane/requests_test.go
+++ b/internal/dataplane/requests_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -85,15 +86,25 @@
 // exchangeRows are the events that both hops from a node have in common. lostNext is where the request after one goes
 // whose exchange failed: beside an upstream to a new connection, else past the mate that failed.
 func exchangeRows(lostNext string) []row {
-	answered := func(event string, does event, next string) row {
-		return row{event: event, does: does, once: byFirst, again: byFirst, next: next}
-	}
+	return slices.Concat(connectionRows(lostNext), framingRows(lostNext), headRows(lostNext), statusRows())
+}
+
+// answered is an event after which the answer counts.
+func answered(event string, does event, next string) row {
+	return row{event: event, does: does, once: byFirst, again: byFirst, next: next}
+}
+
+// doubted is an event after which nobody knows whether the request ran.
+func doubted(event string, does event, next string) row {
+	return row{event: event, does: does, once: lost, again: bySecondToo, next: next}
+}
+
+// connectionRows are about when a connection breaks or falls silent.
+func connectionRows(lostNext string) []row {
 	idle := func(event string, before event) row {
 		return row{event: event, before: before, once: byFirst, again: byFirst, next: kept}
 	}
-	doubt := func(event string, does event) row {
-		return row{event: event, does: does, once: lost, again: bySecondToo, next: lostNext}
-	}
+	doubt := func(event string, does event) row { return doubted(event, does, lostNext) }
 	return []row{
 		answered("a whole answer", sound, kept),
 		{event: "dialling refused", setUp: func(p *pair) { p.first.shut() }, once: bySecond, again: bySecond, next: elsewhere},
@@ -132,6 +143,13 @@
 			}
 			return sound(t)
 		}, body: make([]byte, 2*largeBody), once: byFirst, again: byFirst, next: kept},
+	}
+}
+
+// framingRows are about answers of the wrong length, of other requests, or that are none.
+func framingRows(lostNext string) []row {
+	doubt := func(event string, does event) row { return doubted(event, does, lostNext) }
+	return []row{
 		doubt("half a head", writes(func(t *turn) string { return t.answer(http.StatusOK)[:20] }, false)),
 		{event: "half a body and a close", does: writes((*turn).half, false), once: lost, again: bySecondToo, next: replaced},
 		{event: "half a body and silence", does: func(t *turn) bool {
@@ -155,15 +173,27 @@
 		{event: "chunks that break off", does: writes(func(t *turn) string {
 			return t.head(http.StatusOK, t.id, -1, "Transfer-Encoding: chunked", sealLine()) + fmt.Sprintf("%x\r\n%s\r\n", len(t.body()), t.body())
 		}, false), once: lost, again: bySecondToo, next: replaced},
+	}
+}
+
+// headRows are about what an answer's head asks for.
+func headRows(lostNext string) []row {
+	return []row{
 		answered("100 and then its answer", writes(func(t *turn) string { return "HTTP/1.1 100 Continue\r\n\r\n" + t.answer(http.StatusOK) }, true), replaced),
 		answered("103 and then its answer", writes(func(t *turn) string {
 			return "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + t.answer(http.StatusOK)
 		}, true), replaced),
-		doubt("101", writes(func(t *turn) string {
+		doubted("101", writes(func(t *turn) string {
 			return t.head(http.StatusSwitchingProtocols, t.id, -1, "Upgrade: other", "Connection: Upgrade")
-		}, true)),
+		}, true), lostNext),
 		answered("Connection: close on the answer", writes(func(t *turn) string { return t.withLines("Connection: close") }, true), replaced),
 		answered("Keep-Alive: timeout=0 on the answer", writes(func(t *turn) string { return t.withLines("Keep-Alive: timeout=0") }, true), replaced),
+	}
+}
+
+// statusRows are about the statuses of whole answers.
+func statusRows() []row {
+	return []row{
 		{event: "500", does: answers(http.StatusInternalServerError), once: failedWith(http.StatusInternalServerError), again: bySecondToo, next: kept},
 		{event: "501", does: answers(http.StatusNotImplemented), once: failedWith(http.StatusNotImplemented), again: bySecondToo, next: kept},
 		{event: "502", does: answers(http.StatusBadGateway), once: failedWith(http.StatusBadGateway), again: bySecondToo, next: kept},
--- a/internal/dataplane/roster.go
+++ b/internal/dataplane/roster.go
@@ -78,26 +78,42 @@
 		if post.GetNode() == "" || post.Node == r.self {
 			continue
 		}
-		at := r.places[post.Node]
-		if at == nil {
-			at = &Place{speed: 1, sights: map[string]sight{}}
-			r.places[post.Node] = at
-		}
+		at := r.place(post.Node)
 		at.sights[keel] = sight{each.Absent}
-		heard := now - time.Duration(each.SilenceMs)*time.Millisecond
-		same := at.post.GetIncarnation() == post.Incarnation
-		if at.post == nil || same && post.Number > at.post.Number || !same && heard > at.heard {
-			if !same || at.post.GetBerth().GetId() != post.GetBerth().GetId() {
-				at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.reached = Weight{}, 0, 0, 0, "", 0
-				at.speed = 1
-			}
-			if at.post.GetBerth().GetService() != post.GetBerth().GetService() {
-				r.index = nil
-			}
-			at.post = post
-		}
-		at.heard = max(at.heard, heard)
+		r.hearPost(at, post, now-time.Duration(each.SilenceMs)*time.Millisecond)
+	}
+}
+
+// place gives the row of a node; a new one if there is none.
+func (r *Roster) place(node string) *Place {
+	at := r.places[node]
+	if at == nil {
+		at = &Place{speed: 1, sights: map[string]sight{}}
+		r.places[node] = at
 	}
+	return at
+}
+
+// hearPost takes what a mate told of itself at some moment, unless something newer is known: a higher number of the same
+// life, or a life heard of later.
+func (r *Roster) hearPost(at *Place, post *wire.Post, heard time.Duration) {
+	same := at.post.GetIncarnation() == post.Incarnation
+	if at.post == nil || same && post.Number > at.post.Number || !same && heard > at.heard {
+		r.replacePost(at, post, !same)
+	}
+	at.heard = max(at.heard, heard)
+}
+
+// replacePost forgets what requests saw of the place if another life, or another upstream, is there.
+func (r *Roster) replacePost(at *Place, post *wire.Post, anew bool) {
+	if anew || at.post.GetBerth().GetId() != post.GetBerth().GetId() {
+		at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.reached = Weight{}, 0, 0, 0, "", 0
+		at.speed = 1
+	}
+	if at.post.GetBerth().GetService() != post.GetBerth().GetService() {
+		r.index = nil
+	}
+	at.post = post
 }
 
 func (r *Roster) absent(at *Place) bool {
@@ -122,18 +138,9 @@
 func (r *Roster) Own(post *wire.Post) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at := r.places[r.self]
-	if at == nil {
-		at = &Place{speed: 1, sights: map[string]sight{}}
-		r.places[r.self] = at
-	}
-	if at.post.GetBerth().GetId() != post.GetBerth().GetId() {
-		at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.speed = Weight{}, 0, 0, 0, "", 1
-	}
-	if at.post.GetBerth().GetService() != post.GetBerth().GetService() {
-		r.index = nil
-	}
-	at.post, at.heard = post, r.clock.Mono()
+	at := r.place(r.self)
+	r.replacePost(at, post, false)
+	at.heard = r.clock.Mono()
 }
 
 // Forget drops the word of a keel that is asked no longer.
@@ -247,6 +254,8 @@
 	jitter     = 0.1
 	warmFactor = 2
 	topWait    = 0.5
+	// avoidedScore puts a place that could not be reached lately behind all others.
+	avoidedScore = 100
 )
 
 // Options lists who may serve, the best first.
@@ -262,38 +271,61 @@
 		if name == r.self && r.live != nil {
 			at.weight, at.weighed, at.atWeight = r.live(), now, at.flying
 		}
+		o := at.option(name, now)
 		flying, limit := at.guess(now)
-		speed := at.speed
-		if now < at.heard+time.Duration(at.post.Berth.WarmMs)*time.Millisecond {
-			speed *= warmFactor
-		}
-		over := flying + 1 - float64(limit)
-		o := Option{node: name, inward: at.post.Inward, berth: at.post.Berth.Id, zone: at.post.Zone, free: over <= 0, avoided: now < at.avoid}
-		if over > 0 {
-			turn := hold
-			if at.weight.HoldMs > 0 {
-				turn = time.Duration(at.weight.HoldMs) * time.Millisecond
-			}
-			o.wait = time.Duration(over / float64(limit) * float64(turn))
-			switch {
-			case rank <= topRank:
-				o.wait = time.Duration(topWait * float64(o.wait))
-			case now-at.weighed < weightFades:
-				o.wait = max(o.wait, time.Duration(at.weight.RestMs)*time.Millisecond)
-			}
+		if over := flying + 1 - float64(limit); over > 0 {
+			o.free, o.wait = false, at.waitFor(over/float64(limit), rank, hold, now)
 		}
-		o.score = speed*(1+filling*min(flying/float64(limit), 1)) + jitter*rand.Float64() + float64(o.wait)/float64(max(hold, time.Millisecond))
+		o.score = at.pace(now)*(1+filling*min(flying/float64(limit), 1)) + jitter*rand.Float64() + float64(o.wait)/float64(max(hold, time.Millisecond))
 		if at.post.Zone != zone {
 			o.score += farZone
 		}
-		if o.ill = float64(at.weight.IllPct) / 100; now-at.weighed > illFades {
-			o.ill *= float64(illFades) / float64(now-at.weighed)
-		}
 		if o.avoided {
-			o.score += 100 + float64(at.avoid-now)/float64(time.Second)
+			o.score += avoidedScore + (at.avoid - now).Seconds()
 		}
 		options = append(options, o)
 	}
+	weighIlls(options)
+	slices.SortFunc(options, func(a, b Option) int { return cmp.Compare(a.score, b.score) })
+	return options
+}
+
+// option tells of a place what doesn't depend on the request.
+func (at *Place) option(name string, now time.Duration) Option {
+	o := Option{node: name, inward: at.post.Inward, berth: at.post.Berth.Id, zone: at.post.Zone, free: true, avoided: now < at.avoid}
+	if o.ill = float64(at.weight.IllPct) / 100; now-at.weighed > illFades {
+		o.ill *= float64(illFades) / float64(now-at.weighed)
+	}
+	return o
+}
+
+// pace is how long the place takes beside the usual; more while its upstream warms up.
+func (at *Place) pace(now time.Duration) float64 {
+	if now < at.heard+time.Duration(at.post.Berth.WarmMs)*time.Millisecond {
+		return at.speed * warmFactor
+	}
+	return at.speed
+}
+
+// waitFor guesses how long a request waits at a full place; share is the part of the upstream's slots that must come
+// free before. hold is how long such requests take.
+func (at *Place) waitFor(share float64, rank int, hold, now time.Duration) time.Duration {
+	turn := hold
+	if at.weight.HoldMs > 0 {
+		turn = time.Duration(at.weight.HoldMs) * time.Millisecond
+	}
+	wait := time.Duration(share * float64(turn))
+	switch {
+	case rank <= topRank:
+		return time.Duration(topWait * float64(wait))
+	case now-at.weighed < weightFades:
+		return max(wait, time.Duration(at.weight.RestMs)*time.Millisecond)
+	}
+	return wait
+}
+
+// weighIlls puts places back that fail more often than the best one.
+func weighIlls(options []Option) {
 	least := 1.0
 	for _, o := range options {
 		least = min(least, o.ill)
@@ -301,8 +333,6 @@
 	for i := range options {
 		options[i].score += illWeight * (options[i].ill - least)
 	}
-	slices.SortFunc(options, func(a, b Option) int { return cmp.Compare(a.score, b.score) })
-	return options
 }
 
 // Start notes a request on its way to a place.
