--- a/cmd/drill/open.go
+++ b/cmd/drill/open.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	m, err := controlplane.Start(s, p, nobody[*controlplane.Moor])
+	m, err := controlplane.Start(s, p, nobody[*controlplane.Server])
 	if err != nil {
 		return err
 	}
--- a/cmd/quiz/open_test.go
+++ b/cmd/quiz/open_test.go
@@ -38,8 +38,8 @@
 
 func nothing[T any](T) http.Handler { return http.NotFoundHandler() }
 
-func keel(seed string) *controlplane.Moor {
-	m, err := controlplane.Start(scoped("core-1"), &wire.MoorParams{Name: "core-1", Zone: "a", Mates: seed, Operators: free(), Seeds: []string{seed}, Founding: true, Folder: "x", Ack: durationpb.New(time.Second)}, nothing[*controlplane.Moor])
+func keel(seed string) *controlplane.Server {
+	m, err := controlplane.Start(scoped("core-1"), &wire.MoorParams{Name: "core-1", Zone: "a", Mates: seed, Operators: free(), Seeds: []string{seed}, Founding: true, Folder: "x", Ack: durationpb.New(time.Second)}, nothing[*controlplane.Server])
 	Expect(err).NotTo(HaveOccurred())
 	return m
 }
--- a/fleet/open/doors.go
+++ b/fleet/open/doors.go
@@ -40,7 +40,7 @@
 	return mux
 }
 
-func desk(m *controlplane.Moor) http.Handler {
+func desk(m *controlplane.Server) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /chart", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
--- a/fleet/open/fleet.go
+++ b/fleet/open/fleet.go
@@ -57,7 +57,7 @@
 	Clock    *rig.Clock
 	Journal  *base.Journal
 	Node     *dataplane.Node
-	Keel     *controlplane.Moor
+	Keel     *controlplane.Server
 	Upstream *Upstream
 	mount    *rig.Mount
 	visitors *client
--- a/fleet/scale/child.go
+++ b/fleet/scale/child.go
@@ -142,7 +142,7 @@
 		Name: task.Name, Zone: "zone-0", Mates: address(task.Ip, task.Port), Operators: address(task.Ip, task.Port+1), Seeds: task.Seeds, Founding: true,
 		Folder: task.Folder, Log: "error",
 	}
-	m, err := controlplane.Start(s, p, func(*controlplane.Moor) http.Handler { return http.NotFoundHandler() })
+	m, err := controlplane.Start(s, p, func(*controlplane.Server) http.Handler { return http.NotFoundHandler() })
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/controlplane/confirm.go
+++ b/internal/controlplane/confirm.go
@@ -46,12 +46,12 @@
 }
 
 // confirmSince gives the newest acknowledged chart, as a majority read that began after the question found it.
-func (m *Moor) confirmSince(s base.Scope, asked question) chartRead {
+func (m *Server) confirmSince(s base.Scope, asked question) chartRead {
 	return m.reads.since(s, asked, m.readChart)
 }
 
 // readChart reads the chart from a majority now. It never takes the register over: a change under way stays undisturbed.
-func (m *Moor) readChart() chartRead {
+func (m *Server) readChart() chartRead {
 	c := m.core.Load()
 	if c == nil {
 		return chartRead{}
@@ -66,7 +66,7 @@
 }
 
 // majorityAge is how long ago the last round that heard a majority began, if this control machine ever heard one.
-func (m *Moor) majorityAge() (age time.Duration, known bool) {
+func (m *Server) majorityAge() (age time.Duration, known bool) {
 	c := m.core.Load()
 	if c == nil {
 		return 0, false
@@ -75,12 +75,12 @@
 	return m.scope.Clock.Mono() - began, known
 }
 
-// confirms tells whether a hail asks for a confirmed chart; nodes of the version before ask so by holding none.
+// confirms tells whether a poll asks for a confirmed chart; nodes of the version before ask so by holding none.
 func confirms(ask *wire.HailRequest) bool { return ask.Confirm || ask.Wants && ask.Serial == 0 }
 
 // answerConfirmed answers once a majority read that began after the question is over. Without a majority it tells what
 // is known here, unconfirmed, as soon as that is news to the node, and else goes on trying for as long as the node waits.
-func (m *Moor) answerConfirmed(s base.Scope, ask *wire.HailRequest, hold time.Duration) (*connect.Response[wire.HailReply], error) {
+func (m *Server) answerConfirmed(s base.Scope, ask *wire.HailRequest, hold time.Duration) (*connect.Response[wire.HailReply], error) {
 	began := s.Clock.Mono()
 	for {
 		news := m.news.Heard()
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -26,7 +26,7 @@
 
 	roundRatio   = 0.1   // of the ack bound: one round of disks
 	callRatio    = 0.23  // of the ack bound: one call of an operator
-	relayRatio   = 0.063 // of the ack bound: another keel's answer
+	relayRatio   = 0.063 // of the ack bound: another control machine's answer
 	watchRatio   = 0.125 // of the in-force bound
 	latelyRatio  = 0.75  // of the in-force bound
 	stepRatio    = 0.05  // of the in-force bound
@@ -37,8 +37,8 @@
 	largestSpeak = 32 << 20
 )
 
-// Moor is one keel of an open fleet.
-type Moor struct {
+// Server is one control machine of an open fleet.
+type Server struct {
 	scope       base.Scope
 	params      atomic.Pointer[wire.MoorParams]
 	self        string
@@ -57,20 +57,20 @@
 	reads       *chartReads
 }
 
-// Start opens the doors of a keel; it joins its mates in the background.
-func Start(s base.Scope, p *wire.MoorParams, desk func(*Moor) http.Handler) (*Moor, error) {
-	Usual(p)
+// Start opens the servers of a control machine; it joins its peers in the background.
+func Start(s base.Scope, p *wire.MoorParams, desk func(*Server) http.Handler) (*Server, error) {
+	SetDefaults(p)
 	if err := Check(p); err != nil {
 		return nil, err
 	}
 	s, cancel := s.Child()
-	m := &Moor{scope: s, self: p.Mates, incarnation: s.Rand.Name(8), web: base.Wire(s), cancel: cancel, roster: newRoster(s.Clock), reads: newChartReads()}
+	m := &Server{scope: s, self: p.Mates, incarnation: s.Rand.Name(8), web: base.Wire(s), cancel: cancel, roster: newRoster(s.Clock), reads: newChartReads()}
 	m.started = s.Clock.Mono()
 	m.params.Store(p)
 	m.view.Store(&view{})
 	m.learning.Store(&learning{})
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewMoorHandler(server{m}, connect.WithCompressMinBytes(largestSpeak), connect.WithReadMaxBytes(largestSpeak)))
+	mux.Handle(wireconnect.NewMoorHandler(rpcService{m}, connect.WithCompressMinBytes(largestSpeak), connect.WithReadMaxBytes(largestSpeak)))
 	m.show(mux)
 	mux.HandleFunc("/"+wireconnect.ReplicasName+"/", m.joined(func(c *core) http.Handler { return c.votes }))
 	mux.HandleFunc("/"+wireconnect.LensName+"/", m.joined(func(c *core) http.Handler { return c.spans }))
@@ -90,7 +90,7 @@
 	return m, nil
 }
 
-func (m *Moor) joined(pick func(*core) http.Handler) http.HandlerFunc {
+func (m *Server) joined(pick func(*core) http.Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if c := m.core.Load(); c != nil {
 			pick(c).ServeHTTP(w, r)
@@ -100,7 +100,7 @@
 	}
 }
 
-func (m *Moor) run(s base.Scope) {
+func (m *Server) run(s base.Scope) {
 	var crew base.Crew
 	crew.Go(func() { m.sweep(s) })
 	if c := m.join(s); c != nil {
@@ -113,7 +113,7 @@
 	crew.Wait()
 }
 
-func (m *Moor) sweep(s base.Scope) {
+func (m *Server) sweep(s base.Scope) {
 	base.Tick(s, part(m.params.Load().Absent, 1.0/absentTicks), func(s base.Scope) {
 		for _, node := range m.roster.sweep(m.params.Load().Absent.AsDuration()) {
 			s.Log.Warn("node absent", "of", node)
@@ -123,7 +123,7 @@
 }
 
 // follow takes what is newly chosen into view and logs what changes among the members.
-func (m *Moor) follow(s base.Scope, c *core) {
+func (m *Server) follow(s base.Scope, c *core) {
 	var told memberLog
 	for s.Err() == nil {
 		heard := c.replica.News()
@@ -133,7 +133,7 @@
 	}
 }
 
-func (m *Moor) look(c *core) {
+func (m *Server) look(c *core) {
 	before := m.view.Load()
 	if seen := before.next(m.scope, c.replica.Chosen(ChartKey)); seen != before {
 		m.view.Store(seen)
@@ -169,13 +169,13 @@
 }
 
 // Ready says whether this control machine votes.
-func (m *Moor) Ready() bool {
+func (m *Server) Ready() bool {
 	c := m.core.Load()
 	return c != nil && c.replica.Votes()
 }
 
 // Settled says whether this control machine votes and lately agreed with a majority on the newest chart.
-func (m *Moor) Settled() bool {
+func (m *Server) Settled() bool {
 	c := m.core.Load()
 	if c == nil || !c.replica.Votes() {
 		return false
@@ -186,17 +186,17 @@
 
 // inTouch says whether a majority has answered within the in-force bound. It only saves callers a wait: what is
 // decided is decided by a majority's answers since the question came.
-func (m *Moor) inTouch(c *core) bool {
+func (m *Server) inTouch(c *core) bool {
 	began, _ := c.replica.LastMajority()
 	return m.lasts(max(began, m.started), 1)
 }
 
-func (m *Moor) lasts(since time.Duration, ratio float64) bool {
+func (m *Server) lasts(since time.Duration, ratio float64) bool {
 	return m.scope.Clock.Mono()-since <= part(m.params.Load().InForce, ratio)
 }
 
-// Stop hands over what this keel owns, answers what it holds and quits within the grace.
-func (m *Moor) Stop() {
+// Stop hands over what this control machine owns, answers what it holds and quits within the grace.
+func (m *Server) Stop() {
 	grace := m.params.Load().Grace
 	s, cancel := m.scope.Under(context.WithoutCancel(m.scope)).Within(part(grace, stopRatio))
 	defer cancel()
@@ -218,7 +218,7 @@
 }
 
 // Kill ends at once.
-func (m *Moor) Kill() {
+func (m *Server) Kill() {
 	m.cancel()
 	for _, door := range m.doors {
 		door.Slam()
@@ -227,9 +227,9 @@
 	m.web.CloseIdleConnections()
 }
 
-// Reload takes changed params; addresses, the name and the folder change only with a restart.
-func (m *Moor) Reload(p *wire.MoorParams) error {
-	Usual(p)
+// Reload takes changed settings; addresses, the name and the folder change only with a restart.
+func (m *Server) Reload(p *wire.MoorParams) error {
+	SetDefaults(p)
 	if err := Check(p); err != nil {
 		return err
 	}
--- a/internal/controlplane/hail.go
+++ b/internal/controlplane/hail.go
@@ -13,10 +13,10 @@
 
 const longestHold = 2 * time.Second
 
-type server struct{ moor *Moor }
+type rpcService struct{ server *Server }
 
-func (v server) Hail(ctx context.Context, request *connect.Request[wire.HailRequest]) (*connect.Response[wire.HailReply], error) {
-	m, ask := v.moor, request.Msg
+func (v rpcService) Hail(ctx context.Context, request *connect.Request[wire.HailRequest]) (*connect.Response[wire.HailReply], error) {
+	m, ask := v.server, request.Msg
 	if m.roster.hear(ask.Post) {
 		m.scope.Log.Info("node back", "of", ask.Post.Node)
 		m.scope.Note("back", ask.Post.Node, "")
@@ -41,8 +41,8 @@
 	}
 }
 
-// tell answers a hail with the chart seen and all else that is news to the node; fresh says whether anything is.
-func (m *Moor) tell(ask *wire.HailRequest, seen *view) (reply *wire.HailReply, fresh bool) {
+// tell answers a poll with the chart seen and all else that is news to the node; fresh says whether anything is.
+func (m *Server) tell(ask *wire.HailRequest, seen *view) (reply *wire.HailReply, fresh bool) {
 	reply = &wire.HailReply{Keel: m.incarnation, Serial: seen.serial(), Whole: ask.Keel != m.incarnation}
 	if age, known := m.majorityAge(); known {
 		reply.MajorityMs = proto.Uint64(ms(age))
--- a/internal/controlplane/join.go
+++ b/internal/controlplane/join.go
@@ -36,13 +36,13 @@
 	web     *http.Client
 	self    string
 
-	mu     sync.Mutex
-	moors  map[string]wireconnect.MoorClient
-	lenses map[string]wireconnect.LensClient
+	mu          sync.Mutex
+	peers       map[string]wireconnect.MoorClient
+	traceStores map[string]wireconnect.LensClient
 }
 
 // join opens the disk, again and again until it can be read.
-func (m *Moor) join(s base.Scope) *core {
+func (m *Server) join(s base.Scope) *core {
 	for s.Err() == nil {
 		c, err := m.openCore(s)
 		if err == nil {
@@ -56,7 +56,7 @@
 }
 
 // openCore starts from what the disk holds. A disk whose state can't be read is a newcomer's, never a founder's.
-func (m *Moor) openCore(s base.Scope) (*core, error) {
+func (m *Server) openCore(s base.Scope) (*core, error) {
 	p := m.params.Load()
 	store, state, err := statestore.Open(s.Disk, s.Note)
 	if store == nil {
@@ -67,7 +67,7 @@
 	}
 	c := &core{
 		store: store, web: m.web, self: m.self,
-		moors: map[string]wireconnect.MoorClient{}, lenses: map[string]wireconnect.LensClient{},
+		peers: map[string]wireconnect.MoorClient{}, traceStores: map[string]wireconnect.LensClient{},
 	}
 	settings := replica.Settings{
 		Address: m.self, Seeds: replicaSeeds(p), Founding: p.Founding && state == nil && err == nil,
@@ -76,41 +76,41 @@
 	}
 	c.replica = replica.New(s, settings, store, state, m.web, part(p.Ack, roundRatio))
 	c.traces = tracing.OpenStore(s, min(int(p.MemoryMb)*spansEachMb, spansMost))
-	c.traces.FollowMates(c.otherLenses)
+	c.traces.FollowMates(c.otherTraceStores)
 	_, c.votes = c.replica.Handler()
 	_, c.spans = tracing.Handler(c.traces)
 	return c, nil
 }
 
-// moor gives the client of another control machine.
-func (c *core) moor(address string) wireconnect.MoorClient {
+// peer gives the client of another control machine.
+func (c *core) peer(address string) wireconnect.MoorClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	client := c.moors[address]
+	client := c.peers[address]
 	if client == nil {
 		client = wireconnect.NewMoorClient(c.web, "http://"+address)
-		c.moors[address] = client
+		c.peers[address] = client
 	}
 	return client
 }
 
-// lens gives the client of a trace store.
-func (c *core) lens(address string) wireconnect.LensClient {
+// traceStore gives the client of a trace store.
+func (c *core) traceStore(address string) wireconnect.LensClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	client := c.lenses[address]
+	client := c.traceStores[address]
 	if client == nil {
 		client = wireconnect.NewLensClient(c.web, "http://"+address)
-		c.lenses[address] = client
+		c.traceStores[address] = client
 	}
 	return client
 }
 
-func (c *core) otherLenses() []wireconnect.LensClient {
+func (c *core) otherTraceStores() []wireconnect.LensClient {
 	var clients []wireconnect.LensClient
 	for _, address := range c.replica.Voters() {
 		if address != c.self {
-			clients = append(clients, c.lens(address))
+			clients = append(clients, c.traceStore(address))
 		}
 	}
 	return clients
@@ -121,8 +121,8 @@
 }
 
 // Keels lists the voters.
-func (v server) Keels(_ context.Context, _ *connect.Request[wire.KeelsRequest]) (*connect.Response[wire.KeelsReply], error) {
-	c := v.moor.core.Load()
+func (v rpcService) Keels(_ context.Context, _ *connect.Request[wire.KeelsRequest]) (*connect.Response[wire.KeelsReply], error) {
+	c := v.server.core.Load()
 	if c == nil || len(c.replica.Voters()) == 0 {
 		return nil, base.Bounce(base.Amnesiac, "", "no voters are known here")
 	}
--- a/internal/controlplane/learn.go
+++ b/internal/controlplane/learn.go
@@ -43,7 +43,7 @@
 }
 
 type learner struct {
-	moor    *Moor
+	server  *Server
 	core    *core
 	tracing *wire.Tracing
 	cycle   time.Duration
@@ -55,10 +55,10 @@
 	kept    []*wire.Span
 }
 
-func newLearner(m *Moor, c *core) *learner {
+func newLearner(m *Server, c *core) *learner {
 	usual := &wire.Bundle{Common: &wire.Common{Tracing: &wire.Tracing{Cycle: durationpb.New(5 * time.Second)}}}
 	bundle.Normalise(usual, bundle.UsualLimits(m.params.Load().Grace.AsDuration()))
-	l := &learner{moor: m, core: c, tracing: usual.Common.Tracing, cursors: map[string]*cursor{}, moved: m.scope.Clock.Mono(), owed: -1}
+	l := &learner{server: m, core: c, tracing: usual.Common.Tracing, cursors: map[string]*cursor{}, moved: m.scope.Clock.Mono(), owed: -1}
 	l.cycle = l.tracing.Cycle.AsDuration()
 	return l
 }
@@ -66,14 +66,14 @@
 func (l *learner) run(s base.Scope) {
 	cycled := -time.Hour
 	for s.Err() == nil {
-		chart, learned := l.moor.view.Load().head.GetChart(), l.moor.learning.Load().said
+		chart, learned := l.server.view.Load().head.GetChart(), l.server.learning.Load().said
 		if chart == nil || !l.core.replica.Votes() {
-			base.Await(s, part(l.moor.params.Load().InForce, 1.0/shortestCycles))
+			base.Await(s, part(l.server.params.Load().InForce, 1.0/shortestCycles))
 			continue
 		}
 		holder := learned.GetHolder()
-		mine := holder == l.moor.self
-		if mine && s.Clock.Mono()-cycled >= l.cycle/2 || l.overdue(s, learned) || holder == "" && l.core.replica.Voters()[0] == l.moor.self {
+		mine := holder == l.server.self
+		if mine && s.Clock.Mono()-cycled >= l.cycle/2 || l.overdue(s, learned) || holder == "" && l.core.replica.Voters()[0] == l.server.self {
 			cycled = s.Clock.Mono()
 			l.learn(s, chart, holder)
 		}
@@ -95,7 +95,7 @@
 	} else if len(spans) > 0 && l.owed < 0 {
 		l.owed = now
 	}
-	if learned.GetHolder() == l.moor.self {
+	if learned.GetHolder() == l.server.self {
 		return false
 	}
 	if l.owed >= 0 && now-l.owed > missedCycles*l.cycle {
@@ -109,7 +109,7 @@
 	defer cancel()
 	l.kept = newest(l.kept, l.recent(bounded), recentMost)
 	spans := l.kept
-	if len(spans) == 0 && holder == l.moor.self {
+	if len(spans) == 0 && holder == l.server.self {
 		return
 	}
 	err := l.core.replica.Change(bounded, LearningKey, func(old []byte) ([]byte, error) {
@@ -117,10 +117,10 @@
 		if err := proto.Unmarshal(old, prior); err != nil {
 			return nil, err
 		}
-		if prior.Holder != holder && prior.Holder != l.moor.self {
+		if prior.Holder != holder && prior.Holder != l.server.self {
 			return nil, nil
 		}
-		prior.Holder = l.moor.self
+		prior.Holder = l.server.self
 		return proto.Marshal(tracing.Learn(prior, spans, l.tracing, s.Rand, names(chart)))
 	})
 	if err != nil {
@@ -128,7 +128,7 @@
 		return
 	}
 	l.kept = nil
-	if holder != l.moor.self {
+	if holder != l.server.self {
 		s.Log.Info("took the learner's duty", "from", holder)
 		s.Note("duty", "learner", "taken from "+holder)
 	}
@@ -154,8 +154,8 @@
 	var spans []*wire.Span
 	for _, address := range l.core.replica.Voters() {
 		at := l.cursor(address)
-		bounded, cancel := s.Within(part(l.moor.params.Load().InForce, 0.25))
-		reply, err := l.core.lens(address).Recent(bounded, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
+		bounded, cancel := s.Within(part(l.server.params.Load().InForce, 0.25))
+		reply, err := l.core.traceStore(address).Recent(bounded, connect.NewRequest(&wire.RecentRequest{After: at.after, Limit: recentMost}))
 		cancel()
 		if err != nil {
 			continue
@@ -188,7 +188,7 @@
 	return func(identifier string) bool { return known[identifier] }
 }
 
-func (m *Moor) handOver(s base.Scope, c *core) {
+func (m *Server) handOver(s base.Scope, c *core) {
 	if m.learning.Load().said.GetHolder() != m.self {
 		return
 	}
--- a/internal/controlplane/params.go
+++ b/internal/controlplane/params.go
@@ -13,8 +13,8 @@
 	"curlewreach/proto/wire"
 )
 
-// Usual fills in what was left out.
-func Usual(p *wire.MoorParams) {
+// SetDefaults fills in what was left out.
+func SetDefaults(p *wire.MoorParams) {
 	usual := func(at **durationpb.Duration, d time.Duration) {
 		if (*at).AsDuration() == 0 {
 			*at = durationpb.New(d)
@@ -32,7 +32,7 @@
 	}
 }
 
-// Check tells what is wrong with the params.
+// Check tells what is wrong with the settings.
 func Check(p *wire.MoorParams) error {
 	within := func(low, high time.Duration) validation.Rule {
 		return validation.By(func(value any) error {
--- a/internal/controlplane/propose.go
+++ b/internal/controlplane/propose.go
@@ -18,18 +18,18 @@
 	pauseStuck  = 40 * time.Millisecond
 )
 
-// Propose answers once a majority of disks has taken the chart or it can never be taken; else with a mishap.
-func (m *Moor) Propose(ctx context.Context, p *wire.ChartProposal) (*wire.ChartOutcome, error) {
+// Propose answers once a majority of disks has taken the chart or it can never be taken; else with a fault.
+func (m *Server) Propose(ctx context.Context, p *wire.ChartProposal) (*wire.ChartOutcome, error) {
 	if outcome := vet(p); outcome != nil {
 		m.told(p, outcome)
 		return outcome, nil
 	}
 	c := m.core.Load()
 	if c == nil {
-		return nil, base.Bounce(base.Uncertain, "", "this keel has not joined its mates")
+		return nil, base.Bounce(base.Uncertain, "", "this control machine has not joined its peers")
 	}
 	if !m.inTouch(c) {
-		return nil, base.Bounce(base.Uncertain, "", "this keel is cut off from the majority")
+		return nil, base.Bounce(base.Uncertain, "", "this control machine is cut off from the majority")
 	}
 	s, cancel := m.scope.Under(ctx).Within(part(m.params.Load().Ack, callRatio))
 	defer cancel()
@@ -42,7 +42,7 @@
 	return outcome, nil
 }
 
-func (m *Moor) decide(s base.Scope, c *core, p *wire.ChartProposal) *wire.ChartOutcome {
+func (m *Server) decide(s base.Scope, c *core, p *wire.ChartProposal) *wire.ChartOutcome {
 	if p.Relayed {
 		return m.settle(s, c, p)
 	}
@@ -57,8 +57,8 @@
 	return m.race(s, c, p, asked, wait)
 }
 
-// The disk here may stand still; then another keel is asked as well. Either may answer: marks keep them of one mind.
-func (m *Moor) race(s base.Scope, c *core, p *wire.ChartProposal, asked string, wait time.Duration) *wire.ChartOutcome {
+// The disk here may stand still; then another control machine is asked as well. Either may answer: marks keep them of one mind.
+func (m *Server) race(s base.Scope, c *core, p *wire.ChartProposal, asked string, wait time.Duration) *wire.ChartOutcome {
 	own := make(chan *wire.ChartOutcome, 1)
 	other := make(chan *wire.ChartOutcome, 1)
 	moved := make(chan struct{})
@@ -71,7 +71,7 @@
 	}
 	waiting := 1
 	if len(own) == 0 {
-		if mate := m.mate(c, asked); mate != "" {
+		if mate := m.pickPeer(c, asked); mate != "" {
 			waiting = 2
 			go func() { other <- m.relay(s, c, mate, p, wait*8) }()
 		}
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (m *Moor) mate(c *core, but string) string {
+func (m *Server) pickPeer(c *core, but string) string {
 	voters := c.replica.Voters()
 	if len(voters) == 0 {
 		return ""
@@ -108,10 +108,10 @@
 	return ""
 }
 
-func (m *Moor) relay(s base.Scope, c *core, mate string, p *wire.ChartProposal, wait time.Duration) *wire.ChartOutcome {
+func (m *Server) relay(s base.Scope, c *core, mate string, p *wire.ChartProposal, wait time.Duration) *wire.ChartOutcome {
 	bounded, cancel := s.Within(wait)
 	defer cancel()
-	reply, err := c.moor(mate).Propose(bounded, connect.NewRequest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change, Relayed: true}))
+	reply, err := c.peer(mate).Propose(bounded, connect.NewRequest(&wire.ChartProposal{Chart: p.Chart, Change: p.Change, Relayed: true}))
 	if err != nil {
 		m.scope.Note("relay-failed", mate, err.Error())
 		return nil
@@ -119,7 +119,7 @@
 	return reply.Msg
 }
 
-func (m *Moor) settle(s base.Scope, c *core, p *wire.ChartProposal) *wire.ChartOutcome {
+func (m *Server) settle(s base.Scope, c *core, p *wire.ChartProposal) *wire.ChartOutcome {
 	for s.Err() == nil {
 		outcome, err := m.attempt(s, c, p)
 		if err == nil {
@@ -135,13 +135,13 @@
 	return nil
 }
 
-func (m *Moor) pause(s base.Scope) {
+func (m *Server) pause(s base.Scope) {
 	base.Await(s, pauseLeast+time.Duration(s.Rand.Float64()*float64(pauseSpread)))
 }
 
 // attempt judges the order by the newest chart. The replica answers without an error only once a majority of disks
 // has the change, or, where there is none, has confirmed that no newer chart was there: so every answer is final.
-func (m *Moor) attempt(s base.Scope, c *core, p *wire.ChartProposal) (outcome *wire.ChartOutcome, err error) {
+func (m *Server) attempt(s base.Scope, c *core, p *wire.ChartProposal) (outcome *wire.ChartOutcome, err error) {
 	err = c.replica.Change(s, ChartKey, func(old []byte) ([]byte, error) {
 		head := &wire.ChartHead{}
 		if err := proto.Unmarshal(old, head); err != nil {
@@ -211,7 +211,7 @@
 	return max(p.GetChart().GetBase(), p.GetChange().GetBase())
 }
 
-func (m *Moor) told(p *wire.ChartProposal, outcome *wire.ChartOutcome) {
+func (m *Server) told(p *wire.ChartProposal, outcome *wire.ChartOutcome) {
 	if outcome.Kind == "" {
 		m.scope.Log.Info("chart taken", "serial", outcome.Serial, "relayed", p.GetRelayed())
 		m.scope.Note("chart-taken", ChartKey, "")
@@ -221,12 +221,12 @@
 	m.scope.Note("chart-bounced", ChartKey, outcome.Kind)
 }
 
-func (m *Moor) lately() time.Duration { return part(m.params.Load().InForce, latelyRatio) }
+func (m *Server) lately() time.Duration { return part(m.params.Load().InForce, latelyRatio) }
 
-func (v server) Propose(ctx context.Context, request *connect.Request[wire.ChartProposal]) (*connect.Response[wire.ChartOutcome], error) {
+func (v rpcService) Propose(ctx context.Context, request *connect.Request[wire.ChartProposal]) (*connect.Response[wire.ChartOutcome], error) {
 	p := request.Msg
 	p.Relayed = true
-	outcome, err := v.moor.Propose(ctx, p)
+	outcome, err := v.server.Propose(ctx, p)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlplane/soak_test.go
+++ b/internal/controlplane/soak_test.go
@@ -63,7 +63,7 @@
 	l.served[c.Serial] = digest
 }
 
-func (f *fleet) keel(i int) *Moor {
+func (f *fleet) keel(i int) *Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.keels[i].moor
@@ -135,63 +135,81 @@
 	}
 }
 
+// harm brings about one trouble after the other until the scope ends.
 func (f *fleet) harm(s base.Scope) {
 	rand := f.scope.Rand
 	pass := func(ms int) { base.Await(s, time.Duration(rand.Below(ms))*time.Millisecond) }
+	troubles := []func(i int, pass func(ms int)){f.harmKill, f.harmPower, f.harmAllPower, f.harmWipe, f.harmIsolate, f.harmCut, f.harmStall, f.harmFull, f.harmSlow}
 	for s.Err() == nil {
 		pass(1500)
 		i := rand.Below(len(f.keels))
-		j := (i + 1) % len(f.keels)
-		switch rand.Below(9) {
-		case 0:
-			f.kill(i)
-			pass(2000)
-			f.raise(i, false)
-		case 1:
-			f.powerLoss(i)
-			pass(2000)
-			f.raise(i, false)
-		case 2:
-			for k := range f.keels {
-				f.powerLoss(k)
-			}
-			pass(500)
-			for k := range f.keels {
-				f.raise(k, false)
-			}
-		case 3:
-			if !f.until(f.ready) {
-				ginkgo.Fail("the fleet didn't recover")
-			}
-			f.wipe(i)
-			pass(1500)
-			f.raise(i, false)
-		case 4:
-			f.cut(i, j)
-			f.cut(i, (i+2)%len(f.keels))
-			pass(3000)
-			f.world.HealAll()
-		case 5:
-			f.cut(i, j)
-			pass(3000)
-			f.world.HealAll()
-		case 6:
-			release := f.keels[i].disk.Stall()
-			pass(3000)
-			release()
-		case 7:
-			f.keels[i].disk.Fill(true)
-			pass(3000)
-			f.keels[i].disk.Fill(false)
-		case 8:
-			for k := range f.keels {
-				f.keels[k].disk.Slow(time.Duration(rand.Below(30)) * time.Millisecond)
-			}
-			pass(3000)
-			for k := range f.keels {
-				f.keels[k].disk.Slow(0)
-			}
-		}
+		troubles[rand.Below(len(troubles))](i, pass)
+	}
+}
+
+func (f *fleet) harmKill(i int, pass func(ms int)) {
+	f.kill(i)
+	pass(2000)
+	f.raise(i, false)
+}
+
+func (f *fleet) harmPower(i int, pass func(ms int)) {
+	f.powerLoss(i)
+	pass(2000)
+	f.raise(i, false)
+}
+
+func (f *fleet) harmAllPower(_ int, pass func(ms int)) {
+	for k := range f.keels {
+		f.powerLoss(k)
+	}
+	pass(500)
+	for k := range f.keels {
+		f.raise(k, false)
+	}
+}
+
+func (f *fleet) harmWipe(i int, pass func(ms int)) {
+	if !f.until(f.ready) {
+		ginkgo.Fail("the fleet didn't recover")
+	}
+	f.wipe(i)
+	pass(1500)
+	f.raise(i, false)
+}
+
+func (f *fleet) harmIsolate(i int, pass func(ms int)) {
+	f.cut(i, (i+1)%len(f.keels))
+	f.cut(i, (i+2)%len(f.keels))
+	pass(3000)
+	f.world.HealAll()
+}
+
+func (f *fleet) harmCut(i int, pass func(ms int)) {
+	f.cut(i, (i+1)%len(f.keels))
+	pass(3000)
+	f.world.HealAll()
+}
+
+func (f *fleet) harmStall(i int, pass func(ms int)) {
+	release := f.keels[i].disk.Stall()
+	pass(3000)
+	release()
+}
+
+func (f *fleet) harmFull(i int, pass func(ms int)) {
+	f.keels[i].disk.Fill(true)
+	pass(3000)
+	f.keels[i].disk.Fill(false)
+}
+
+func (f *fleet) harmSlow(_ int, pass func(ms int)) {
+	for k := range f.keels {
+		f.keels[k].disk.Slow(time.Duration(f.scope.Rand.Below(30)) * time.Millisecond)
+	}
+	pass(3000)
+	for k := range f.keels {
+		f.keels[k].disk.Slow(0)
 	}
 }
 
--- a/internal/controlplane/suite_test.go
+++ b/internal/controlplane/suite_test.go
@@ -33,7 +33,7 @@
 	disk   *rig.Disk
 	mount  *rig.Mount
 	clock  *rig.Clock
-	moor   *Moor
+	moor   *Server
 	life   string
 	lives  int
 	cancel context.CancelFunc
@@ -90,7 +90,7 @@
 	if f.tuning != nil {
 		f.tuning(p)
 	}
-	m, err := Start(s, p, func(*Moor) http.Handler { return http.NotFoundHandler() })
+	m, err := Start(s, p, func(*Server) http.Handler { return http.NotFoundHandler() })
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	f.mu.Lock()
 	k.moor = m
@@ -167,7 +167,7 @@
 	return err == nil && outcome.Kind == ""
 }
 
-// insist goes from keel to keel until one gives a clear answer.
+// insist goes from control machine to control machine until one gives a clear answer.
 func (f *fleet) insist(from int, p *wire.ChartProposal) (outcome *wire.ChartOutcome) {
 	turn := from
 	gomega.Expect(f.until(func() bool {
--- a/internal/controlplane/view.go
+++ b/internal/controlplane/view.go
@@ -32,10 +32,10 @@
 func (v *view) serial() uint64 { return v.head.GetChart().GetSerial() }
 
 // Chart gives the newest acknowledged chart as a majority of disks has it, or nil; it must not be changed.
-func (m *Moor) Chart(ctx context.Context) (*wire.Chart, error) {
+func (m *Server) Chart(ctx context.Context) (*wire.Chart, error) {
 	c := m.core.Load()
 	if c == nil {
-		return nil, base.Bounce(base.Amnesiac, "", "this keel has not joined its mates")
+		return nil, base.Bounce(base.Amnesiac, "", "this control machine has not joined its peers")
 	}
 	s, cancel := m.scope.Under(ctx).Within(part(m.params.Load().Ack, callRatio))
 	defer cancel()
--- a/internal/controlplane/views.go
+++ b/internal/controlplane/views.go
@@ -17,8 +17,8 @@
 	founded    = "founded"     // it votes
 )
 
-// show lets operators look, on the door for mates: GET /view, /chart, /odds, /journal, /metrics.
-func (m *Moor) show(mux *http.ServeMux) {
+// show lets operators look, on the door for peers: GET /view, /chart, /odds, /journal, /metrics.
+func (m *Server) show(mux *http.ServeMux) {
 	base.Views(mux, m.scope, func() proto.Message { return m.View() }, m.metrics)
 	mux.HandleFunc("GET /chart", func(w http.ResponseWriter, r *http.Request) {
 		chart, err := m.Chart(r.Context())
@@ -43,8 +43,8 @@
 
 func ms(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
 
-// View tells how this keel stands and what it knows.
-func (m *Moor) View() *wire.KeelView {
+// View tells how this control machine stands and what it knows.
+func (m *Server) View() *wire.KeelView {
 	p, now, learned := m.params.Load(), m.scope.Clock.Mono(), m.learning.Load().said
 	view := &wire.KeelView{
 		Keel: p.Name, Address: m.self, Zone: p.Zone, Incarnation: m.incarnation, Phase: joining, Settled: m.Settled(), Stopping: m.stopping.Load(),
@@ -69,7 +69,7 @@
 }
 
 // showMembers tells who votes, who is catching up and what a further loss would cost.
-func (m *Moor) showMembers(c *core, view *wire.KeelView) {
+func (m *Server) showMembers(c *core, view *wire.KeelView) {
 	seen := c.replica.View()
 	view.Generation, view.Sealed, view.Spare = seen.Members.GetGeneration(), seen.Sealed, int32(seen.Spare)
 	switch {
@@ -92,7 +92,7 @@
 	}
 }
 
-func (m *Moor) metrics(page *base.Metrics) {
+func (m *Server) metrics(page *base.Metrics) {
 	const nodes = "curlew_nodes"
 	view := m.View()
 	there, absent := 0, 0
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/admission_queue.go
@@ -18,7 +18,7 @@
 	topRank     = 1
 )
 
-// Ask is what a request wants of a gate: its rank, the last moments to start in aim and at all, and the longest wait it would accept.
+// Ask is what a request wants of an admission queue: its rank, the last moments to start in aim and at all, and the longest wait it would accept.
 type Ask struct {
 	Rank     int
 	AimBy    time.Duration
@@ -45,8 +45,8 @@
 	return w.turn < other.turn
 }
 
-// Gate lets so many requests at a time through to an upstream. The rest wait: those who can still make their aim first, by rank and by the time they have left.
-type Gate struct {
+// AdmissionQueue lets so many requests at a time through to an upstream. The rest wait: those who can still make their aim first, by rank and by the time they have left.
+type AdmissionQueue struct {
 	clock   base.Clock
 	mu      sync.Mutex
 	limit   int
@@ -57,20 +57,20 @@
 	top     float64
 }
 
-// NewGate starts with holds of usual length.
-func NewGate(clock base.Clock, limit int, usual time.Duration) *Gate {
-	return &Gate{clock: clock, limit: max(limit, 1), flights: map[uint64]time.Duration{}, hold: usual.Seconds()}
+// NewAdmissionQueue starts with holds of usual length.
+func NewAdmissionQueue(clock base.Clock, limit int, usual time.Duration) *AdmissionQueue {
+	return &AdmissionQueue{clock: clock, limit: max(limit, 1), flights: map[uint64]time.Duration{}, hold: usual.Seconds()}
 }
 
 // Resize sets how many may pass at once.
-func (g *Gate) Resize(limit int) {
+func (g *AdmissionQueue) Resize(limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limit = max(limit, 1)
 	g.advance()
 }
 
-func (g *Gate) flying() int {
+func (g *AdmissionQueue) flying() int {
 	if len(g.flights) < g.limit {
 		return len(g.flights)
 	}
@@ -83,7 +83,7 @@
 	return count
 }
 
-func (g *Gate) spell(ahead int, rank int) time.Duration {
+func (g *AdmissionQueue) spell(ahead int, rank int) time.Duration {
 	rate := float64(g.limit) / g.hold
 	if rank > topRank {
 		rate *= 1 - min(g.top, mostBetter)
@@ -91,11 +91,11 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// Weight tells how full the gate is, and how long a request of the top ranks and of the others would wait.
-func (g *Gate) Weight() Weight {
+// Load tells how full the admission queue is, and how long a request of the top ranks and of the others would wait.
+func (g *AdmissionQueue) Load() LoadReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := Weight{Flying: g.flying(), Waiting: len(g.queue), Limit: g.limit, HoldMs: int(g.hold * 1000)}
+	w := LoadReport{Flying: g.flying(), Waiting: len(g.queue), Limit: g.limit, HoldMs: int(g.hold * 1000)}
 	if w.Flying >= g.limit {
 		now := g.clock.Mono()
 		w.TopMs = int(g.wait(&waiter{Ask: Ask{Rank: topRank, AimBy: now}}, now).Milliseconds())
@@ -104,7 +104,7 @@
 	return w
 }
 
-func (g *Gate) wait(mine *waiter, now time.Duration) time.Duration {
+func (g *AdmissionQueue) wait(mine *waiter, now time.Duration) time.Duration {
 	ahead := 1
 	for _, each := range g.queue {
 		if each.before(mine, now) {
@@ -114,8 +114,8 @@
 	return g.spell(ahead, mine.Rank)
 }
 
-// Enter takes a turn, or queues if the wait looks no longer than the ask's patience. The bounce of a full gate says how long it would be.
-func (g *Gate) Enter(ctx context.Context, ask Ask) (leave func(), mishap *base.Mishap) {
+// Enter takes a turn, or queues if the wait looks no longer than the ask's patience. The refusal of a full admission queue says how long it would be.
+func (g *AdmissionQueue) Enter(ctx context.Context, ask Ask) (leave func(), mishap *base.Mishap) {
 	g.mu.Lock()
 	g.turn++
 	now := g.clock.Mono()
@@ -142,7 +142,7 @@
 		}
 		return g.leaver(mine.turn), nil
 	case <-ctx.Done():
-		mishap = base.Bounce(base.Expired, "", "the visitor is gone")
+		mishap = base.Bounce(base.Expired, "", "the client is gone")
 	case <-wakeup.C:
 		mishap = base.Bounce(base.Crowded, "", "no turn in time")
 	}
@@ -165,14 +165,14 @@
 	return nil, mishap
 }
 
-// outranks tells whether one of a less urgent kind waits here: a request that is bounced while that one is served later
+// outranks tells whether one of a less urgent kind waits here: a request that is refused while that one is served later
 // would be served less often than what is less urgent. The top ranks are served first anyway.
-func (g *Gate) outranks(mine *waiter) bool {
+func (g *AdmissionQueue) outranks(mine *waiter) bool {
 	return mine.Rank > topRank && slices.ContainsFunc(g.queue, func(each *waiter) bool { return each.Rank > mine.Rank })
 }
 
-// evict makes room for a better waiter by bouncing the one who would be served last.
-func (g *Gate) evict(mine *waiter, now time.Duration) bool {
+// evict makes room for a better waiter by refusing the one who would be served last.
+func (g *AdmissionQueue) evict(mine *waiter, now time.Duration) bool {
 	worst := 0
 	for i, each := range g.queue {
 		if g.queue[worst].before(each, now) {
@@ -188,7 +188,7 @@
 	return true
 }
 
-func (g *Gate) take(w *waiter) func() {
+func (g *AdmissionQueue) take(w *waiter) func() {
 	g.flights[w.turn] = g.clock.Mono()
 	share := 0.0
 	if w.Rank <= topRank {
@@ -198,7 +198,7 @@
 	return g.leaver(w.turn)
 }
 
-func (g *Gate) leaver(turn uint64) func() {
+func (g *AdmissionQueue) leaver(turn uint64) func() {
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -214,7 +214,7 @@
 	}
 }
 
-func (g *Gate) advance() {
+func (g *AdmissionQueue) advance() {
 	now := g.clock.Mono()
 	for len(g.queue) > 0 && g.flying() < g.limit {
 		first := 0
--- a/internal/dataplane/gate_test.go
+++ b/internal/dataplane/admission_queue_test.go
@@ -22,9 +22,9 @@
 	return Ask{Rank: rank, AimBy: now + 5*time.Second, DieBy: now + 8*time.Second, Patience: 8 * time.Second}
 }
 
-// full gives a gate with every slot taken and its queue filled with the lowest rank.
-func (s *stand) full(limit int) (g *Gate, leave []func(), ended chan entry) {
-	g, ended = NewGate(s.clock, limit, 100*time.Millisecond), make(chan entry, 100)
+// full gives an admission queue with every slot taken and its queue filled with the lowest rank.
+func (s *stand) full(limit int) (g *AdmissionQueue, leave []func(), ended chan entry) {
+	g, ended = NewAdmissionQueue(s.clock, limit, 100*time.Millisecond), make(chan entry, 100)
 	for range limit {
 		done, mishap := g.Enter(context.Background(), patientOf(3, s.clock.Mono()))
 		Expect(mishap).To(BeNil())
@@ -36,7 +36,7 @@
 	return g, leave, ended
 }
 
-func (s *stand) enter(g *Gate, rank int, ended chan entry) {
+func (s *stand) enter(g *AdmissionQueue, rank int, ended chan entry) {
 	s.aside(func() {
 		done, mishap := g.Enter(context.Background(), patientOf(rank, s.clock.Mono()))
 		ended <- entry{rank, mishap, s.clock.Mono()}
@@ -99,14 +99,14 @@
 		near.adopt(aChart(1), true)
 		s.serve("10.9.1.2:7002", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			asked.add("asked", 1)
-			o := bounced(base.Bounce(base.Crowded, "", "every slot is taken").Later(10 * time.Millisecond))
+			o := notRun(base.Bounce(base.Crowded, "", "every slot is taken").Later(10 * time.Millisecond))
 			w.Header()[Plain.canonical().Attempt] = r.Header[Plain.canonical().Attempt]
-			w.Header()[weightHeader] = []string{Weight{Flying: 4, Waiting: 4, Limit: 4, HoldMs: 100}.text()}
+			w.Header()[weightHeader] = []string{LoadReport{Flying: 4, Waiting: 4, Limit: 4, HoldMs: 100}.text()}
 			w.Header()[outcomeHeader] = []string{o.text()}
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
 		for _, keel := range threeKeels {
-			near.roster.Heard(keel, true, mate(false))
+			near.peers.Heard(keel, true, mate(false))
 		}
 		time.Sleep(time.Second)
 		return near, asked
@@ -115,8 +115,8 @@
 	story("given a mate known to be full, when a visitor comes with time to spare, then that mate is asked once and the visitor told", func(s *stand) {
 		near, asked := fullMate(s)
 		for i := range 3 {
-			near.roster.Start("app-2")
-			near.roster.End("app-2", &Weight{Flying: 4, Waiting: 4, Limit: 4, HoldMs: 100}, 0, 0, false)
+			near.peers.Start("app-2")
+			near.peers.End("app-2", &LoadReport{Flying: 4, Waiting: 4, Limit: 4, HoldMs: 100}, 0, 0, false)
 			before := asked.add("asked", 0)
 			t := s.ask(near.params.Outward, "/search/1", asking(fmt.Sprint("visitor-", i), 4*time.Second))
 			Expect(t.status).To(Equal(http.StatusServiceUnavailable))
--- a/internal/dataplane/hold.go
+++ b/internal/dataplane/body_memory.go
@@ -19,22 +19,22 @@
 	bodyAtOnce = 1 << 20
 )
 
-// Hold bounds the bytes of request bodies in memory.
-type Hold struct {
+// BodyMemory bounds the bytes of request bodies in memory.
+type BodyMemory struct {
 	most int64
 	held atomic.Int64
 }
 
-// NewHold allows a quarter of the memory, 64 MiB where that isn't told.
-func NewHold(memoryMb uint32) *Hold {
+// NewBodyMemory allows a quarter of the memory, 64 MiB where that isn't told.
+func NewBodyMemory(memoryMb uint32) *BodyMemory {
 	if memoryMb == 0 {
-		return &Hold{most: holdOnce}
+		return &BodyMemory{most: holdOnce}
 	}
-	return &Hold{most: int64(float64(memoryMb) * holdRatio * megabyte)}
+	return &BodyMemory{most: int64(float64(memoryMb) * holdRatio * megabyte)}
 }
 
 // Read takes a whole body of at most so many bytes; done gives its room back.
-func (h *Hold) Read(r *http.Request, limit int64) (body []byte, done func(), mishap *base.Mishap) {
+func (h *BodyMemory) Read(r *http.Request, limit int64) (body []byte, done func(), mishap *base.Mishap) {
 	none := func() {}
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return nil, none, nil
--- a/internal/dataplane/hold_test.go
+++ b/internal/dataplane/body_memory_test.go
@@ -11,7 +11,7 @@
 )
 
 var _ = ginkgo.Describe("holding bodies", func() {
-	read := func(h *Hold, size int, chunked bool, limit int64) ([]byte, func(), *base.Mishap) {
+	read := func(h *BodyMemory, size int, chunked bool, limit int64) ([]byte, func(), *base.Mishap) {
 		r := httptest.NewRequest("POST", "/", strings.NewReader(strings.Repeat("x", size)))
 		if chunked {
 			r.ContentLength = -1
@@ -20,7 +20,7 @@
 	}
 	ginkgo.It("given a body within the chart's limit, when it comes, then it is held whole, with a length or in chunks", func() {
 		for _, chunked := range []bool{false, true} {
-			h := NewHold(284)
+			h := NewBodyMemory(284)
 			body, done, mishap := read(h, 12<<20, chunked, 64<<20)
 			gomega.Expect(mishap).To(gomega.BeNil())
 			gomega.Expect(body).To(gomega.HaveLen(12 << 20))
@@ -31,14 +31,14 @@
 	})
 	ginkgo.It("given a body over the chart's limit, when it comes, then it is too large, and nothing stays held", func() {
 		for _, chunked := range []bool{false, true} {
-			h := NewHold(284)
+			h := NewBodyMemory(284)
 			_, _, mishap := read(h, 5000, chunked, 4000)
 			gomega.Expect(mishap.Kind).To(gomega.Equal(base.TooLarge))
 			gomega.Expect(h.held.Load()).To(gomega.BeZero())
 		}
 	})
 	ginkgo.It("given no room, when a body comes, then it is told to come back, and has room later", func() {
-		h := NewHold(16)
+		h := NewBodyMemory(16)
 		_, done, mishap := read(h, 3<<20, false, 64<<20)
 		gomega.Expect(mishap).To(gomega.BeNil())
 		_, _, mishap = read(h, 3<<20, false, 64<<20)
--- a/internal/dataplane/ties.go
+++ b/internal/dataplane/call_tracker.go
@@ -15,7 +15,7 @@
 )
 
 type flight struct {
-	way    Way
+	way    Forwarding
 	began  time.Duration
 	until  time.Duration
 	span   string
@@ -35,8 +35,8 @@
 
 type stretch struct{ from, to time.Duration }
 
-// Ties derives spans from what this node relays, and ties the further calls of its upstream to the requests that made them.
-type Ties struct {
+// CallTracker derives spans from what this node relays, and ties the further calls of its upstream to the requests that made them.
+type CallTracker struct {
 	scope  base.Scope
 	node   string
 	keeper *tracing.Keeper
@@ -46,12 +46,12 @@
 	habits map[string]*habit
 }
 
-// NewTies draws against the keeper's odds at the start of each span.
-func NewTies(s base.Scope, node string, keeper *tracing.Keeper, push func(*wire.Span)) *Ties {
-	return &Ties{scope: s, node: node, keeper: keeper, push: push, flying: map[*flight]bool{}, habits: map[string]*habit{}}
+// NewCallTracker draws against the keeper's odds at the start of each span.
+func NewCallTracker(s base.Scope, node string, keeper *tracing.Keeper, push func(*wire.Span)) *CallTracker {
+	return &CallTracker{scope: s, node: node, keeper: keeper, push: push, flying: map[*flight]bool{}, habits: map[string]*habit{}}
 }
 
-func (t *Ties) board(way Way, until, left time.Duration) *flight {
+func (t *CallTracker) board(way Forwarding, until, left time.Duration) *flight {
 	f := &flight{way: way, began: t.scope.Clock.Mono(), until: until, span: t.scope.Rand.Name(6)}
 	f.trace, f.parent = cutTrace(way.Trace)
 	if f.trace == "" {
@@ -79,13 +79,13 @@
 }
 
 // calls tells whether requests of a route may make calls of another: yes until ten that ran alone made none.
-func (t *Ties) calls(parent, child string) bool {
+func (t *CallTracker) calls(parent, child string) bool {
 	h := t.habits[parent]
 	return h == nil || h.alone < fewestSolo || h.calls[child] > 0
 }
 
 // further finds the request that a further call belongs to: the only one running here whose route makes such calls, or whose deadline the call shares where that is what binds. With several nothing is guessed: all of them are marked unsure.
-func (t *Ties) further(route string, until time.Duration, binding bool) string {
+func (t *CallTracker) further(route string, until time.Duration, binding bool) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var fits []*flight
@@ -109,7 +109,7 @@
 }
 
 // inner notes how long a further call of a request took.
-func (t *Ties) inner(trace string, from, to time.Duration) {
+func (t *CallTracker) inner(trace string, from, to time.Duration) {
 	_, span := cutTrace(trace)
 	if span == "" {
 		return
@@ -124,7 +124,7 @@
 	}
 }
 
-func (t *Ties) land(f *flight, berth *wire.Berth, status int) {
+func (t *CallTracker) land(f *flight, berth *wire.Berth, status int) {
 	t.mu.Lock()
 	if !t.flying[f] {
 		t.mu.Unlock()
--- a/internal/dataplane/ties_test.go
+++ b/internal/dataplane/call_tracker_test.go
@@ -16,13 +16,13 @@
 	berth := &wire.Berth{Id: "u", Zone: "z"}
 	var clock *stepped
 	var spans []*wire.Span
-	fresh := func() *Ties {
+	fresh := func() *CallTracker {
 		clock, spans = &stepped{now: time.Hour}, nil
 		s := base.Scope{Clock: clock, Rand: base.SeededRand(7), Journal: base.NewJournal(10)}
-		return NewTies(s, "node", tracing.NewKeeper(s.Rand), func(span *wire.Span) { spans = append(spans, span) })
+		return NewCallTracker(s, "node", tracing.NewKeeper(s.Rand), func(span *wire.Span) { spans = append(spans, span) })
 	}
-	board := func(t *Ties, route string, left time.Duration) *flight {
-		return t.board(Way{Service: "desk", Route: route, Sampled: true}, clock.now+left, left)
+	board := func(t *CallTracker, route string, left time.Duration) *flight {
+		return t.board(Forwarding{Service: "desk", Route: route, Sampled: true}, clock.now+left, left)
 	}
 	pass := func(d time.Duration) { clock.now += d }
 
--- a/internal/dataplane/client_connections_test.go
+++ b/internal/dataplane/client_connections_test.go
@@ -98,7 +98,7 @@
 		limitIdle(other, 1, long)
 		s.seat(other, 4, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("pages")) })
 		time.Sleep(rest - time.Second)
-		n.roster.Heard("keel", true, []*wire.Sight{{Post: other.post()}})
+		n.peers.Heard("keel", true, []*wire.Sight{{Post: other.post()}})
 		s.aside(n.Stop)
 		time.Sleep(time.Second)
 		response, err := client.ask("two")
--- a/internal/dataplane/near.go
+++ b/internal/dataplane/client_requests.go
@@ -28,9 +28,9 @@
 	startingWait = 250 * time.Millisecond
 )
 
-type visit struct {
+type clientCall struct {
 	node    *Node
-	way     Way
+	way     Forwarding
 	route   *config.Route
 	attempt string
 	m       *message
@@ -85,8 +85,8 @@
 
 // readClientRequest reads the head of a request, or says why it is refused.
 func (n *Node) readClientRequest(r *http.Request) (*clientRequest, *refusal) {
-	c := &clientRequest{id: r.Header.Get(n.speech.Attempt), began: n.scope.Clock.Mono(), left: usualCutoff, table: n.table.Load()}
-	if ms, err := strconv.ParseFloat(r.Header.Get(n.speech.Left), 64); err == nil {
+	c := &clientRequest{id: r.Header.Get(n.headers.Attempt), began: n.scope.Clock.Mono(), left: usualCutoff, table: n.table.Load()}
+	if ms, err := strconv.ParseFloat(r.Header.Get(n.headers.Left), 64); err == nil {
 		c.left = time.Duration(ms * float64(time.Millisecond))
 	}
 	if c.table == nil || n.closed.Load() {
@@ -114,7 +114,7 @@
 	return bodyUsual
 }
 
-// outward serves visitors and the upstream beside this node.
+// outward serves clients and the upstream beside this node.
 func (n *Node) outward(w http.ResponseWriter, r *http.Request) {
 	n.inside.Add(1)
 	defer n.inside.Add(-1)
@@ -126,8 +126,8 @@
 		n.refuse(w, no.kind, no.reason, no.after, no.left)
 		return
 	}
-	part := n.usual.Part(c.route.Name(), c.left)
-	body, done, mishap := n.hold.Read(r, c.bodyLimit())
+	part := n.latencies.Part(c.route.Name(), c.left)
+	body, done, mishap := n.bodies.Read(r, c.bodyLimit())
 	if mishap != nil {
 		if mishap.Kind == base.Malformed {
 			panic(http.ErrAbortHandler)
@@ -141,40 +141,40 @@
 	defer gone()
 	defer v.finish()
 	v.run(w, r.Context())
-	n.ties.inner(v.way.Trace, c.began, v.now())
+	n.calls.inner(v.way.Trace, c.began, v.now())
 	n.took(v)
 }
 
 // headerOnwards is a client's header as an upstream is to get it.
 func (n *Node) headerOnwards(from http.Header) http.Header {
-	header := passing(from, n.speech.Target, n.speech.Caller)
-	header[n.speech.Caller] = []string{n.params.Service}
+	header := passing(from, n.headers.Target, n.headers.Caller)
+	header[n.headers.Caller] = []string{n.params.Service}
 	if _, given := header["User-Agent"]; !given {
 		delete(header, "User-Agent")
 	}
 	return header
 }
 
-func (n *Node) newVisit(c *clientRequest, m *message, part float64) *visit {
+func (n *Node) newVisit(c *clientRequest, m *message, part float64) *clientCall {
 	route, until := c.route, c.began+c.limit()
 	service := route.Pick(n.scope.Rand.Float64())
-	v := &visit{
+	v := &clientCall{
 		node: n, route: route, attempt: c.id, began: c.began, until: until, left: c.left, part: part, m: m,
-		way: Way{
+		way: Forwarding{
 			Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), Once: !route.Repeatable(), Serial: c.table.Serial(),
 			Sampled: true, Trace: n.parent(route, c.began, c.left),
 		},
-		usual:  n.usual.Mean(route.Name(), time.Duration(float64(route.Aim())*firstGuess)),
+		usual:  n.latencies.Mean(route.Name(), time.Duration(float64(route.Aim())*firstGuess)),
 		ledger: &Ledger{repeatable: route.Repeatable(), tries: route.Tries(), until: until},
 		ended:  make(chan landed, mostBounces+1),
 	}
-	n.purse.Earn(service)
+	n.retries.Earn(service)
 	v.ctx, v.cancel = context.WithTimeout(n.scope.Context, until-v.now())
 	return v
 }
 
 // finish frees what the visit still holds, however it ended: answers that were not passed on, and attempts still running.
-func (v *visit) finish() {
+func (v *clientCall) finish() {
 	for _, each := range v.ledger.attempts {
 		each.answer.drop()
 	}
@@ -185,7 +185,7 @@
 	go v.rest()
 }
 
-func (v *visit) rest() {
+func (v *clientCall) rest() {
 	defer v.cancel()
 	for v.ledger.running() > 0 {
 		each := <-v.ended
@@ -194,10 +194,10 @@
 	}
 }
 
-func (v *visit) now() time.Duration { return v.node.scope.Clock.Mono() }
+func (v *clientCall) now() time.Duration { return v.node.scope.Clock.Mono() }
 
 // allow says how long a wait is worth accepting, and the last moments to start in aim and at all.
-func (v *visit) allow() (patience, aim, stay time.Duration) {
+func (v *clientCall) allow() (patience, aim, stay time.Duration) {
 	now := v.now()
 	aim = v.began + v.route.Aim() - now - time.Duration(holdMargin*float64(v.usual))
 	stay = v.until - now - time.Duration(lateMargin*float64(v.usual))
@@ -214,10 +214,10 @@
 }
 
 // next chooses where to try, or says why not.
-func (v *visit) next(hedging bool) (to Option, way Way, mishap *base.Mishap) {
+func (v *clientCall) next(hedging bool) (to Option, way Forwarding, mishap *base.Mishap) {
 	n := v.node
 	way = v.way
-	options := n.roster.Options(v.way.Service, n.params.Zone, v.way.Rank, v.usual, v.ledger.tried, n.scope.Rand)
+	options := n.peers.Options(v.way.Service, n.params.Zone, v.way.Rank, v.usual, v.ledger.tried, n.scope.Rand)
 	if free, found := firstFree(options, hedging); found {
 		_, way.Aim, way.Stay = v.allow()
 		return free, way, nil
@@ -255,7 +255,7 @@
 
 // shortestWait finds the place where the request would wait least: the best of those not asked yet, or one that has
 // turned it away for want of room.
-func (v *visit) shortestWait(options []Option) (to Option, wait time.Duration, known bool) {
+func (v *clientCall) shortestWait(options []Option) (to Option, wait time.Duration, known bool) {
 	if known = len(options) > 0; known {
 		to, wait = options[0], options[0].wait
 	}
@@ -264,7 +264,7 @@
 		if !full || v.ledger.waitedAt(each.node) || known && each.after >= wait {
 			continue
 		}
-		if o, there := v.node.roster.Option(each.node, v.way.Service); there {
+		if o, there := v.node.peers.Option(each.node, v.way.Service); there {
 			to, wait, known = o, each.after, true
 		}
 	}
@@ -272,18 +272,18 @@
 }
 
 // crowded counts the attempts that were turned away for want of room.
-func (v *visit) crowded() int {
+func (v *clientCall) crowded() int {
 	return v.ledger.count(func(a *attempt) bool { return a.kind == base.Crowded })
 }
 
-func (v *visit) start(to Option, way Way) {
+func (v *clientCall) start(to Option, way Forwarding) {
 	at := &attempt{node: to.node, began: v.now(), patient: way.Patience > 0}
 	v.ledger.attempts = append(v.ledger.attempts, at)
 	n := v.node
 	if v.identified(to) {
-		way.Attempt = n.fences.start(to.node, n.roster.Incarnation)
+		way.Attempt = n.fences.start(to.node, n.peers.Incarnation)
 	}
-	n.roster.Start(to.node)
+	n.peers.Start(to.node)
 	go func() {
 		o := n.carry(v.ctx, to, way, v.m, v.attempt, v.until)
 		took := n.scope.Clock.Mono() - at.began
@@ -292,28 +292,28 @@
 			n.scope.Note("further", v.route.Name(), "called by some services only")
 		}
 		took -= min(o.waited, took)
-		n.roster.End(to.node, o.weight, took, v.usual, o.state == Answered)
+		n.peers.End(to.node, o.weight, took, v.usual, o.state == Answered)
 		if o.kind == base.NoSeat || o.kind == base.Stopping {
-			n.roster.Bar(to.node, to.berth)
+			n.peers.Bar(to.node, to.berth)
 		}
 		if o.state == Answered {
-			n.usual.Took(v.route.Name(), took)
+			n.latencies.Took(v.route.Name(), took)
 		}
 		v.ended <- landed{at, o}
 	}()
 }
 
-func (v *visit) settle(each landed) {
+func (v *clientCall) settle(each landed) {
 	at, o := each.at, each.o
 	at.state, at.kind, at.arrived, at.after, at.answer = o.state, o.kind, o.arrived, o.after, o.answer
 }
 
 // run makes attempts until there is an answer for the client.
-func (v *visit) run(w http.ResponseWriter, visitor context.Context) {
+func (v *clientCall) run(w http.ResponseWriter, visitor context.Context) {
 	n := v.node
 	hedge := time.NewTimer(time.Hour)
 	defer hedge.Stop()
-	if long := n.usual.Long(v.route.Name()); v.ledger.repeatable && long > 0 && !v.route.Bulk() {
+	if long := n.latencies.Long(v.route.Name()); v.ledger.repeatable && long > 0 && !v.route.Bulk() {
 		hedge.Reset(long)
 	}
 	late := time.NewTimer(v.until - v.now())
@@ -352,7 +352,7 @@
 }
 
 // relayBest passes on a success, or else an upstream's failure.
-func (v *visit) relayBest(w http.ResponseWriter) {
+func (v *clientCall) relayBest(w http.ResponseWriter) {
 	best := v.ledger.best()
 	if best == nil {
 		best = v.ledger.failed()
@@ -362,17 +362,17 @@
 }
 
 // try starts one more attempt. If it can't, it says why, or nothing where a repeat could not be paid.
-func (v *visit) try() (tried bool, mishap *base.Mishap) {
+func (v *clientCall) try() (tried bool, mishap *base.Mishap) {
 	n := v.node
 	repeat := v.ledger.arrivals() > 0
-	if repeat && !n.purse.Spend(v.way.Service) {
+	if repeat && !n.retries.Spend(v.way.Service) {
 		n.tally("repeat-unpaid")
 		return false, nil
 	}
 	to, way, mishap := v.next(false)
 	if mishap != nil {
 		if repeat {
-			n.purse.Refund(v.way.Service)
+			n.retries.Refund(v.way.Service)
 		}
 		return false, mishap
 	}
@@ -382,7 +382,7 @@
 }
 
 // endWithout ends a request for which no further attempt can be made.
-func (v *visit) endWithout(w http.ResponseWriter, mishap *base.Mishap) {
+func (v *clientCall) endWithout(w http.ResponseWriter, mishap *base.Mishap) {
 	if failed := v.ledger.failed(); failed != nil {
 		v.pass(w, failed.answer)
 		return
@@ -391,9 +391,9 @@
 }
 
 // hedge starts a second attempt beside a slow one, if a place is free and the repeat can be paid.
-func (v *visit) hedge() (started bool) {
+func (v *clientCall) hedge() (started bool) {
 	to, way, mishap := v.next(true)
-	if mishap != nil || !v.node.purse.Spend(v.way.Service) {
+	if mishap != nil || !v.node.retries.Spend(v.way.Service) {
 		return false
 	}
 	way.Repeat = true
@@ -404,7 +404,7 @@
 
 // pass sends an upstream's answer back as it is. A status that would promise more than is known is replaced, with no
 // seal, by an answer of this node's own.
-func (v *visit) pass(w http.ResponseWriter, a *answer) {
+func (v *clientCall) pass(w http.ResponseWriter, a *answer) {
 	if passable(a, v.ledger.repeatable) {
 		relay(w, a)
 		return
@@ -414,12 +414,12 @@
 }
 
 // abandon ends a visit without an answer: one that merely returned would look like an empty success.
-func (v *visit) abandon() {
+func (v *clientCall) abandon() {
 	v.cancel()
 	panic(http.ErrAbortHandler)
 }
 
-func (v *visit) giveUp(w http.ResponseWriter, mishap *base.Mishap) {
+func (v *clientCall) giveUp(w http.ResponseWriter, mishap *base.Mishap) {
 	n := v.node
 	if v.ledger.doubtful() {
 		if v.now() >= v.until {
@@ -447,5 +447,5 @@
 	if further, _ := n.further.Get(route.Name()); !further {
 		return ""
 	}
-	return n.ties.further(route.Name(), began+left, left < route.Cutoff()-bindingSlack)
+	return n.calls.further(route.Name(), began+left, left < route.Cutoff()-bindingSlack)
 }
--- a/internal/dataplane/line.go
+++ b/internal/dataplane/connection_pool.go
@@ -38,8 +38,8 @@
 	certain bool // only on a connection that is certain to be open: the request may run once
 }
 
-// line is one kept connection; what it says of a request is exact: nothing is ever sent twice.
-type line struct {
+// connection is one kept connection; what it says of a request is exact: nothing is ever sent twice.
+type connection struct {
 	conn   net.Conn
 	in     *bufio.Reader
 	idle   time.Duration
@@ -51,7 +51,7 @@
 }
 
 // Write notes whether a byte of the request left this machine.
-func (l *line) Write(data []byte) (int, error) {
+func (l *connection) Write(data []byte) (int, error) {
 	n, err := l.conn.Write(data)
 	l.wrote = l.wrote || n > 0
 	return n, err
@@ -61,7 +61,7 @@
 // a request allocates.
 var requestWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, lineBuffer) }}
 
-func (l *line) send(m *message) error {
+func (l *connection) send(m *message) error {
 	l.wrote = false
 	out := requestWriters.Get().(*bufio.Writer)
 	out.Reset(l)
@@ -99,7 +99,7 @@
 	}
 }
 
-func (l *line) read(method string) (*http.Response, error) {
+func (l *connection) read(method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(l.in, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= 200 {
@@ -112,7 +112,7 @@
 	}
 }
 
-func (l *line) quiet() bool { return l.in.Buffered() == 0 && quiet(l.conn) }
+func (l *connection) quiet() bool { return l.in.Buffered() == 0 && quiet(l.conn) }
 
 // quiet tells that nothing waits to be read on a connection: no byte, no end, no reset.
 func quiet(conn net.Conn) bool {
@@ -137,7 +137,7 @@
 	return err == nil && silent
 }
 
-func (l *line) patience(d time.Duration) {
+func (l *connection) patience(d time.Duration) {
 	if told, ok := l.conn.(interface{ Patience(time.Duration) }); ok {
 		told.Patience(d)
 		return
@@ -151,27 +151,27 @@
 	}
 }
 
-// Lines keeps idle connections by address.
-type Lines struct {
+// ConnectionPool keeps idle connections by address.
+type ConnectionPool struct {
 	net    base.Net
 	clock  base.Clock
 	idle   time.Duration
 	dial   time.Duration
 	silent time.Duration
 	mu     sync.Mutex
-	kept   map[string][]*line
+	kept   map[string][]*connection
 	rests  restsKept
 	dialed uint64
 }
 
-// NewLines keeps connections idle for at most idle, dials for at most dial, and gives a peer up whose machine acknowledges nothing for silent.
-func NewLines(net base.Net, clock base.Clock, idle, dial, silent time.Duration) *Lines {
-	return &Lines{net: net, clock: clock, idle: idle, dial: dial, silent: silent, kept: map[string][]*line{}, rests: restsKept{}}
+// NewConnectionPool keeps connections idle for at most idle, dials for at most dial, and gives a peer up whose machine acknowledges nothing for silent.
+func NewConnectionPool(net base.Net, clock base.Clock, idle, dial, silent time.Duration) *ConnectionPool {
+	return &ConnectionPool{net: net, clock: clock, idle: idle, dial: dial, silent: silent, kept: map[string][]*connection{}, rests: restsKept{}}
 }
 
 // take gives a connection to write one request on: the one idle for the shortest time, if it is still open, else a new one.
 // With certain, an idle one is taken only within a rest that this peer has been seen to keep.
-func (p *Lines) take(ctx context.Context, address string, certain bool) (*line, error) {
+func (p *ConnectionPool) take(ctx context.Context, address string, certain bool) (*connection, error) {
 	for {
 		at := p.takeKept(address, certain)
 		if at == nil {
@@ -186,7 +186,7 @@
 }
 
 // takeKept takes an idle connection out of the pool; nil if there is none to use.
-func (p *Lines) takeKept(address string, certain bool) *line {
+func (p *ConnectionPool) takeKept(address string, certain bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Mono()
@@ -214,7 +214,7 @@
 
 // makeRoom bounds what is dialled beside connections that aren't certain. The few left show by resting on for how long
 // their peer keeps a rest.
-func (p *Lines) makeRoom(address string) {
+func (p *ConnectionPool) makeRoom(address string) {
 	if kept := p.kept[address]; len(kept) >= linesSpare {
 		_ = kept[0].conn.Close()
 		p.kept[address] = kept[1:]
@@ -222,13 +222,13 @@
 }
 
 // distrust forgets what was learned about a peer that broke a rest.
-func (p *Lines) distrust(address string) {
+func (p *ConnectionPool) distrust(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rests.broke(address)
 }
 
-func (p *Lines) fresh(ctx context.Context, address string) (*line, error) {
+func (p *ConnectionPool) fresh(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dial)
 	defer cancel()
 	conn, err := p.net.Dial(ctx, "tcp", address)
@@ -238,12 +238,12 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	at := &line{conn: conn, in: bufio.NewReaderSize(conn, lineBuffer), idle: p.idle}
+	at := &connection{conn: conn, in: bufio.NewReaderSize(conn, lineBuffer), idle: p.idle}
 	at.patience(p.silent)
 	return at, nil
 }
 
-func (p *Lines) give(address string, at *line, response *http.Response) {
+func (p *ConnectionPool) give(address string, at *connection, response *http.Response) {
 	if response.Close || at.odd || at.in.Buffered() > 0 {
 		_ = at.conn.Close()
 		return
@@ -284,13 +284,13 @@
 
 // Sweep closes what has been idle for too long. Of watched peers it also closes what they have closed, and learns for how
 // long they keep a rest.
-func (p *Lines) Sweep() {
+func (p *ConnectionPool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Mono()
 	for address, kept := range p.kept {
 		watched := p.rests.watched(address)
-		var left []*line
+		var left []*connection
 		for _, at := range kept {
 			if now < at.until && (!watched || p.stillRests(address, at, now)) {
 				left = append(left, at)
@@ -308,7 +308,7 @@
 }
 
 // stillRests looks whether a watched peer has kept an idle connection open.
-func (p *Lines) stillRests(address string, at *line, now time.Duration) bool {
+func (p *ConnectionPool) stillRests(address string, at *connection, now time.Duration) bool {
 	if !at.quiet() {
 		p.rests.broke(address)
 		return false
@@ -318,7 +318,7 @@
 }
 
 // Forget closes the idle connections to an address.
-func (p *Lines) Forget(address string) {
+func (p *ConnectionPool) Forget(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, at := range p.kept[address] {
@@ -329,8 +329,8 @@
 
 type reply struct {
 	*http.Response
-	lines   *Lines
-	line    *line
+	lines   *ConnectionPool
+	line    *connection
 	address string
 	stop    func() bool
 	ended   bool
@@ -338,7 +338,7 @@
 
 // exchange sends one request on one connection and reads the head of its answer. sent tells whether a byte may have left.
 // A connection that takes no byte of the request is replaced: nothing was sent on it.
-func (p *Lines) exchange(ctx context.Context, address string, m *message, own func(*http.Response) bool) (r *reply, sent bool, err error) {
+func (p *ConnectionPool) exchange(ctx context.Context, address string, m *message, own func(*http.Response) bool) (r *reply, sent bool, err error) {
 	for {
 		at, err := p.take(ctx, address, m.certain)
 		if err != nil {
@@ -364,7 +364,7 @@
 }
 
 // ask writes a request and reads answers until its own; those to other requests are skipped.
-func (p *Lines) ask(at *line, m *message, own func(*http.Response) bool) (*http.Response, error) {
+func (p *ConnectionPool) ask(at *connection, m *message, own func(*http.Response) bool) (*http.Response, error) {
 	if err := at.send(m); err != nil {
 		return nil, err
 	}
--- a/internal/dataplane/line_test.go
+++ b/internal/dataplane/connection_pool_test.go
@@ -28,7 +28,7 @@
 func anyAnswer(*http.Response) bool { return true }
 
 // exchanged tells whether a request was answered, or its fate is not known.
-func exchanged(lines *Lines, address string, certain bool) (answered, doubtful bool) {
+func exchanged(lines *ConnectionPool, address string, certain bool) (answered, doubtful bool) {
 	r, sent, err := lines.exchange(context.Background(), address, &message{method: http.MethodGet, target: "/", host: "books.example", certain: certain}, anyAnswer)
 	if err != nil {
 		return false, sent
@@ -44,7 +44,7 @@
 	story("given an upstream that closes connections after a short rest, when requests come that may run once, then none is in doubt, and many still use kept connections", func(s *stand) {
 		s.idleUpstream(address, rest)
 		scope := s.scope(otherBox)
-		lines := NewLines(scope.Net, s.clock, upIdle, time.Second, time.Second)
+		lines := NewConnectionPool(scope.Net, s.clock, upIdle, time.Second, time.Second)
 		s.aside(func() { base.Tick(scope, sweepEvery, func(base.Scope) { lines.Sweep() }) })
 		rand := base.SeededRand(3)
 		const asked = 4000
@@ -69,7 +69,7 @@
 	story("given an upstream that keeps connections, when requests that may run once come at a steady pace, then hardly any needs a new connection", func(s *stand) {
 		s.idleUpstream(address, time.Hour)
 		scope := s.scope(otherBox)
-		lines := NewLines(scope.Net, s.clock, upIdle, time.Second, time.Second)
+		lines := NewConnectionPool(scope.Net, s.clock, upIdle, time.Second, time.Second)
 		s.aside(func() { base.Tick(scope, sweepEvery, func(base.Scope) { lines.Sweep() }) })
 		rand := base.SeededRand(3)
 		const asked = 1000
@@ -83,7 +83,7 @@
 
 	story("given a peer that broke a rest, when a request that may run once comes, then it takes a new connection, and few are left idle", func(s *stand) {
 		s.idleUpstream(address, time.Hour)
-		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		lines := NewConnectionPool(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
 		exchanged(lines, address, false)
 		lines.rests.held(address, time.Minute, s.clock.Mono())
 		time.Sleep(time.Second)
@@ -100,7 +100,7 @@
 
 	story("given peers to which no request goes that may run once, when their connections rest, then nobody looks at them", func(s *stand) {
 		s.idleUpstream(address, time.Hour)
-		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		lines := NewConnectionPool(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
 		exchanged(lines, address, false)
 		kept := lines.kept[address][0]
 		looks := &tally{}
@@ -122,7 +122,7 @@
 			asked.add("asked", 1)
 			w.WriteHeader(http.StatusNoContent)
 		}))
-		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		lines := NewConnectionPool(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
 		exchanged(lines, address, true)
 		kept := lines.kept[address][0]
 		kept.conn = deaf{kept.conn}
@@ -136,7 +136,7 @@
 	story("given a connection that breaks after a part of the request, when it is written, then it is in doubt and sent no second time", func(s *stand) {
 		asked := &tally{}
 		s.serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { asked.add("asked", 1) }))
-		lines := NewLines(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
+		lines := NewConnectionPool(s.scope(otherBox).Net, s.clock, upIdle, time.Second, time.Second)
 		exchanged(lines, address, true)
 		kept := lines.kept[address][0]
 		kept.conn = cutShort{kept.conn}
--- a/internal/dataplane/hail.go
+++ b/internal/dataplane/control_polls.go
@@ -19,7 +19,7 @@
 	freshSlack = 4 * hailWait
 )
 
-type caller struct {
+type controlPoll struct {
 	address string
 	client  wireconnect.MoorClient
 	keel    string
@@ -30,9 +30,9 @@
 	stop    context.CancelFunc
 }
 
-// post is what this node tells the keels of itself.
+// post is what this node tells the control machines of itself.
 func (n *Node) post() *wire.Post {
-	berth, _, number := n.dock.Now()
+	berth, _, number := n.instance.Now()
 	p := n.params
 	return &wire.Post{
 		Node: p.Name, Incarnation: n.incarnation, Number: number + n.turns.Load(), Inward: p.Inward, Zone: p.Zone, Service: p.Service,
@@ -40,8 +40,8 @@
 	}
 }
 
-// hail asks a control machine once; again says that it has a newer chart that is still to be fetched.
-func (n *Node) hail(s base.Scope, c *caller, wants bool) (again bool) {
+// poll asks a control machine once; again says that it has a newer chart that is still to be fetched.
+func (n *Node) poll(s base.Scope, c *controlPoll, wants bool) (again bool) {
 	confirm := !n.confirmed()
 	wait := hailWait
 	if confirm {
@@ -56,7 +56,7 @@
 	n.mu.Lock()
 	c.cancel, c.wants, c.asked = cancel, wants, s.Clock.Mono()
 	n.mu.Unlock()
-	_, _, sent := n.dock.Now()
+	_, _, sent := n.instance.Now()
 	told := sent + n.turns.Load()
 	ask := &wire.HailRequest{
 		Post: n.post(), Serial: n.known(), Wants: wants, Odds: n.keeper.Serial(), Keel: c.keel, Roster: c.roster, WaitMs: uint64(wait.Milliseconds()),
@@ -65,14 +65,14 @@
 	asked := s.Clock.Mono()
 	reply, err := c.client.Hail(ctx, connect.NewRequest(ask))
 	if err != nil {
-		_, _, now := n.dock.Now()
+		_, _, now := n.instance.Now()
 		if s.Err() == nil && now+n.turns.Load() == told {
 			base.Await(s, hailPause)
 		}
 		return false
 	}
 	m := reply.Msg
-	n.roster.Heard(c.address, m.Whole || m.Keel != c.keel, m.Sights)
+	n.peers.Heard(c.address, m.Whole || m.Keel != c.keel, m.Sights)
 	n.mu.Lock()
 	c.keel, c.roster = m.Keel, m.Roster // keel is read by other callers, in fetches
 	n.mu.Unlock()
@@ -99,11 +99,11 @@
 	}
 }
 
-func (n *Node) call(s base.Scope, c *caller) {
+func (n *Node) call(s base.Scope, c *controlPoll) {
 	wants := false
 	for s.Err() == nil {
 		confirmed := n.confirmed()
-		wants = n.hail(s, c, wants || !confirmed) && n.fetches(s, c)
+		wants = n.poll(s, c, wants || !confirmed) && n.fetches(s, c)
 		if !confirmed {
 			base.Await(s, fetchPause/4)
 		}
@@ -111,7 +111,7 @@
 }
 
 // fetches tells whether this caller is to fetch the newer chart; while another that answers just began to, it gives that one a moment.
-func (n *Node) fetches(s base.Scope, c *caller) bool {
+func (n *Node) fetches(s base.Scope, c *controlPoll) bool {
 	n.mu.Lock()
 	serial, busy := max(n.serial(), n.candidate.GetSerial()), false
 	for _, other := range n.keels {
@@ -148,20 +148,20 @@
 		if c := n.keels[address]; c != nil {
 			c.stop()
 			delete(n.keels, address)
-			n.roster.Forget(address)
+			n.peers.Forget(address)
 			n.scope.Log.Info("control machine given up", "address", address)
 		}
 	}
 	for _, address := range start {
 		s, stop := n.scope.Child()
-		c := &caller{address: address, client: wireconnect.NewMoorClient(n.web, "http://"+address), stop: stop}
+		c := &controlPoll{address: address, client: wireconnect.NewMoorClient(n.web, "http://"+address), stop: stop}
 		n.keels[address] = c
 		n.scope.Note("asking", address, "")
 		n.crew.Go(func() { n.call(s, c) })
 	}
 }
 
-func (n *Node) rehail() {
+func (n *Node) repoll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.keels {
@@ -172,17 +172,17 @@
 }
 
 func (n *Node) watchDock(s base.Scope) {
-	_, _, told := n.dock.Now()
+	_, _, told := n.instance.Now()
 	for s.Err() == nil {
-		heard, behind := n.dock.changed.Heard(), n.behind.Heard()
-		if _, _, now := n.dock.Now(); now != told {
+		heard, behind := n.instance.changed.Heard(), n.behind.Heard()
+		if _, _, now := n.instance.Now(); now != told {
 			told = now
-			n.rehail()
+			n.repoll()
 		}
 		if base.Await(s, time.Minute, heard, behind) {
 			select {
 			case <-behind:
-				n.rehail()
+				n.repoll()
 				base.Await(s, hailPause)
 			default:
 			}
--- a/internal/dataplane/hail_test.go
+++ b/internal/dataplane/control_polls_test.go
@@ -68,7 +68,7 @@
 		newest.Store(1)
 		time.Sleep(2 * time.Second)
 		newest.Store(2)
-		ahead := Way{Service: books, Route: "index", Serial: 2}
+		ahead := Forwarding{Service: books, Route: "index", Serial: 2}
 		for i := range 60 {
 			s.aside(func() {
 				time.Sleep(time.Duration(i) * 40 * time.Millisecond)
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -40,50 +40,50 @@
 
 // Node is a node of an open fleet.
 type Node struct {
-	scope       base.Scope
-	params      *wire.FordParams
-	speech      Speech
-	incarnation string
-	born        time.Duration
-	web         *http.Client
-	across      *Lines
-	upward      *Lines
-	roster      *Roster
-	dock        *Dock
-	purse       *Purse
-	spout       *Spout
-	ills        Ills
-	hold        *Hold
-	usual       *Usual
-	callers     *Callers
-	fences      *fences
-	further     base.Table[bool]
-	ties        *Ties
-	keeper      *tracing.Keeper
-	sink        *tracing.Sink
-	table       atomic.Pointer[config.Table]
-	vouched     atomic.Bool
-	candidate   *wire.Chart // guarded by mu
-	patience    time.Duration
-	directory   *directory
-	stopping    atomic.Bool
-	closed      atomic.Bool
-	inside      atomic.Int64
-	turns       atomic.Uint64
-	behind      base.Bell
-	mu          sync.Mutex
-	keels       map[string]*caller
-	counts      base.Table[*atomic.Uint64]
-	lengths     [len(classes)]base.Histogram
-	clients     *ClientConnections
-	doors       []*base.Door
-	cancel      context.CancelFunc
-	crew        base.Crew
+	scope               base.Scope
+	params              *wire.FordParams
+	headers             HeaderNames
+	incarnation         string
+	born                time.Duration
+	web                 *http.Client
+	peerConnections     *ConnectionPool
+	instanceConnections *ConnectionPool
+	peers               *PeerTable
+	instance            *LocalInstance
+	retries             *RetryBudget
+	link                *LinkPacer
+	failures            FailureRates
+	bodies              *BodyMemory
+	latencies           *Latencies
+	callers             *Callers
+	fences              *fences
+	further             base.Table[bool]
+	calls               *CallTracker
+	keeper              *tracing.Keeper
+	sink                *tracing.Sink
+	table               atomic.Pointer[config.Table]
+	vouched             atomic.Bool
+	candidate           *wire.Chart // guarded by mu
+	patience            time.Duration
+	directory           *directory
+	stopping            atomic.Bool
+	closed              atomic.Bool
+	inside              atomic.Int64
+	turns               atomic.Uint64
+	behind              base.Bell
+	mu                  sync.Mutex
+	keels               map[string]*controlPoll
+	counts              base.Table[*atomic.Uint64]
+	lengths             [len(classes)]base.Histogram
+	clients             *ClientConnections
+	doors               []*base.Door
+	cancel              context.CancelFunc
+	crew                base.Crew
 }
 
-// UsualParams sets defaults in p, in place: log level info, a retry ratio of 0.2, and a contact bound
+// SetDefaults sets defaults in p, in place: log level info, a retry ratio of 0.2, and a contact bound
 // derived from the in-force bound.
-func UsualParams(p *wire.FordParams) {
+func SetDefaults(p *wire.FordParams) {
 	if p.Log == "" {
 		p.Log = "info"
 	}
@@ -95,7 +95,7 @@
 	}
 }
 
-// Check lists every fault of params.
+// Check lists every fault of settings.
 func Check(p *wire.FordParams) error {
 	return validation.ValidateStruct(p,
 		validation.Field(&p.Name, validation.Required),
@@ -117,9 +117,9 @@
 	)
 }
 
-// Start opens a node's doors. control answers on the address where the upstream reports.
-func Start(s base.Scope, p *wire.FordParams, speech Speech, control func(*Node) http.Handler) (*Node, error) {
-	UsualParams(p)
+// Start opens a node's servers. control answers on the address where the upstream reports.
+func Start(s base.Scope, p *wire.FordParams, speech HeaderNames, control func(*Node) http.Handler) (*Node, error) {
+	SetDefaults(p)
 	if err := Check(p); err != nil {
 		return nil, err
 	}
@@ -140,22 +140,22 @@
 	return n, nil
 }
 
-func newNode(s base.Scope, p *wire.FordParams, speech Speech) *Node {
+func newNode(s base.Scope, p *wire.FordParams, speech HeaderNames) *Node {
 	force, contact := p.InForce.AsDuration(), p.Contact.AsDuration()
 	n := &Node{
-		scope: s, params: p, speech: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.WireWithin(s, portion(contact, dialPatience)),
-		across: NewLines(s.Net, s.Clock, mateIdle, portion(force, dialRatio), portion(force, silentRatio)),
-		upward: NewLines(s.Net, s.Clock, upIdle, portion(force, dialRatio), portion(force, silentRatio)),
-		roster: NewRoster(s.Clock, p.Name, freshSlack), dock: NewDock(s.Clock, p.Beat.AsDuration()),
-		hold: NewHold(p.MemoryMb), spout: NewSpout(s.Clock, p.LinkMegabits), usual: NewUsual(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*caller{},
+		scope: s, params: p, headers: speech.canonical(), incarnation: s.Rand.Name(6), born: s.Clock.Mono(), web: base.WireWithin(s, portion(contact, dialPatience)),
+		peerConnections:     NewConnectionPool(s.Net, s.Clock, mateIdle, portion(force, dialRatio), portion(force, silentRatio)),
+		instanceConnections: NewConnectionPool(s.Net, s.Clock, upIdle, portion(force, dialRatio), portion(force, silentRatio)),
+		peers:               NewPeerTable(s.Clock, p.Name, freshSlack), instance: NewLocalInstance(s.Clock, p.Beat.AsDuration()),
+		bodies: NewBodyMemory(p.MemoryMb), link: NewLinkPacer(s.Clock, p.LinkMegabits), latencies: NewLatencies(), keeper: tracing.NewKeeper(s.Rand), callers: NewCallers(), keels: map[string]*controlPoll{},
 	}
-	n.roster.live = n.weight
+	n.peers.live = n.load
 	n.fences = newFences(s, n.incarnation, force, p.MemoryMb)
-	n.purse = NewPurse(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.roster.Size)
+	n.retries = NewRetryBudget(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.peers.Size)
 	n.patience = portion(contact, patienceRatio)
 	n.directory = newDirectory(s.Clock, s.Rand, contact, p.Seeds)
 	n.sink = tracing.NewSink(s, n.web, n.directory.live, spansBound)
-	n.ties = NewTies(s, p.Name, n.keeper, n.sink.Push)
+	n.calls = NewCallTracker(s, p.Name, n.keeper, n.sink.Push)
 	n.clients = NewClientConnections(s.Clock, force, n.clientIdle)
 	return n
 }
@@ -191,12 +191,12 @@
 // sweep forgets what has grown old.
 func (n *Node) sweep() {
 	n.clients.Sweep()
-	n.dock.Sweep()
-	n.roster.Own(n.post())
-	n.across.Sweep()
-	n.upward.Sweep()
+	n.instance.Sweep()
+	n.peers.Own(n.post())
+	n.peerConnections.Sweep()
+	n.instanceConnections.Sweep()
 	n.fences.table.Sweep()
-	n.roster.Sweep(forgetAfter)
+	n.peers.Sweep(forgetAfter)
 }
 
 func (n *Node) serial() uint64 {
@@ -219,7 +219,7 @@
 	count.Add(1)
 }
 
-// Ready tells whether visitors may come.
+// Ready tells whether clients may come.
 func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
 
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
@@ -232,21 +232,21 @@
 
 // Beat takes the word of the upstream beside this node.
 func (n *Node) Beat(b *wire.Berth) *base.Mishap {
-	mishap := n.dock.Beat(b)
-	n.roster.Own(n.post())
+	mishap := n.instance.Beat(b)
+	n.peers.Own(n.post())
 	return mishap
 }
 
 // Leave takes its last word.
 func (n *Node) Leave(id string) *base.Mishap {
-	n.dock.Leave(id)
-	n.roster.Own(n.post())
+	n.instance.Leave(id)
+	n.peers.Own(n.post())
 	return nil
 }
 
-// Reload takes params that can change while running.
+// Reload takes settings that can change while running.
 func (n *Node) Reload(p *wire.FordParams) error {
-	UsualParams(p)
+	SetDefaults(p)
 	if err := Check(p); err != nil {
 		return err
 	}
@@ -254,7 +254,7 @@
 	return nil
 }
 
-// Stop ends a node in order: no longer ready, mates told, visitors served a while, what is in flight finished.
+// Stop ends a node in order: no longer ready, peers told, clients served a while, what is in flight finished.
 // Idle connections stay open to the end: closing one races with a request that is just being read from it.
 func (n *Node) Stop() {
 	began := n.scope.Clock.Mono()
@@ -262,7 +262,7 @@
 	n.scope.Log.Info("stopping")
 	n.stopping.Store(true)
 	n.turns.Add(1)
-	n.rehail()
+	n.repoll()
 	outward := n.doors[len(n.doors)-1]
 	base.Await(n.scope, portion(grace, lameRatio))
 	outward.Fold()
--- a/internal/dataplane/ills.go
+++ b/internal/dataplane/failure_rates.go
@@ -7,15 +7,15 @@
 	illWeight = 4
 )
 
-// Ills keeps the share of late requests that an upstream failed, lost or garbled, seen from beside it.
-type Ills struct {
+// FailureRates keeps the share of late requests that an upstream failed, lost or garbled, seen from beside it.
+type FailureRates struct {
 	mu    sync.Mutex
 	berth string
 	share float64
 }
 
 // Saw folds in how one request ended at an upstream.
-func (i *Ills) Saw(berth string, good bool) {
+func (i *FailureRates) Saw(berth string, good bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.berth != berth {
@@ -29,7 +29,7 @@
 }
 
 // Share is the part that went wrong lately, for the upstream that is there now.
-func (i *Ills) Share(berth string) float64 {
+func (i *FailureRates) Share(berth string) float64 {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.berth != berth {
--- a/internal/dataplane/ills_test.go
+++ b/internal/dataplane/failure_rates_test.go
@@ -17,27 +17,27 @@
 		}
 		return found
 	}
-	picks := func(r *Roster) (first string) {
+	picks := func(r *PeerTable) (first string) {
 		options := r.Options("s", "z", 2, 100*time.Millisecond, func(string) bool { return false }, base.SeededRand(1))
 		gomega.Expect(options).To(gomega.HaveLen(2))
 		return options[0].node
 	}
 	ginkgo.It("given an upstream that fails a part of its requests, when others may serve, then they go first; when it was not heard for long, it is tried again", func() {
 		clock := &stepped{now: time.Hour}
-		r := NewRoster(clock, "self", time.Minute)
+		r := NewPeerTable(clock, "self", time.Minute)
 		r.Heard("keel", true, sights())
 		r.Start("a")
-		r.End("a", &Weight{Limit: 8, IllPct: 40}, 0, 0, false)
+		r.End("a", &LoadReport{Limit: 8, IllPct: 40}, 0, 0, false)
 		gomega.Expect(picks(r)).To(gomega.Equal("b"))
 		r.Avoid("b")
 		gomega.Expect(picks(r)).To(gomega.Equal("a"), "the last one is never banned")
 		clock.now += time.Hour
 		r.Start("b")
-		r.End("b", &Weight{Limit: 8, IllPct: 5, Flying: 4}, 0, 0, true)
+		r.End("b", &LoadReport{Limit: 8, IllPct: 5, Flying: 4}, 0, 0, true)
 		gomega.Expect(picks(r)).To(gomega.Equal("a"))
 	})
 	ginkgo.It("given a new upstream beside the same node, when its share is asked for, then the old one's failures are not held against it", func() {
-		var i Ills
+		var i FailureRates
 		for range 50 {
 			i.Saw("old", false)
 		}
--- a/internal/dataplane/fence.go
+++ b/internal/dataplane/fence.go
@@ -67,7 +67,7 @@
 	entry *attempts.Entry
 }
 
-// fences is a node's part in settling attempts whose connection between nodes broke: the memory of those it accepted, and the marks of its mates' memories.
+// fences is a node's part in settling attempts whose connection between nodes broke: the memory of those it accepted, and the marks of its peers' memories.
 type fences struct {
 	table       *attempts.Table
 	incarnation string
@@ -118,7 +118,7 @@
 	return f.marks[node]
 }
 
-// heard notes the mark that a mate told with an answer.
+// heard notes the mark that a peer told with an answer.
 func (f *fences) heard(node, text string) {
 	mark, ok := readMark(text)
 	if !ok {
@@ -175,7 +175,7 @@
 	if verdict == attempts.Repeated {
 		return doubt(base.Lost, "this attempt has come before")
 	}
-	return bounced(base.Bounce(base.Fenced, "", "this attempt was declared never to begin, or its mark is forgotten"))
+	return notRun(base.Bounce(base.Fenced, "", "this attempt was declared never to begin, or its mark is forgotten"))
 }
 
 // begin is asked right before the first byte may go to the upstream.
@@ -260,7 +260,7 @@
 func outcomeOf(reply *wire.AttemptReply, own func(*answer) bool, doubted outcome) outcome {
 	switch reply.State {
 	case wire.AttemptState_ATTEMPT_NEVER_BEGAN:
-		return bounced(base.Bounce(base.Fenced, "", "the connection broke before it began"))
+		return notRun(base.Bounce(base.Fenced, "", "the connection broke before it began"))
 	case wire.AttemptState_ATTEMPT_TURNED_AWAY:
 		refusal := reply.GetRefusal()
 		return outcome{state: NotRun, kind: base.Kind(refusal.GetKind()), arrived: refusal.GetArrived(), after: time.Duration(refusal.GetAfterMs()) * time.Millisecond}
@@ -303,14 +303,14 @@
 }
 
 // identified tells whether a request's attempts can be asked about: those that may not be repeated, and others while no repeat could be paid.
-func (v *visit) identified(to Option) bool {
+func (v *clientCall) identified(to Option) bool {
 	if to.node == v.node.params.Name {
 		return false
 	}
-	return !v.ledger.repeatable || !v.node.purse.Pays(v.way.Service)
+	return !v.ledger.repeatable || !v.node.retries.Pays(v.way.Service)
 }
 
-// staleMark tells whether an attempt was turned away by a mate that told its present mark with it.
+// staleMark tells whether an attempt was turned away by a peer that told its present mark with it.
 func staleMark(ref attemptRef, o outcome) bool {
 	return ref.id != "" && o.state == NotRun && o.kind == base.Fenced && o.weight != nil
 }
@@ -342,7 +342,7 @@
 	if reply == nil {
 		return doubted
 	}
-	own := func(a *answer) bool { return a.header.Get(n.speech.Attempt) == requestID }
+	own := func(a *answer) bool { return a.header.Get(n.headers.Attempt) == requestID }
 	return outcomeOf(reply, own, doubted)
 }
 
--- a/internal/dataplane/fence_test.go
+++ b/internal/dataplane/fence_test.go
@@ -107,7 +107,7 @@
 	return c.Conn.Close()
 }
 
-// nodePair is a node beside a visitor, another beside the only upstream, and what that upstream ran.
+// nodePair is a node beside a client, another beside the only upstream, and what that upstream ran.
 type nodePair struct {
 	*stand
 	near, far *Node
@@ -126,8 +126,8 @@
 
 func (s *stand) nodePair() *nodePair {
 	p := &nodePair{stand: s, near: s.node(1, noKeels), far: s.node(2, noKeels), work: 5 * time.Millisecond, size: 100}
-	p.net = &brittleNet{Net: p.near.across.net}
-	p.near.across.net = p.net
+	p.net = &brittleNet{Net: p.near.peerConnections.net}
+	p.near.peerConnections.net = p.net
 	for _, n := range []*Node{p.near, p.far} {
 		n.adopt(fenceChart(), true)
 	}
@@ -139,7 +139,7 @@
 		}
 		_, _ = w.Write(bytes.Repeat([]byte(r.Header.Get(Plain.Attempt)[:1]), p.size))
 	})
-	p.near.roster.Heard("keel", true, []*wire.Sight{{Post: p.far.post()}})
+	p.near.peers.Heard("keel", true, []*wire.Sight{{Post: p.far.post()}})
 	return p
 }
 
@@ -267,8 +267,8 @@
 		p := s.nodePair()
 		post := p.far.post()
 		post.Incarnation, post.Number = "", post.Number+1
-		p.near.roster.Heard("keel", true, []*wire.Sight{{Post: post}})
-		p.near.roster.places[post.Node].post = post
+		p.near.peers.Heard("keel", true, []*wire.Sight{{Post: post}})
+		p.near.peers.places[post.Node].post = post
 		p.net.script = []breakage{lostRequest}
 		Expect(p.lend("a").status).To(Equal(http.StatusBadGateway))
 		Expect(p.near.counted(countAsked)).To(BeZero())
@@ -278,7 +278,7 @@
 	story("given a repeatable request whose repeat could not be paid, when its connection breaks at work, then its answer is fetched", func(s *stand) {
 		p := s.nodePair()
 		p.acquainted(resetAfter)
-		for p.near.purse.Spend(books) {
+		for p.near.retries.Spend(books) {
 		}
 		p.work = 100 * time.Millisecond
 		Expect(p.ask(p.near.params.Outward, "/index/1", asking("a", 2*time.Second)).status).To(Equal(http.StatusOK))
@@ -335,7 +335,7 @@
 			post.Node = fmt.Sprint("mate-", i)
 			sights = append(sights, &wire.Sight{Post: post})
 		}
-		p.near.roster.Heard("keel", true, sights)
+		p.near.peers.Heard("keel", true, sights)
 		Expect(p.lend("a").status).To(Equal(http.StatusOK))
 		Expect(p.far.counted(countRefused)).To(Equal(1))
 	})
@@ -363,8 +363,8 @@
 		_, err = web.Do(r)
 		Expect(err).To(HaveOccurred())
 		time.Sleep(3 * p.far.fences.linger)
-		_, gate, _ := p.far.dock.Now()
-		Expect(gate.Weight().Flying).To(BeZero())
+		_, gate, _ := p.far.instance.Now()
+		Expect(gate.Load().Flying).To(BeZero())
 		time.Sleep(2 * time.Second)
 		Expect(p.runs("dropped")).To(Equal(1))
 	})
@@ -384,11 +384,11 @@
 			_, err = base.Wire(s.scope(otherBox)).Do(r)
 			Expect(err).To(HaveOccurred())
 		})
-		_, gate, _ := p.far.dock.Now()
+		_, gate, _ := p.far.instance.Now()
 		time.Sleep(100 * time.Millisecond)
-		Expect(gate.Weight().Waiting).To(Equal(1))
+		Expect(gate.Load().Waiting).To(Equal(1))
 		time.Sleep(120 * time.Millisecond)
-		Expect(gate.Weight().Waiting).To(BeZero())
+		Expect(gate.Load().Waiting).To(BeZero())
 		s.crew.Wait()
 		time.Sleep(2 * time.Second)
 		Expect(p.runs("a")).To(BeZero())
--- a/internal/dataplane/speech.go
+++ b/internal/dataplane/header_names.go
@@ -2,8 +2,8 @@
 
 import "net/http"
 
-// Speech names the headers that visitors and upstreams of a deployment use.
-type Speech struct {
+// HeaderNames names the headers that clients and upstreams of a deployment use.
+type HeaderNames struct {
 	Attempt  string
 	Left     string
 	Seal     string
@@ -15,12 +15,12 @@
 }
 
 // Plain is the product's own speech.
-var Plain = Speech{
+var Plain = HeaderNames{
 	Attempt: "Curlew-Attempt", Left: "Curlew-Left", Seal: "Curlew-Seal", Target: "Curlew-Target",
 	Caller: "Curlew-Caller", NotRun: "Curlew-Not-Run", Load: "Curlew-Load", Instance: "Curlew-Instance",
 }
 
-func (s Speech) canonical() Speech {
+func (s HeaderNames) canonical() HeaderNames {
 	for _, at := range []*string{&s.Attempt, &s.Left, &s.Seal, &s.Target, &s.Caller, &s.NotRun, &s.Load, &s.Instance} {
 		*at = http.CanonicalHeaderKey(*at)
 	}
--- a/internal/dataplane/kinds.go
+++ b/internal/dataplane/kinds.go
@@ -4,7 +4,7 @@
 
 // repeatableNow tells whether the configuration in force here still lets a request be sent once more, and to how many
 // upstreams in all. Under the configuration that it began with nothing changes.
-func (n *Node) repeatableNow(way Way, m *message) (repeatable bool, tries int, changed bool) {
+func (n *Node) repeatableNow(way Forwarding, m *message) (repeatable bool, tries int, changed bool) {
 	table := n.table.Load()
 	if table == nil || table.Serial() <= way.Serial {
 		return true, 0, false
@@ -21,14 +21,14 @@
 }
 
 // narrow holds a request to what the configuration it began with and the one in force now both allow.
-func (v *visit) narrow() {
+func (v *clientCall) narrow() {
 	if repeatable, tries, changed := v.node.repeatableNow(v.way, v.m); changed {
 		v.ledger.Narrow(repeatable, tries)
 	}
 }
 
 // mayHedge tells whether one more upstream may be asked beside the one that is silent.
-func (v *visit) mayHedge() bool {
+func (v *clientCall) mayHedge() bool {
 	v.narrow()
 	return v.ledger.mayHedge()
 }
--- a/internal/dataplane/kinds_test.go
+++ b/internal/dataplane/kinds_test.go
@@ -36,7 +36,7 @@
 // expectHedges lets a node know how long requests of a route take, so that it hedges one that takes longer.
 func expectHedges(n *Node, route string) {
 	for range fewestSeen {
-		n.usual.Took(route, 10*time.Millisecond)
+		n.latencies.Took(route, 10*time.Millisecond)
 	}
 }
 
@@ -96,7 +96,7 @@
 	ginkgo.It("given a node that knows the newer configuration, when a mate that doesn't sends it a repeat, then it isn't run", func() {
 		changeRoute(p.far, repeatable, runsOnce)
 		repeat := func(serial uint64) got {
-			way := Way{Service: books, Route: repeatable, Serial: serial, Repeat: true, Aim: time.Second, Stay: time.Second}
+			way := Forwarding{Service: books, Route: repeatable, Serial: serial, Repeat: true, Aim: time.Second, Stay: time.Second}
 			return p.mateAsks("row", repeatable, way)
 		}
 		Expect(repeat(1).status).To(Equal(http.StatusServiceUnavailable))
--- a/internal/dataplane/usual.go
+++ b/internal/dataplane/latencies.go
@@ -18,16 +18,16 @@
 	left float64
 }
 
-// Usual learns how long requests of a route take and how long their visitors give them.
-type Usual struct {
+// Latencies learns how long requests of a route take and how long their clients give them.
+type Latencies struct {
 	mu    sync.Mutex
 	paces map[string]*pace
 }
 
-// NewUsual knows nothing yet.
-func NewUsual() *Usual { return &Usual{paces: map[string]*pace{}} }
+// NewLatencies knows nothing yet.
+func NewLatencies() *Latencies { return &Latencies{paces: map[string]*pace{}} }
 
-func (u *Usual) at(route string) *pace {
+func (u *Latencies) at(route string) *pace {
 	p := u.paces[route]
 	if p == nil {
 		p = &pace{}
@@ -37,7 +37,7 @@
 }
 
 // Took folds in one answered request.
-func (u *Usual) Took(route string, took time.Duration) {
+func (u *Latencies) Took(route string, took time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p, s := u.at(route), took.Seconds()
@@ -52,7 +52,7 @@
 }
 
 // Mean is the usual length, other while too little was seen.
-func (u *Usual) Mean(route string, other time.Duration) time.Duration {
+func (u *Latencies) Mean(route string, other time.Duration) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p := u.at(route); p.seen > 0 {
@@ -62,7 +62,7 @@
 }
 
 // Long is a length that few requests reach; zero while too little was seen.
-func (u *Usual) Long(route string) time.Duration {
+func (u *Latencies) Long(route string) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.at(route)
@@ -72,8 +72,8 @@
 	return time.Duration(max(p.mean+usualSpread*p.off, 2*p.mean) * float64(time.Second))
 }
 
-// Part is the share of its usual time that a visitor still has; a visitor who asks again has less than all.
-func (u *Usual) Part(route string, left time.Duration) float64 {
+// Part is the share of its usual time that a client still has; a client who asks again has less than all.
+func (u *Latencies) Part(route string, left time.Duration) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.at(route)
--- a/internal/dataplane/spout.go
+++ b/internal/dataplane/link_pacer.go
@@ -15,8 +15,8 @@
 	sizeMemory = 0.05
 )
 
-// Spout paces what leaves by this machine's link: small answers at once, large ones one after the other, so that neither they nor news wait behind a full link.
-type Spout struct {
+// LinkPacer paces what leaves by this machine's link: small answers at once, large ones one after the other, so that neither they nor news wait behind a full link.
+type LinkPacer struct {
 	clock base.Clock
 	rate  float64
 	mu    sync.Mutex
@@ -25,17 +25,17 @@
 	sizes map[string]float64
 }
 
-// NewSpout paces to a part of the link's megabits a second; zero paces nothing.
-func NewSpout(clock base.Clock, mbps float64) *Spout {
-	return &Spout{clock: clock, rate: mbps * spoutRatio * 1e6 / 8, sizes: map[string]float64{}}
+// NewLinkPacer paces to a part of the link's megabits a second; zero paces nothing.
+func NewLinkPacer(clock base.Clock, mbps float64) *LinkPacer {
+	return &LinkPacer{clock: clock, rate: mbps * spoutRatio * 1e6 / 8, sizes: map[string]float64{}}
 }
 
-func (p *Spout) spell(bytes float64) time.Duration {
+func (p *LinkPacer) spell(bytes float64) time.Duration {
 	return time.Duration(bytes / p.rate * float64(time.Second))
 }
 
 // Backlog is how long an answer begun now would wait.
-func (p *Spout) Backlog() time.Duration {
+func (p *LinkPacer) Backlog() time.Duration {
 	if p.rate <= 0 {
 		return 0
 	}
@@ -45,7 +45,7 @@
 }
 
 // Owe expects an answer of a route's usual size, until settled.
-func (p *Spout) Owe(route string) (settle func(size int64)) {
+func (p *LinkPacer) Owe(route string) (settle func(size int64)) {
 	if p.rate <= 0 {
 		return func(int64) {}
 	}
@@ -70,14 +70,14 @@
 }
 
 // Large tells whether a route's answers are usually paced.
-func (p *Spout) Large(route string) bool {
+func (p *LinkPacer) Large(route string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.rate > 0 && p.sizes[route] > smallBytes
 }
 
 // Pass takes a place for so many bytes and waits for its turn.
-func (p *Spout) Pass(ctx context.Context, bytes int64) {
+func (p *LinkPacer) Pass(ctx context.Context, bytes int64) {
 	if p.rate <= 0 {
 		return
 	}
--- a/internal/dataplane/spout_test.go
+++ b/internal/dataplane/link_pacer_test.go
@@ -19,11 +19,11 @@
 )
 
 // largeSpell is what one large answer takes of the thin link's part that is used.
-var largeSpell = NewSpout(base.RealClock(), thinMbps).spell(largeSize)
+var largeSpell = NewLinkPacer(base.RealClock(), thinMbps).spell(largeSize)
 
 func (s *stand) thin() *Node {
 	n := s.node(1, noKeels)
-	n.spout = NewSpout(s.clock, thinMbps)
+	n.link = NewLinkPacer(s.clock, thinMbps)
 	n.adopt(aChart(1), true)
 	s.seat(n, 32, func(w http.ResponseWriter, r *http.Request) {
 		size := 200
@@ -37,7 +37,7 @@
 
 func fromMate(id string, route string, patience time.Duration) http.Header {
 	header := asking(id, 5*time.Second)
-	header[wayHeader] = []string{Way{Service: books, Route: route, Serial: 1, Patience: patience, Aim: patience, Stay: 4 * time.Second}.text()}
+	header[wayHeader] = []string{Forwarding{Service: books, Route: route, Serial: 1, Patience: patience, Aim: patience, Stay: 4 * time.Second}.text()}
 	return header
 }
 
@@ -96,13 +96,13 @@
 			})
 		}
 		time.Sleep(100 * time.Millisecond)
-		backlog := n.spout.Backlog()
+		backlog := n.link.Backlog()
 		s.crew.Wait()
 		Expect(backlog).To(BeNumerically("<=", 5*largeSpell))
 	})
 
 	story("given a machine whose link is not told, when large answers come, then nothing is paced", func(s *stand) {
-		p := NewSpout(s.clock, 0)
+		p := NewLinkPacer(s.clock, 0)
 		for range 10 {
 			p.Pass(context.Background(), 1<<20)
 		}
@@ -112,7 +112,7 @@
 	})
 
 	story("given an answer that is waiting for its turn, when its visitor goes, then it waits no longer", func(s *stand) {
-		p := NewSpout(s.clock, thinMbps)
+		p := NewLinkPacer(s.clock, thinMbps)
 		p.Pass(context.Background(), 10*largeSize)
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
@@ -121,7 +121,7 @@
 	})
 
 	story("given answers that are owed, when they are settled or end without one, then nothing is owed any more", func(s *stand) {
-		p := NewSpout(s.clock, thinMbps)
+		p := NewLinkPacer(s.clock, thinMbps)
 		p.Owe("archive")(largeSize)
 		Expect(p.Large("archive")).To(BeTrue())
 		settle := p.Owe("archive")
--- a/internal/dataplane/dock.go
+++ b/internal/dataplane/local_instance.go
@@ -15,26 +15,26 @@
 	usualHold   = 150 * time.Millisecond
 )
 
-// Dock is the upstream beside this node, as it told of itself.
-type Dock struct {
+// LocalInstance is the upstream beside this node, as it told of itself.
+type LocalInstance struct {
 	clock   base.Clock
 	beat    time.Duration
 	mu      sync.Mutex
 	berth   *wire.Berth
 	heard   time.Duration
 	gone    map[string]time.Duration
-	gate    *Gate
+	gate    *AdmissionQueue
 	number  uint64
 	changed base.Bell
 }
 
-// NewDock believes an upstream for four beats.
-func NewDock(clock base.Clock, beat time.Duration) *Dock {
-	return &Dock{clock: clock, beat: beat, gone: map[string]time.Duration{}, gate: NewGate(clock, 1, usualHold)}
+// NewLocalInstance believes an upstream for four beats.
+func NewLocalInstance(clock base.Clock, beat time.Duration) *LocalInstance {
+	return &LocalInstance{clock: clock, beat: beat, gone: map[string]time.Duration{}, gate: NewAdmissionQueue(clock, 1, usualHold)}
 }
 
 // Beat takes an upstream's word on itself. A late one changes nothing.
-func (d *Dock) Beat(b *wire.Berth) *base.Mishap {
+func (d *LocalInstance) Beat(b *wire.Berth) *base.Mishap {
 	if b.GetId() == "" || b.Service == "" || b.Address == "" {
 		return base.Bounce(base.Malformed, "id", "an upstream tells its id, service and address")
 	}
@@ -57,7 +57,7 @@
 	d.heard = d.clock.Mono()
 	fresh := old == nil || old.Id != b.Id
 	if fresh {
-		d.gate = NewGate(d.clock, int(b.Capacity), usualHold)
+		d.gate = NewAdmissionQueue(d.clock, int(b.Capacity), usualHold)
 	} else if old.Capacity != b.Capacity {
 		d.gate.Resize(int(b.Capacity))
 	}
@@ -68,13 +68,13 @@
 	return nil
 }
 
-func (d *Dock) risen() {
+func (d *LocalInstance) risen() {
 	d.number++
 	d.changed.Ring()
 }
 
 // Leave takes an upstream out: it said so, or another was found in its place.
-func (d *Dock) Leave(id string) {
+func (d *LocalInstance) Leave(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gone[id] = d.clock.Mono()
@@ -84,15 +84,15 @@
 	}
 }
 
-// Now tells who is there, and the gate in front of it.
-func (d *Dock) Now() (*wire.Berth, *Gate, uint64) {
+// Now tells who is there, and the admission queue in front of it.
+func (d *LocalInstance) Now() (*wire.Berth, *AdmissionQueue, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.berth, d.gate, d.number
 }
 
 // Sweep drops an upstream that has been silent for four beats.
-func (d *Dock) Sweep() {
+func (d *LocalInstance) Sweep() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Mono()
--- a/internal/dataplane/model_node_test.go
+++ b/internal/dataplane/model_node_test.go
@@ -21,7 +21,7 @@
 	up       bool
 	frozen   bool
 	held     []func()
-	purse    *Purse
+	purse    *RetryBudget
 	fences   *fences
 }
 
@@ -33,7 +33,7 @@
 	n.life++
 	n.up = true
 	incarnation := fmt.Sprint(n.name, "/", n.life)
-	n.purse = NewPurse(w, modelRatio, modelSlack, time.Hour, func() int { return len(w.nodes) })
+	n.purse = NewRetryBudget(w, modelRatio, modelSlack, time.Hour, func() int { return len(w.nodes) })
 	n.fences = &fences{
 		incarnation: incarnation, marks: map[string]attempts.Mark{},
 		table: attempts.NewTable(incarnation, w.Mono, attempts.Bounds{Entries: modelEntries, Age: time.Minute, AnswerBytes: 1 << 10, LargestAnswer: 1 << 10, AnswerAge: 300 * time.Millisecond}),
@@ -195,7 +195,7 @@
 		return
 	}
 	if !to.up {
-		settle(bounced(base.Bounce(base.Unreachable, "", "nobody listens")))
+		settle(notRun(base.Bounce(base.Unreachable, "", "nobody listens")))
 		return
 	}
 	hop := &modelHop{from: n, to: to, life: to.life, request: r, settle: settle}
@@ -216,9 +216,9 @@
 		left := until - n.world.now
 		switch {
 		case stopped || left <= 0:
-			told(bounced(base.Bounce(base.Expired, "", "no time was left at the turn")))
+			told(notRun(base.Bounce(base.Expired, "", "no time was left at the turn")))
 		case !ref.begin() && !n.world.spoilt.waitingNotFenced:
-			told(bounced(base.Bounce(base.Fenced, "", "declared never to begin")))
+			told(notRun(base.Bounce(base.Fenced, "", "declared never to begin")))
 		default:
 			life := n.life
 			breakOff = n.upstream.exchange(id, left, func(o outcome) {
--- a/internal/dataplane/model_world_test.go
+++ b/internal/dataplane/model_world_test.go
@@ -11,7 +11,7 @@
 	"curlewreach/proto/wire"
 )
 
-// The model runs the product's ledger, purse, fences and memory of attempts over a network, upstreams and troubles of its own. Time is virtual, everything runs in one goroutine, and every choice is drawn.
+// The model runs the product's ledger, retry budget, fences and memory of attempts over a network, upstreams and troubles of its own. Time is virtual, everything runs in one goroutine, and every choice is drawn.
 
 // spoilt lists what a spoilt version of the request path leaves out or does wrong.
 type spoilt struct {
--- a/internal/dataplane/path_bench_test.go
+++ b/internal/dataplane/path_bench_test.go
@@ -71,8 +71,8 @@
 	return sights
 }
 
-func benchRoster(all, fitting int) *Roster {
-	roster := NewRoster(base.RealClock(), "here", time.Hour)
+func benchRoster(all, fitting int) *PeerTable {
+	roster := NewPeerTable(base.RealClock(), "here", time.Hour)
 	for _, keel := range []string{"a", "b", "c"} {
 		roster.Heard(keel, true, benchSights(all, fitting, func(int) string { return "10.0.0.1:1" }))
 	}
@@ -110,7 +110,7 @@
 func BenchmarkPathPurse(b *testing.B) {
 	for _, all := range []int{100, 2000, 16000} {
 		roster := benchRoster(all, 29)
-		purse := NewPurse(base.RealClock(), 0.2, 10, 10*time.Second, roster.Size)
+		purse := NewRetryBudget(base.RealClock(), 0.2, 10, 10*time.Second, roster.Size)
 		b.Run(fmt.Sprint("all=", all), func(b *testing.B) {
 			defer benchCpu(b)()
 			for b.Loop() {
@@ -121,7 +121,7 @@
 }
 
 func BenchmarkPathGate(b *testing.B) {
-	gate := NewGate(base.RealClock(), 64, time.Millisecond)
+	gate := NewAdmissionQueue(base.RealClock(), 64, time.Millisecond)
 	defer benchCpu(b)()
 	for b.Loop() {
 		leave, mishap := gate.Enter(context.Background(), Ask{Rank: topRank, AimBy: time.Hour, DieBy: time.Hour, Patience: time.Second})
@@ -141,10 +141,10 @@
 }
 
 func BenchmarkPathWay(b *testing.B) {
-	way := Way{Service: "service-0", Berth: "i-node-00001", Route: "route-0", Rank: 3, Patience: time.Second, Stay: time.Second, Serial: 4711, Sampled: true, Trace: "abcdef012345.abcdef012345"}
+	way := Forwarding{Service: "service-0", Berth: "i-node-00001", Route: "route-0", Rank: 3, Patience: time.Second, Stay: time.Second, Serial: 4711, Sampled: true, Trace: "abcdef012345.abcdef012345"}
 	defer benchCpu(b)()
 	for b.Loop() {
-		if _, fine := readWay(way.text()); !fine {
+		if _, fine := readForwarding(way.text()); !fine {
 			b.Fatal("unread")
 		}
 	}
@@ -153,8 +153,8 @@
 func BenchmarkPathTies(b *testing.B) {
 	s := benchScope(b)
 	for _, flying := range []int{1, 16, 256} {
-		ties := NewTies(s, "node", tracing.NewKeeper(s.Rand), func(*wire.Span) {})
-		way := Way{Service: "service-0", Route: "route-0", Sampled: true}
+		ties := NewCallTracker(s, "node", tracing.NewKeeper(s.Rand), func(*wire.Span) {})
+		way := Forwarding{Service: "service-0", Route: "route-0", Sampled: true}
 		for i := range flying {
 			ties.board(way, time.Duration(i+2)*time.Hour, time.Second)
 		}
@@ -212,7 +212,7 @@
 	s := benchScope(b)
 	address := benchIp + "1:28401"
 	benchUpstream(b, s, address)
-	lines := NewLines(s.Net, s.Clock, time.Minute, time.Second, time.Second)
+	lines := NewConnectionPool(s.Net, s.Clock, time.Minute, time.Second, time.Second)
 	m := &message{method: http.MethodGet, target: "/part-0/", host: "service-0.example", header: benchHeader()}
 	b.Run("kept", func(b *testing.B) { benchTimes(b, func() { benchExchange(b, lines, address, m) }) })
 	b.Run("dialled", func(b *testing.B) {
@@ -223,7 +223,7 @@
 	})
 }
 
-func benchExchange(b *testing.B, lines *Lines, address string, m *message) {
+func benchExchange(b *testing.B, lines *ConnectionPool, address string, m *message) {
 	r, _, err := lines.exchange(context.Background(), address, m, func(*http.Response) bool { return true })
 	if err != nil {
 		b.Fatal(err)
@@ -257,13 +257,13 @@
 		b.Fatal(mishap)
 	}
 	sight := &wire.Sight{Post: far.post()}
-	lines := NewLines(s.Net, s.Clock, time.Minute, time.Second, time.Second)
+	lines := NewConnectionPool(s.Net, s.Clock, time.Minute, time.Second, time.Second)
 	header := benchHeader()
 	m := &message{method: http.MethodGet, target: "/part-0/", host: "service-0.example", header: header}
 	b.Run("direct", func(b *testing.B) { benchTimes(b, func() { benchExchange(b, lines, upstream, m) }) })
 	for _, all := range []int{29, 500, 2000, 4000, 16000} {
 		sights := benchSights(all, 0, func(int) string { return "10.0.0.1:1" })
-		near.roster.Heard("keel", true, append(sights, sight))
+		near.peers.Heard("keel", true, append(sights, sight))
 		b.Run(fmt.Sprint("mesh/roster=", all), func(b *testing.B) {
 			benchTimes(b, func() { benchCall(b, lines, near.params.Outward, m) })
 		})
@@ -271,7 +271,7 @@
 }
 
 // benchCall sends a request to a node and reads its answer, which must be a success.
-func benchCall(b *testing.B, lines *Lines, address string, m *message) {
+func benchCall(b *testing.B, lines *ConnectionPool, address string, m *message) {
 	r, _, err := lines.exchange(context.Background(), address, m, func(*http.Response) bool { return true })
 	if err != nil {
 		b.Fatal(err)
--- a/internal/dataplane/way.go
+++ b/internal/dataplane/peer_headers.go
@@ -38,8 +38,8 @@
 	return to
 }
 
-// Way is what the node beside the visitor tells the node beside the upstream.
-type Way struct {
+// Forwarding is what the node beside the client tells the node beside the upstream.
+type Forwarding struct {
 	Service  string
 	Berth    string
 	Route    string
@@ -62,7 +62,7 @@
 	return "0"
 }
 
-func (w Way) text() string {
+func (w Forwarding) text() string {
 	return strings.Join([]string{
 		url.QueryEscape(w.Service), url.QueryEscape(w.Berth), url.QueryEscape(w.Route), strconv.Itoa(w.Rank), flag(w.Repeat) + flag(w.Sampled) + flag(w.Once),
 		millis(w.Patience), millis(w.Aim), millis(w.Stay), strconv.FormatUint(w.Serial, 10), w.Trace,
@@ -71,7 +71,7 @@
 
 func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
-func readWay(text string) (w Way, ok bool) {
+func readForwarding(text string) (w Forwarding, ok bool) {
 	parts := strings.Split(text, ";")
 	if len(parts) != 10 || len(parts[4]) != 3 {
 		return w, false
@@ -88,15 +88,15 @@
 		return n
 	}
 	spell := func(i int) time.Duration { return time.Duration(number(i)) * time.Millisecond }
-	w = Way{
+	w = Forwarding{
 		Service: words(0), Berth: words(1), Route: words(2), Rank: int(number(3)), Repeat: parts[4][0] == '1', Sampled: parts[4][1] == '1', Once: parts[4][2] == '1',
 		Patience: spell(5), Aim: spell(6), Stay: spell(7), Serial: uint64(number(8)), Trace: parts[9],
 	}
 	return w, sound
 }
 
-// Weight is what a gate tells of itself with each answer.
-type Weight struct {
+// LoadReport is what an admission queue tells of itself with each answer.
+type LoadReport struct {
 	Flying  int
 	Waiting int
 	Limit   int
@@ -110,7 +110,7 @@
 	Further bool
 }
 
-func (w Weight) text() string {
+func (w LoadReport) text() string {
 	words := make([]string, 0, 10)
 	for _, n := range []int{w.Flying, w.Waiting, w.Limit, w.HoldMs, w.TopMs, w.RestMs, w.Waited, w.IllPct} {
 		words = append(words, strconv.Itoa(n))
@@ -118,7 +118,7 @@
 	return strings.Join(append(words, strconv.FormatUint(w.Serial, 10), flag(w.Leaving)+flag(w.Further)), ",")
 }
 
-func readWeight(text string) (w Weight, ok bool) {
+func readLoadReport(text string) (w LoadReport, ok bool) {
 	parts := strings.Split(text, ",")
 	if len(parts) != 10 || len(parts[9]) != 2 {
 		return w, false
--- a/internal/dataplane/far.go
+++ b/internal/dataplane/peer_requests.go
@@ -27,18 +27,18 @@
 	arrived bool
 	after   time.Duration
 	answer  *answer
-	weight  *Weight
+	weight  *LoadReport
 	waited  time.Duration
 	further bool
 }
 
-func bounced(mishap *base.Mishap) outcome {
+func notRun(mishap *base.Mishap) outcome {
 	return outcome{state: NotRun, kind: mishap.Kind, reason: mishap.Reason, after: mishap.After}
 }
 
 // refused is the outcome of a request that is turned away before it runs.
 func refused(mishap *base.Mishap) *outcome {
-	o := bounced(mishap)
+	o := notRun(mishap)
 	return &o
 }
 
@@ -46,8 +46,8 @@
 	return outcome{state: Doubtful, kind: kind, reason: reason, arrived: true}
 }
 
-func (n *Node) berthFor(way Way) (*wire.Berth, *Gate, *base.Mishap) {
-	berth, gate, _ := n.dock.Now()
+func (n *Node) berthFor(way Forwarding) (*wire.Berth, *AdmissionQueue, *base.Mishap) {
+	berth, gate, _ := n.instance.Now()
 	switch {
 	case berth == nil || berth.Service != way.Service || way.Berth != "" && way.Berth != berth.Id:
 		return nil, gate, base.Bounce(base.NoSeat, "", "that upstream is not here")
@@ -62,11 +62,11 @@
 // delivery is a request on its way through the admission queue to the upstream beside this node.
 type delivery struct {
 	node    *Node
-	way     Way
+	way     Forwarding
 	message *message
 	id      string        // the request's own, which its answer must bear
 	until   time.Duration // its deadline by the steady clock
-	gate    *Gate
+	gate    *AdmissionQueue
 	berth   *wire.Berth
 	flight  *flight
 	leave   func()        // gives the turn back
@@ -75,7 +75,7 @@
 }
 
 // hand passes a request to the upstream beside this node.
-func (n *Node) hand(ctx context.Context, way Way, m *message, attempt string, until time.Duration) outcome {
+func (n *Node) hand(ctx context.Context, way Forwarding, m *message, attempt string, until time.Duration) outcome {
 	d := &delivery{node: n, way: way, message: m, id: attempt, until: until}
 	if refusal := d.enter(ctx); refusal != nil {
 		return *refusal
@@ -99,8 +99,8 @@
 	}
 	now := n.scope.Clock.Mono()
 	rank := way.Rank
-	if caller := d.message.header.Get(n.speech.Caller); caller != "" {
-		if d.further = n.callers.Further(way.Route, caller, n.roster.Services(n.params.Zone)); d.further {
+	if caller := d.message.header.Get(n.headers.Caller); caller != "" {
+		if d.further = n.callers.Further(way.Route, caller, n.peers.Services(n.params.Zone)); d.further {
 			rank = min(rank, topRank)
 		}
 	}
@@ -127,32 +127,32 @@
 	if left <= 0 || ctx.Err() != nil {
 		return refused(base.Bounce(base.Expired, "", "no time was left at the turn"))
 	}
-	d.message.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	d.message.header[n.speech.Target] = []string{berth.Id}
+	d.message.header[n.headers.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	d.message.header[n.headers.Target] = []string{berth.Id}
 	d.message.certain = d.way.Once
 	if !d.way.Attempt.begin() {
 		return refused(base.Bounce(base.Fenced, "", "this attempt was declared never to begin"))
 	}
-	d.berth, d.flight = berth, n.ties.board(d.way, d.until, left)
+	d.berth, d.flight = berth, n.calls.board(d.way, d.until, left)
 	return nil
 }
 
 // land gives the turn back and closes the request's span; status 0 makes no span.
 func (d *delivery) land(status int) {
 	d.leave()
-	d.node.ties.land(d.flight, d.berth, status)
+	d.node.calls.land(d.flight, d.berth, status)
 }
 
 // exchange writes the request to the upstream and reads what comes back.
 func (d *delivery) exchange(ctx context.Context) outcome {
-	r, sent, err := d.node.upward.exchange(ctx, d.berth.Address, d.message, d.owns)
+	r, sent, err := d.node.instanceConnections.exchange(ctx, d.berth.Address, d.message, d.owns)
 	if err != nil {
 		return d.unanswered(ctx, sent, err)
 	}
 	if !d.turnsAway(r) {
 		return d.answered(r)
 	}
-	if r.Header.Get(d.node.speech.Attempt) == "" && !r.first() {
+	if r.Header.Get(d.node.headers.Attempt) == "" && !r.first() {
 		r.broken()
 		d.land(0)
 		d.node.scope.Note("answer-unowned", d.berth.Id, "")
@@ -163,13 +163,13 @@
 
 // owns tells whether an answer belongs to this request. Only refusals may come without an id.
 func (d *delivery) owns(r *http.Response) bool {
-	id := r.Header.Get(d.node.speech.Attempt)
-	return id == d.id || id == "" && (r.Header.Get(d.node.speech.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest)
+	id := r.Header.Get(d.node.headers.Attempt)
+	return id == d.id || id == "" && (r.Header.Get(d.node.headers.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest)
 }
 
 // turnsAway tells whether an answer says that the request has not run.
 func (d *delivery) turnsAway(r *reply) bool {
-	return r.StatusCode >= http.StatusBadRequest && r.Header.Get(d.node.speech.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+	return r.StatusCode >= http.StatusBadRequest && r.Header.Get(d.node.headers.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
 }
 
 // unanswered ends a request to which no answer came; sent tells whether a byte of it may have left.
@@ -179,11 +179,11 @@
 	switch {
 	case !sent:
 		n.scope.Note("dial-failed", d.berth.Id, err.Error())
-		return bounced(base.Bounce(base.Unreachable, "", "the upstream could not be dialled"))
+		return notRun(base.Bounce(base.Unreachable, "", "the upstream could not be dialled"))
 	case ctx.Err() != nil:
 		return doubt(base.Expired, "no answer in time")
 	}
-	n.ills.Saw(d.berth.Id, false)
+	n.failures.Saw(d.berth.Id, false)
 	n.scope.Note("answer-lost", d.berth.Id, err.Error())
 	return doubt(base.Lost, err.Error())
 }
@@ -196,9 +196,9 @@
 	d.land(0)
 	if status == http.StatusMisdirectedRequest {
 		n.scope.Note("berth-void", d.berth.Id, "another upstream listens there")
-		n.dock.Leave(d.berth.Id)
+		n.instance.Leave(d.berth.Id)
 	}
-	o := bounced(base.Bounce(base.Crowded, "", "the upstream turned it away with %d", status).Later(n.gateWait(d.gate)))
+	o := notRun(base.Bounce(base.Crowded, "", "the upstream turned it away with %d", status).Later(n.gateWait(d.gate)))
 	o.arrived = status != http.StatusMisdirectedRequest
 	return o
 }
@@ -206,7 +206,7 @@
 // answered reads the upstream's answer. One that is not whole, or a success without its seal, counts as lost.
 func (d *delivery) answered(r *reply) outcome {
 	n, status := d.node, r.StatusCode
-	sealed := status >= http.StatusMultipleChoices || r.Header.Get(n.speech.Seal) != ""
+	sealed := status >= http.StatusMultipleChoices || r.Header.Get(n.headers.Seal) != ""
 	if !sealed {
 		r.distrust()
 	}
@@ -214,31 +214,31 @@
 	if err != nil || !sealed {
 		r.broken()
 		d.land(0)
-		n.ills.Saw(d.berth.Id, false)
+		n.failures.Saw(d.berth.Id, false)
 		n.scope.Note("answer-garbled", d.berth.Id, "")
 		return doubt(base.Garbled, "the upstream's answer was not whole")
 	}
-	n.ills.Saw(d.berth.Id, status < http.StatusInternalServerError)
+	n.failures.Saw(d.berth.Id, status < http.StatusInternalServerError)
 	return outcome{state: stateOf(status), arrived: true, answer: a, waited: d.waited, further: d.further}
 }
 
-func (n *Node) gateWait(gate *Gate) time.Duration {
-	w := gate.Weight()
+func (n *Node) gateWait(gate *AdmissionQueue) time.Duration {
+	w := gate.Load()
 	return time.Duration(w.HoldMs) * time.Millisecond
 }
 
-func (n *Node) weight() Weight {
-	berth, gate, _ := n.dock.Now()
-	w := gate.Weight()
+func (n *Node) load() LoadReport {
+	berth, gate, _ := n.instance.Now()
+	w := gate.Load()
 	w.Serial = n.serial()
-	w.IllPct = int(100 * n.ills.Share(berth.GetId()))
+	w.IllPct = int(100 * n.failures.Share(berth.GetId()))
 	w.Leaving = berth.GetLeaving() || berth == nil || n.stopping.Load()
 	return w
 }
 
 // forwarded is a request that another node passes to the upstream beside this one.
 type forwarded struct {
-	way   Way
+	way   Forwarding
 	id    string        // the request's own
 	left  time.Duration // until its deadline
 	began time.Duration
@@ -246,9 +246,9 @@
 
 // readForwarded reads what the other node says of a request; ok is false if a header is missing or can't be read.
 func (n *Node) readForwarded(r *http.Request) (f forwarded, ok bool) {
-	way, ok := readWay(r.Header.Get(wayHeader))
-	ms, err := strconv.ParseInt(r.Header.Get(n.speech.Left), 10, 64)
-	f = forwarded{way: way, id: r.Header.Get(n.speech.Attempt), left: time.Duration(ms) * time.Millisecond, began: n.scope.Clock.Mono()}
+	way, ok := readForwarding(r.Header.Get(wayHeader))
+	ms, err := strconv.ParseInt(r.Header.Get(n.headers.Left), 10, 64)
+	f = forwarded{way: way, id: r.Header.Get(n.headers.Attempt), left: time.Duration(ms) * time.Millisecond, began: n.scope.Clock.Mono()}
 	return f, ok && err == nil && f.id != ""
 }
 
@@ -268,7 +268,7 @@
 	if f.way.Serial > n.serial() {
 		n.behind.Ring()
 	}
-	body, done, mishap := n.hold.Read(r, n.hold.most)
+	body, done, mishap := n.bodies.Read(r, n.bodies.most)
 	if mishap != nil && mishap.Kind == base.Malformed {
 		panic(http.ErrAbortHandler)
 	}
@@ -287,7 +287,7 @@
 	if refusal != nil {
 		o = *refusal
 	} else {
-		settle = n.spout.Owe(f.way.Route)
+		settle = n.link.Owe(f.way.Route)
 		m := &message{method: r.Method, target: r.RequestURI, host: r.Host, header: passing(r.Header), body: body}
 		o = n.hand(ctx, f.way, m, f.id, f.began+f.left)
 	}
@@ -298,11 +298,11 @@
 
 // noRoom refuses a request whose body was not read for want of memory, or whose large answer would wait too long for
 // this machine's link.
-func (n *Node) noRoom(way Way, unread *base.Mishap) (refusal *outcome) {
+func (n *Node) noRoom(way Forwarding, unread *base.Mishap) (refusal *outcome) {
 	if unread != nil {
 		return refused(base.Bounce(base.Crowded, "", "the body has no room now").Later(holdAgain))
 	}
-	if backlog := n.spout.Backlog(); n.spout.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
+	if backlog := n.link.Backlog(); n.link.Large(way.Route) && backlog > max(way.Aim, way.Patience, leastBacklog) {
 		return refused(base.Bounce(base.Crowded, "", "this machine's link is taken").Later(backlog))
 	}
 	return nil
@@ -311,7 +311,7 @@
 // answerNode tells another node how its request went, and how full the upstream here is. settle takes the size of the
 // answer off what this machine's link owes.
 func (n *Node) answerNode(ctx context.Context, w http.ResponseWriter, id string, o outcome, settle func(size int64)) {
-	weight := n.weight()
+	weight := n.load()
 	weight.Waited, weight.Further = int(o.waited.Milliseconds()), o.further
 	header := w.Header()
 	header[weightHeader] = []string{weight.text()}
@@ -321,12 +321,12 @@
 	if o.answer != nil {
 		size := int64(len(o.answer.body))
 		settle(size)
-		n.spout.Pass(ctx, size+headGuess)
+		n.link.Pass(ctx, size+headGuess)
 		relay(w, o.answer)
 		return
 	}
 	settle(0)
-	header[n.speech.Attempt] = []string{id}
+	header[n.headers.Attempt] = []string{id}
 	header[outcomeHeader] = []string{o.text()}
 	header["Date"], header["Content-Type"] = nil, nil
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -350,35 +350,35 @@
 }
 
 // carry passes a request to the node beside an upstream, or hands it over here. Where that node has forgotten the mark that the attempt bore, another attempt with the present one follows at once.
-func (n *Node) carry(ctx context.Context, to Option, way Way, m *message, attempt string, until time.Duration) outcome {
+func (n *Node) carry(ctx context.Context, to Option, way Forwarding, m *message, attempt string, until time.Duration) outcome {
 	o := n.carryOnce(ctx, to, way, m, attempt, until)
 	if staleMark(way.Attempt, o) {
-		way.Attempt = n.fences.start(to.node, n.roster.Incarnation)
+		way.Attempt = n.fences.start(to.node, n.peers.Incarnation)
 		return n.carryOnce(ctx, to, way, m, attempt, until)
 	}
 	return o
 }
 
-func (n *Node) carryOnce(ctx context.Context, to Option, way Way, m *message, attempt string, until time.Duration) outcome {
+func (n *Node) carryOnce(ctx context.Context, to Option, way Forwarding, m *message, attempt string, until time.Duration) outcome {
 	way.Berth = to.berth
 	mine := *m
 	mine.header = passing(m.header)
 	if to.node == n.params.Name {
 		o := n.hand(ctx, way, &mine, attempt, until)
-		weight := n.weight()
+		weight := n.load()
 		weight.Further = o.further
 		o.weight = &weight
 		return o
 	}
 	left := until - n.scope.Clock.Mono()
 	if left <= 0 {
-		return bounced(base.Bounce(base.Expired, "", "no time was left"))
+		return notRun(base.Bounce(base.Expired, "", "no time was left"))
 	}
-	mine.header[n.speech.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	mine.header[n.headers.Left] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	mine.header[wayHeader] = []string{way.text()}
 	way.Attempt.sendIn(mine.header)
 	h := hop{node: n, to: to, way: way, id: attempt, until: until}
-	r, sent, err := n.across.exchange(ctx, to.inward, &mine, func(r *http.Response) bool { return r.Header.Get(n.speech.Attempt) == attempt })
+	r, sent, err := n.peerConnections.exchange(ctx, to.inward, &mine, func(r *http.Response) bool { return r.Header.Get(n.headers.Attempt) == attempt })
 	if err != nil {
 		return h.broken(ctx, sent, err)
 	}
@@ -389,7 +389,7 @@
 type hop struct {
 	node  *Node
 	to    Option
-	way   Way
+	way   Forwarding
 	id    string // the request's own
 	until time.Duration
 }
@@ -401,17 +401,17 @@
 	case ctx.Err() != nil && sent:
 		return doubt(base.Expired, "no answer in time")
 	case ctx.Err() != nil:
-		return bounced(base.Bounce(base.Expired, "", "no time was left"))
+		return notRun(base.Bounce(base.Expired, "", "no time was left"))
 	}
 	n.scope.Note("mate-lost", name, err.Error())
-	n.roster.Avoid(name)
+	n.peers.Avoid(name)
 	if !sent {
-		return bounced(base.Bounce(base.Unreachable, "", "the mate could not be reached"))
+		return notRun(base.Bounce(base.Unreachable, "", "the peer could not be reached"))
 	}
-	n.across.Forget(h.to.inward)
+	n.peerConnections.Forget(h.to.inward)
 	o := h.resolve(ctx, doubt(base.Lost, err.Error()))
 	if h.way.Attempt.id != "" && o.state == Doubtful {
-		n.roster.Avoid(name)
+		n.peers.Avoid(name)
 	}
 	return o
 }
@@ -423,7 +423,7 @@
 // answered reads what the other node says: an upstream's answer, or an outcome without one.
 func (h hop) answered(ctx context.Context, r *reply) outcome {
 	n := h.node
-	weight, weighed := readWeight(r.Header.Get(weightHeader))
+	weight, weighed := readLoadReport(r.Header.Get(weightHeader))
 	if weighed && weight.Serial > n.serial() {
 		n.behind.Ring()
 	}
--- a/internal/dataplane/roster.go
+++ b/internal/dataplane/peer_table.go
@@ -25,13 +25,13 @@
 	absent bool
 }
 
-// Place is a mate with the upstream beside it, and what this node knows of both.
-type Place struct {
+// Peer is a peer with the upstream beside it, and what this node knows of both.
+type Peer struct {
 	post     *wire.Post
 	heard    time.Duration
 	sights   map[string]sight
 	flying   int
-	weight   Weight
+	weight   LoadReport
 	weighed  time.Duration
 	atWeight int
 	speed    float64
@@ -41,14 +41,14 @@
 	reached  time.Duration
 }
 
-// Roster merges what the keels say of the mates with what requests saw of them.
-type Roster struct {
+// PeerTable merges what the control machines say of the peers with what requests saw of them.
+type PeerTable struct {
 	clock   base.Clock
 	self    string
-	live    func() Weight
+	live    func() LoadReport
 	fresh   time.Duration
 	mu      sync.Mutex
-	places  map[string]*Place
+	places  map[string]*Peer
 	keels   map[string]time.Duration
 	index   map[string][]string
 	size    int
@@ -57,13 +57,13 @@
 	counted time.Duration
 }
 
-// NewRoster believes a keel's word on who is absent for as long as fresh after it last spoke.
-func NewRoster(clock base.Clock, self string, fresh time.Duration) *Roster {
-	return &Roster{clock: clock, self: self, fresh: fresh, places: map[string]*Place{}, keels: map[string]time.Duration{}}
+// NewPeerTable believes a control machine's word on who is absent for as long as fresh after it last spoke.
+func NewPeerTable(clock base.Clock, self string, fresh time.Duration) *PeerTable {
+	return &PeerTable{clock: clock, self: self, fresh: fresh, places: map[string]*Peer{}, keels: map[string]time.Duration{}}
 }
 
-// Heard folds in a keel's sightings.
-func (r *Roster) Heard(keel string, whole bool, sights []*wire.Sight) {
+// Heard folds in a control machine's reports.
+func (r *PeerTable) Heard(keel string, whole bool, sights []*wire.Sight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
@@ -85,18 +85,18 @@
 }
 
 // place gives the row of a node; a new one if there is none.
-func (r *Roster) place(node string) *Place {
+func (r *PeerTable) place(node string) *Peer {
 	at := r.places[node]
 	if at == nil {
-		at = &Place{speed: 1, sights: map[string]sight{}}
+		at = &Peer{speed: 1, sights: map[string]sight{}}
 		r.places[node] = at
 	}
 	return at
 }
 
-// hearPost takes what a mate told of itself at some moment, unless something newer is known: a higher number of the same
+// hearPost takes what a peer told of itself at some moment, unless something newer is known: a higher number of the same
 // life, or a life heard of later.
-func (r *Roster) hearPost(at *Place, post *wire.Post, heard time.Duration) {
+func (r *PeerTable) hearPost(at *Peer, post *wire.Post, heard time.Duration) {
 	same := at.post.GetIncarnation() == post.Incarnation
 	if at.post == nil || same && post.Number > at.post.Number || !same && heard > at.heard {
 		r.replacePost(at, post, !same)
@@ -105,9 +105,9 @@
 }
 
 // replacePost forgets what requests saw of the place if another life, or another upstream, is there.
-func (r *Roster) replacePost(at *Place, post *wire.Post, anew bool) {
+func (r *PeerTable) replacePost(at *Peer, post *wire.Post, anew bool) {
 	if anew || at.post.GetBerth().GetId() != post.GetBerth().GetId() {
-		at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.reached = Weight{}, 0, 0, 0, "", 0
+		at.weight, at.weighed, at.avoid, at.penalty, at.barred, at.reached = LoadReport{}, 0, 0, 0, "", 0
 		at.speed = 1
 	}
 	if at.post.GetBerth().GetService() != post.GetBerth().GetService() {
@@ -116,7 +116,7 @@
 	at.post = post
 }
 
-func (r *Roster) absent(at *Place) bool {
+func (r *PeerTable) absent(at *Peer) bool {
 	if at.post.GetNode() == r.self {
 		return false
 	}
@@ -135,7 +135,7 @@
 }
 
 // Own folds in this node's own post.
-func (r *Roster) Own(post *wire.Post) {
+func (r *PeerTable) Own(post *wire.Post) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.place(r.self)
@@ -143,8 +143,8 @@
 	at.heard = r.clock.Mono()
 }
 
-// Forget drops the word of a keel that is asked no longer.
-func (r *Roster) Forget(keel string) {
+// Forget drops the word of a control machine that is asked no longer.
+func (r *PeerTable) Forget(keel string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.keels, keel)
@@ -154,7 +154,7 @@
 }
 
 // Size counts the nodes that are there.
-func (r *Roster) Size() int {
+func (r *PeerTable) Size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now := r.clock.Mono(); r.sized == 0 || now-r.sized > sizeEvery {
@@ -169,7 +169,7 @@
 }
 
 // Services lists the services that have a node in a zone.
-func (r *Roster) Services(zone string) []string {
+func (r *PeerTable) Services(zone string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
@@ -184,8 +184,8 @@
 	return r.beside
 }
 
-// Sweep forgets mates that every fresh keel has forgotten.
-func (r *Roster) Sweep(after time.Duration) {
+// Sweep forgets peers that every fresh control machine has forgotten.
+func (r *PeerTable) Sweep(after time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, at := range r.places {
@@ -209,7 +209,7 @@
 	ill     float64
 }
 
-func (r *Roster) indexed() map[string][]string {
+func (r *PeerTable) indexed() map[string][]string {
 	if r.index == nil {
 		r.index = map[string][]string{}
 		for _, name := range slices.Sorted(maps.Keys(r.places)) {
@@ -221,8 +221,8 @@
 	return r.index
 }
 
-func (r *Roster) serving(service string) iter.Seq2[string, *Place] {
-	return func(yield func(string, *Place) bool) {
+func (r *PeerTable) serving(service string) iter.Seq2[string, *Peer] {
+	return func(yield func(string, *Peer) bool) {
 		for _, name := range r.indexed()[service] {
 			at := r.places[name]
 			berth := at.post.GetBerth()
@@ -236,7 +236,7 @@
 	}
 }
 
-func (at *Place) guess(now time.Duration) (flying float64, limit int) {
+func (at *Peer) guess(now time.Duration) (flying float64, limit int) {
 	limit = max(int(at.post.GetBerth().GetCapacity()), 1)
 	others := 0.0
 	if at.weighed > 0 {
@@ -259,7 +259,7 @@
 )
 
 // Options lists who may serve, the best first.
-func (r *Roster) Options(service, zone string, rank int, hold time.Duration, tried func(node string) bool, rand *base.Rand) []Option {
+func (r *PeerTable) Options(service, zone string, rank int, hold time.Duration, tried func(node string) bool, rand *base.Rand) []Option {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
@@ -291,7 +291,7 @@
 }
 
 // option tells of a place what doesn't depend on the request.
-func (at *Place) option(name string, now time.Duration) Option {
+func (at *Peer) option(name string, now time.Duration) Option {
 	o := Option{node: name, inward: at.post.Inward, berth: at.post.Berth.Id, zone: at.post.Zone, free: true, avoided: now < at.avoid}
 	if o.ill = float64(at.weight.IllPct) / 100; now-at.weighed > illFades {
 		o.ill *= float64(illFades) / float64(now-at.weighed)
@@ -300,7 +300,7 @@
 }
 
 // pace is how long the place takes beside the usual; more while its upstream warms up.
-func (at *Place) pace(now time.Duration) float64 {
+func (at *Peer) pace(now time.Duration) float64 {
 	if now < at.heard+time.Duration(at.post.Berth.WarmMs)*time.Millisecond {
 		return at.speed * warmFactor
 	}
@@ -309,7 +309,7 @@
 
 // waitFor guesses how long a request waits at a full place; share is the part of the upstream's slots that must come
 // free before. hold is how long such requests take.
-func (at *Place) waitFor(share float64, rank int, hold, now time.Duration) time.Duration {
+func (at *Peer) waitFor(share float64, rank int, hold, now time.Duration) time.Duration {
 	turn := hold
 	if at.weight.HoldMs > 0 {
 		turn = time.Duration(at.weight.HoldMs) * time.Millisecond
@@ -336,7 +336,7 @@
 }
 
 // Start notes a request on its way to a place.
-func (r *Roster) Start(node string) {
+func (r *PeerTable) Start(node string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at := r.places[node]; at != nil {
@@ -344,8 +344,8 @@
 	}
 }
 
-// End notes how an attempt went: what its gate said, and how it took beside what such requests take.
-func (r *Roster) End(node string, weight *Weight, took, usual time.Duration, good bool) {
+// End notes how an attempt went: what its admission queue said, and how it took beside what such requests take.
+func (r *PeerTable) End(node string, weight *LoadReport, took, usual time.Duration, good bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.places[node]
@@ -364,8 +364,8 @@
 	}
 }
 
-// Avoid steers clear of a mate that could not be reached, for longer each time, up to two seconds.
-func (r *Roster) Avoid(node string) {
+// Avoid steers clear of a peer that could not be reached, for longer each time, up to two seconds.
+func (r *PeerTable) Avoid(node string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at := r.places[node]; at != nil {
@@ -374,8 +374,8 @@
 	}
 }
 
-// Bar notes that a berth is no longer there or is leaving.
-func (r *Roster) Bar(node, berth string) {
+// Bar notes that an instance is no longer there or is leaving.
+func (r *PeerTable) Bar(node, berth string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at := r.places[node]; at != nil && at.post.GetBerth().GetId() == berth {
@@ -383,8 +383,8 @@
 	}
 }
 
-// Incarnation names the life that a mate is known to be in.
-func (r *Roster) Incarnation(node string) string {
+// Incarnation names the life that a peer is known to be in.
+func (r *PeerTable) Incarnation(node string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at := r.places[node]; at != nil {
@@ -393,8 +393,8 @@
 	return ""
 }
 
-// Posts lists the mates as last heard.
-func (r *Roster) Posts() []*wire.Post {
+// Posts lists the peers as last heard.
+func (r *PeerTable) Posts() []*wire.Post {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var posts []*wire.Post
@@ -405,7 +405,7 @@
 }
 
 // Option finds one place, however full.
-func (r *Roster) Option(node, service string) (Option, bool) {
+func (r *PeerTable) Option(node, service string) (Option, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, at := range r.serving(service) {
--- a/internal/dataplane/roster_test.go
+++ b/internal/dataplane/peer_table_test.go
@@ -20,7 +20,7 @@
 	}}}
 }
 
-func (r *Roster) offers(service string) (names []string) {
+func (r *PeerTable) offers(service string) (names []string) {
 	for _, each := range r.Options(service, "a", 2, 100*time.Millisecond, func(string) bool { return false }, base.SeededRand(1)) {
 		names = append(names, each.node)
 	}
@@ -28,15 +28,15 @@
 }
 
 var _ = ginkgo.Describe("a mate that the keels lost sight of", func() {
-	heard := func(s *stand) *Roster {
-		r := NewRoster(s.clock, "app-1", freshSlack)
+	heard := func(s *stand) *PeerTable {
+		r := NewPeerTable(s.clock, "app-1", freshSlack)
 		for _, keel := range threeKeels {
 			r.Heard(keel, true, mate(false))
 		}
 		time.Sleep(time.Second)
 		return r
 	}
-	lost := func(r *Roster) {
+	lost := func(r *PeerTable) {
 		for _, keel := range threeKeels {
 			r.Heard(keel, false, mate(true))
 		}
@@ -45,14 +45,14 @@
 	story("given a mate that answers, when every keel calls it absent, then it stays", func(s *stand) {
 		r := heard(s)
 		r.Start("app-2")
-		r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+		r.End("app-2", &LoadReport{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
 		lost(r)
 		Expect(r.offers(books)).To(Equal([]string{"app-2"}))
 		for range 20 {
 			time.Sleep(500 * time.Millisecond)
 			lost(r)
 			r.Start("app-2")
-			r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+			r.End("app-2", &LoadReport{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
 			Expect(r.offers(books)).To(Equal([]string{"app-2"}))
 			_, there := r.Option("app-2", books)
 			Expect(there).To(BeTrue())
@@ -62,7 +62,7 @@
 	story("given a mate that last answered a while ago, when every keel calls it absent, then it goes", func(s *stand) {
 		r := heard(s)
 		r.Start("app-2")
-		r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+		r.End("app-2", &LoadReport{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
 		time.Sleep(freshSlack + time.Millisecond)
 		lost(r)
 		Expect(r.offers(books)).To(BeEmpty())
@@ -71,7 +71,7 @@
 	story("given a mate that answered and then could not be reached, when every keel calls it absent, then it goes at once", func(s *stand) {
 		r := heard(s)
 		r.Start("app-2")
-		r.End("app-2", &Weight{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
+		r.End("app-2", &LoadReport{Limit: 4}, 100*time.Millisecond, 100*time.Millisecond, true)
 		r.Avoid("app-2")
 		lost(r)
 		Expect(r.offers(books)).To(BeEmpty())
@@ -94,13 +94,13 @@
 		s.seat(far, 4, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("found")) })
 		sight := &wire.Sight{Post: far.post()}
 		for _, keel := range threeKeels {
-			near.roster.Heard(keel, true, []*wire.Sight{sight})
+			near.peers.Heard(keel, true, []*wire.Sight{sight})
 		}
 		for i := range 30 {
 			t := s.ask(near.params.Outward, "/search/1", asking(millis(time.Duration(i)*time.Millisecond), 4*time.Second))
 			Expect(t.status).To(Equal(http.StatusOK))
 			for _, keel := range threeKeels {
-				near.roster.Heard(keel, false, []*wire.Sight{{Post: far.post(), Absent: true}})
+				near.peers.Heard(keel, false, []*wire.Sight{{Post: far.post(), Absent: true}})
 			}
 			time.Sleep(200 * time.Millisecond)
 		}
--- a/internal/dataplane/requests_client_test.go
+++ b/internal/dataplane/requests_client_test.go
@@ -159,7 +159,7 @@
 			g := p.client().ask("row", kind, nil)
 			Expect(g.err).NotTo(HaveOccurred())
 			Expect(g.body).To(HaveLen(streamedBody))
-			Eventually(func() int { return p.near.upward.idleTo(p.first.address) }).Should(Equal(1))
+			Eventually(func() int { return p.near.instanceConnections.idleTo(p.first.address) }).Should(Equal(1))
 			Expect(p.client().ask("after", repeatable, nil).status).To(Equal(http.StatusOK))
 			Expect(p.came("row")).To(Equal(kept))
 		})
@@ -192,7 +192,7 @@
 			c := p.client()
 			Expect(c.ask("before", repeatable, nil).status).To(Equal(http.StatusOK))
 			p.near.stopping.Store(true)
-			p.near.roster.Own(p.near.post())
+			p.near.peers.Own(p.near.post())
 			g := c.ask("row", kind, nil)
 			Expect(g.body).To(Equal(bodyOf("row", "second")))
 			Expect(g.closes).To(BeTrue())
@@ -253,8 +253,8 @@
 			return t.wait()
 		})
 		Expect(p.client().ask("row", repeatable, nil).body).To(Equal(bodyOf("row", "second")))
-		_, gate, _ := p.near.dock.Now()
-		Eventually(func() int { return gate.Weight().Flying }).Should(BeZero())
+		_, gate, _ := p.near.instance.Now()
+		Eventually(func() int { return gate.Load().Flying }).Should(BeZero())
 	})
 
 	ginkgo.It("no route that fits: 404, and the connection stays", func() {
@@ -279,7 +279,7 @@
 		conn, err := net.Dial("tcp", p.far.params.Inward)
 		Expect(err).NotTo(HaveOccurred())
 		c := &client{conn.(*net.TCPConn), bufio.NewReader(conn)}
-		way := Way{Service: books, Route: once, Serial: 1, Aim: time.Second, Stay: time.Second, Once: true}
+		way := Forwarding{Service: books, Route: once, Serial: 1, Aim: time.Second, Stay: time.Second, Once: true}
 		_, _ = io.WriteString(c.conn, strings.Replace(requestText("row", once, nil), "\r\n\r\n", "\r\n"+wayHeader+": "+way.text()+"\r\n\r\n", 1))
 		Eventually(began).Should(BeClosed())
 		_ = c.conn.Close()
--- a/internal/dataplane/requests_test.go
+++ b/internal/dataplane/requests_test.go
@@ -84,7 +84,7 @@
 }
 
 // exchangeRows are the events that both hops from a node have in common. lostNext is where the request after one goes
-// whose exchange failed: beside an upstream to a new connection, else past the mate that failed.
+// whose exchange failed: beside an upstream to a new connection, else past the peer that failed.
 func exchangeRows(lostNext string) []row {
 	return slices.Concat(connectionRows(lostNext), framingRows(lostNext), headRows(lostNext), statusRows())
 }
@@ -239,9 +239,9 @@
 		}
 	}
 	return []row{
-		{event: "a mate that stops and has not run it", does: says(bounced(base.Bounce(base.Stopping, "", ""))), once: turnedAway, again: turnedAway, next: elsewhere},
-		{event: "a mate that is full and has not run it", does: says(bounced(base.Bounce(base.Crowded, "", ""))), once: turnedAway, again: turnedAway, next: kept},
-		{event: "a mate whose upstream is gone", does: says(bounced(base.Bounce(base.NoSeat, "", ""))), once: turnedAway, again: turnedAway, next: elsewhere},
+		{event: "a peer that stops and has not run it", does: says(notRun(base.Bounce(base.Stopping, "", ""))), once: turnedAway, again: turnedAway, next: elsewhere},
+		{event: "a peer that is full and has not run it", does: says(notRun(base.Bounce(base.Crowded, "", ""))), once: turnedAway, again: turnedAway, next: kept},
+		{event: "a peer whose upstream is gone", does: says(notRun(base.Bounce(base.NoSeat, "", ""))), once: turnedAway, again: turnedAway, next: elsewhere},
 		{event: "a mate in doubt", does: says(doubt(base.Lost, "")), once: lost, again: bySecondToo, next: kept},
 		{event: "an answer of no mate", does: func(t *turn) bool {
 			t.standIn.asMate = false
@@ -289,7 +289,7 @@
 }
 
 // settled waits until what the stand-in did to an idle connection has come to the node.
-func settled(p *pair, lines *Lines, r row) {
+func settled(p *pair, lines *ConnectionPool, r row) {
 	if r.before == nil {
 		return
 	}
@@ -349,9 +349,9 @@
 func (r row) play(asMate bool, kind string) {
 	p := newPair(asMate)
 	defer p.close()
-	lines := p.near.upward
+	lines := p.near.instanceConnections
 	if asMate {
-		lines = p.near.across
+		lines = p.near.peerConnections
 	}
 	visitor := p.client()
 	if r.before != nil {
--- a/internal/dataplane/purse.go
+++ b/internal/dataplane/retry_budget.go
@@ -13,33 +13,33 @@
 	slackCut = 0.4
 )
 
-type coins struct {
+type serviceBudget struct {
 	held   float64
 	counts [2]float64
 	turn   int64
 }
 
-// Purse pays for repeats, per service: each request earns a part of the fleet's ratio; the slack is divided among the nodes, and a part of what the last window earned may be saved.
-type Purse struct {
+// RetryBudget pays for repeats, per service: each request earns a part of the fleet's ratio; the slack is divided among the nodes, and a part of what the last window earned may be saved.
+type RetryBudget struct {
 	clock  base.Clock
 	ratio  float64
 	slack  float64
 	window time.Duration
 	nodes  func() int
 	mu     sync.Mutex
-	purses map[string]*coins
+	purses map[string]*serviceBudget
 }
 
-// NewPurse starts each service with half of this node's part of the slack.
-func NewPurse(clock base.Clock, ratio, slack float64, window time.Duration, nodes func() int) *Purse {
-	return &Purse{clock: clock, ratio: ratio, slack: slack, window: max(window, time.Second), nodes: nodes, purses: map[string]*coins{}}
+// NewRetryBudget starts each service with half of this node's part of the slack.
+func NewRetryBudget(clock base.Clock, ratio, slack float64, window time.Duration, nodes func() int) *RetryBudget {
+	return &RetryBudget{clock: clock, ratio: ratio, slack: slack, window: max(window, time.Second), nodes: nodes, purses: map[string]*serviceBudget{}}
 }
 
-func (p *Purse) at(service string) (c *coins, most float64) {
+func (p *RetryBudget) at(service string) (c *serviceBudget, most float64) {
 	part := p.slack * slackCut / float64(p.nodes())
 	c = p.purses[service]
 	if c == nil {
-		c = &coins{held: max(part, 1) / 2}
+		c = &serviceBudget{held: max(part, 1) / 2}
 		p.purses[service] = c
 	}
 	turn := int64(p.clock.Mono() / p.window)
@@ -55,7 +55,7 @@
 }
 
 // Earn counts a first request.
-func (p *Purse) Earn(service string) {
+func (p *RetryBudget) Earn(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, most := p.at(service)
@@ -64,7 +64,7 @@
 }
 
 // Spend takes one repeat, if there is one.
-func (p *Purse) Spend(service string) bool {
+func (p *RetryBudget) Spend(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, _ := p.at(service)
@@ -76,7 +76,7 @@
 }
 
 // Pays tells whether a repeat could be paid now.
-func (p *Purse) Pays(service string) bool {
+func (p *RetryBudget) Pays(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, _ := p.at(service)
@@ -84,7 +84,7 @@
 }
 
 // Refund gives a repeat back that never arrived.
-func (p *Purse) Refund(service string) {
+func (p *RetryBudget) Refund(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, most := p.at(service)
--- a/internal/dataplane/purse_test.go
+++ b/internal/dataplane/retry_budget_test.go
@@ -12,9 +12,9 @@
 
 	ginkgo.It("given every node repeats whatever its purse pays, when any window is counted, then the fleet stays under half of the budget", func() {
 		clock := &stepped{}
-		var purses []*Purse
+		var purses []*RetryBudget
 		for range nodes {
-			purses = append(purses, NewPurse(clock, ratio, slack, window, func() int { return nodes }))
+			purses = append(purses, NewRetryBudget(clock, ratio, slack, window, func() int { return nodes }))
 		}
 		var asked, repeats []time.Duration
 		for step := range 6000 {
@@ -43,7 +43,7 @@
 		}
 	})
 	ginkgo.It("given a repeat that never arrived, when it is refunded, then it can be spent again", func() {
-		p := NewPurse(&stepped{}, ratio, slack, window, func() int { return nodes })
+		p := NewRetryBudget(&stepped{}, ratio, slack, window, func() int { return nodes })
 		gomega.Expect(p.Spend("s")).To(gomega.BeTrue())
 		gomega.Expect(p.Spend("s")).To(gomega.BeFalse())
 		p.Refund("s")
--- a/internal/dataplane/standin_test.go
+++ b/internal/dataplane/standin_test.go
@@ -203,7 +203,7 @@
 		head = append(head, "Content-Length: "+strconv.Itoa(size))
 	}
 	if t.standIn.asMate {
-		head = append(head, weightHeader+": "+Weight{Limit: 4}.text())
+		head = append(head, weightHeader+": "+LoadReport{Limit: 4}.text())
 	}
 	return strings.Join(append(head, lines...), "\r\n") + "\r\n\r\n"
 }
@@ -326,7 +326,7 @@
 	} else {
 		Expect(p.near.Beat(berth(p.first, "a"))).To(BeNil())
 	}
-	p.near.roster.Heard("keel", true, sights)
+	p.near.peers.Heard("keel", true, sights)
 	return p
 }
 
@@ -397,7 +397,7 @@
 }
 
 // mateAsks sends a request as the node beside a client does.
-func (p *pair) mateAsks(id, route string, way Way) got {
+func (p *pair) mateAsks(id, route string, way Forwarding) got {
 	conn, err := net.Dial("tcp", p.far.params.Inward)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = conn.Close() }()
@@ -409,7 +409,7 @@
 }
 
 // idleTo counts the idle connections to an address.
-func (p *Lines) idleTo(address string) int {
+func (p *ConnectionPool) idleTo(address string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.kept[address])
--- a/internal/dataplane/status.go
+++ b/internal/dataplane/status.go
@@ -12,7 +12,7 @@
 	return Answered
 }
 
-// promises tells the statuses by which visitors know that a request has not run and never will.
+// promises tells the statuses by which clients know that a request has not run and never will.
 func promises(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/dataplane/suite_test.go
+++ b/internal/dataplane/suite_test.go
@@ -37,7 +37,7 @@
 
 var noKeels = []string{"10.9.0.1:7005"}
 
-// stand is a network with a clock of its own, on which single nodes, keels and mates are set up.
+// stand is a network with a clock of its own, on which single nodes, control machines and peers are set up.
 type stand struct {
 	world *rig.World
 	clock *rig.Clock
--- a/internal/dataplane/urgency_test.go
+++ b/internal/dataplane/urgency_test.go
@@ -135,7 +135,7 @@
 		began := s.clock.Mono()
 		Expect(n.Beat(leaving)).To(BeNil())
 		Expect(s.clock.Mono()).To(Equal(began))
-		o := n.hand(s.scope(otherBox), Way{Service: books}, &message{header: http.Header{}}, "one", s.clock.Mono()+time.Second)
+		o := n.hand(s.scope(otherBox), Forwarding{Service: books}, &message{header: http.Header{}}, "one", s.clock.Mono()+time.Second)
 		Expect(o.kind).To(Equal(base.NoSeat))
 		Expect(o.state).To(Equal(NotRun))
 	})
--- a/internal/dataplane/views.go
+++ b/internal/dataplane/views.go
@@ -31,7 +31,7 @@
 	n.doors = append(n.doors, door)
 }
 
-func (n *Node) took(v *visit) {
+func (n *Node) took(v *clientCall) {
 	if at := int(v.route.Raw.Repeat); v.ledger.best() != nil && at >= 0 && at < len(classes) {
 		n.lengths[at].Add(v.now() - v.began)
 	}
@@ -39,16 +39,16 @@
 
 // View tells how this node stands and what it knows.
 func (n *Node) View() *wire.NodeView {
-	berth, gate, _ := n.dock.Now()
-	p, w := n.params, gate.Weight()
+	berth, gate, _ := n.instance.Now()
+	p, w := n.params, gate.Load()
 	view := &wire.NodeView{
 		Node: p.Name, Zone: p.Zone, Service: p.Service, Incarnation: n.incarnation, Serial: n.serial(), Ready: n.Ready(), Stopping: n.stopping.Load(),
-		Berth: berth, BerthSilenceMs: ms(n.dock.silence()), BacklogMs: ms(n.spout.Backlog()), Odds: n.keeper.Serial(), Inside: n.inside.Load(),
+		Berth: berth, BerthSilenceMs: ms(n.instance.silence()), BacklogMs: ms(n.link.Backlog()), Odds: n.keeper.Serial(), Inside: n.inside.Load(),
 		UpMs:  ms(n.scope.Clock.Mono() - n.born),
 		Gate:  &wire.GateView{Flying: uint32(w.Flying), Waiting: uint32(w.Waiting), Limit: uint32(w.Limit), HoldMs: uint64(w.HoldMs), TopMs: uint64(w.TopMs), RestMs: uint64(w.RestMs)},
-		Paces: n.usual.view(), Purses: n.purse.view(), Counts: map[string]uint64{},
+		Paces: n.latencies.view(), Purses: n.retries.view(), Counts: map[string]uint64{},
 	}
-	view.Mates, view.Keels = n.roster.view()
+	view.Mates, view.Keels = n.peers.view()
 	view.Confirmed, view.Hailed = n.confirmed(), n.directory.view()
 	for what, count := range n.counts.All() {
 		view.Counts[what] = count.Load()
@@ -63,7 +63,7 @@
 
 func ms(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
 
-func (d *Dock) silence() time.Duration {
+func (d *LocalInstance) silence() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.berth == nil {
@@ -72,7 +72,7 @@
 	return d.clock.Mono() - d.heard
 }
 
-func (r *Roster) view() (mates []*wire.MateView, keels map[string]uint64) {
+func (r *PeerTable) view() (mates []*wire.MateView, keels map[string]uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
@@ -91,7 +91,7 @@
 	return mates, keels
 }
 
-func (p *Purse) view() (purses []*wire.PurseView) {
+func (p *RetryBudget) view() (purses []*wire.PurseView) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, service := range slices.Sorted(maps.Keys(p.purses)) {
@@ -102,7 +102,7 @@
 	return purses
 }
 
-func (u *Usual) view() (paces []*wire.PaceView) {
+func (u *Latencies) view() (paces []*wire.PaceView) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, route := range slices.Sorted(maps.Keys(u.paces)) {
