HEAD keeps the upstream's length; five more events of the table are rows

Cause: an answer to HEAD was read as one of no bytes, so the client was told a length of 0, and one without a length counted as lost.

--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -8,13 +8,14 @@
 	"github.com/pkg/errors"
 )
 
+// answer is an upstream's answer: its head, and its body as far as it has been read.
 type answer struct {
 	status int
 	header http.Header
 	body   []byte
-	rest   io.Reader
-	size   int64
-	end    func(whole bool)
+	rest   io.Reader        // what is still on the connection; nil if all has been read
+	size   int64            // of the whole body in bytes, also where HEAD leaves it out; -1 if unknown
+	end    func(whole bool) // runs once the rest has been read, or given up
 }
 
 func (a *answer) drop() {
@@ -30,11 +31,16 @@
 
 // take reads an answer: whole up to held bytes, the rest stays on the connection.
 func take(r *reply, held int64, end func(whole bool)) (*answer, error) {
+	a := &answer{status: r.StatusCode, header: passing(r.Header), size: r.ContentLength}
+	delete(a.header, "Content-Length")
+	if r.Request.Method == http.MethodHead {
+		r.whole()
+		end(true)
+		return a, nil
+	}
 	if !framed(r.Response) {
 		return nil, errUnframed
 	}
-	a := &answer{status: r.StatusCode, header: passing(r.Header), size: r.ContentLength}
-	delete(a.header, "Content-Length")
 	room := held
 	if a.size >= 0 && a.size <= held {
 		room = a.size + 1
--- a/internal/dataplane/requests_client_test.go
+++ b/internal/dataplane/requests_client_test.go
@@ -197,6 +197,70 @@
 			Expect(g.body).To(Equal(bodyOf("row", "second")))
 			Expect(g.closes).To(BeTrue())
 		})
+		ginkgo.It("HEAD: the answer's head with the upstream's length, no body, and the connection stays, "+kind, func() {
+			p.first.on("row", func(t *turn) bool {
+				t.run()
+				t.write(t.head(http.StatusOK, t.id, len(t.body()), sealLine()))
+				return true
+			})
+			c := p.client()
+			_, _ = io.WriteString(c.conn, strings.Replace(requestText("row", kind, nil), http.MethodGet, http.MethodHead, 1))
+			response, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodHead})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(response.Header.Get(Plain.Seal)).To(Equal(sealText))
+			Expect(response.ContentLength).To(BeEquivalentTo(len(bodyOf("row", "first"))))
+			Expect(c.ask("after", kind, nil).body).To(Equal(bodyOf("after", "first")))
+			Expect(ran("row")).To(Equal(1))
+		})
+		ginkgo.It("trailers after a body in chunks: the upstream gets the body whole, and the next request is its own, "+kind, func() {
+			text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: books.example\r\n%s: row\r\n%s: 3000\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n", kind, Plain.Attempt, Plain.Left)
+			c := p.client()
+			_, _ = io.WriteString(c.conn, text+"3\r\nabc\r\n0\r\nX-Sum: 6\r\n\r\n")
+			Expect(c.receive().status).To(Equal(http.StatusOK))
+			Expect(p.first.headers["row"].Get("Content-Length")).To(Equal("3"))
+			Expect(c.ask("after", kind, nil).body).To(Equal(bodyOf("after", "first")))
+		})
+		ginkgo.It("a client that reads slowly: it gets the whole answer, "+kind, func() {
+			p.first.on("row", func(t *turn) bool {
+				t.run()
+				t.write(t.head(http.StatusOK, t.id, streamedBody, sealLine()) + strings.Repeat("x", streamedBody))
+				return true
+			})
+			c := p.client()
+			c.send("row", kind, nil)
+			time.Sleep(routeCutoff / 2)
+			g := c.receive()
+			Expect(g.err).NotTo(HaveOccurred())
+			Expect(g.body).To(HaveLen(streamedBody))
+		})
+		ginkgo.It("a reset by the client while its answer is written: its place is free again, and nothing else is asked, "+kind, func() {
+			p.first.on("row", func(t *turn) bool {
+				t.run()
+				t.write(t.head(http.StatusOK, t.id, 4*streamedBody, sealLine()) + strings.Repeat("x", 4*streamedBody))
+				return true
+			})
+			c := p.client()
+			c.send("row", kind, nil)
+			_, err := c.in.Peek(1)
+			Expect(err).NotTo(HaveOccurred())
+			_ = c.conn.SetLinger(0)
+			_ = c.conn.Close()
+			_, queue, _ := p.near.instance.Now()
+			Eventually(func() int { return queue.Load().Flying }, routeCutoff).Should(BeZero())
+			Expect(p.client().ask("after", kind, nil).body).To(Equal(bodyOf("after", "first")))
+			Expect(ran("row")).To(Equal(1))
+		})
+		ginkgo.It("an upstream killed and back on the same address between two requests: the next runs once, on a new connection, "+kind, func() {
+			c := p.client()
+			Expect(c.ask("before", kind, nil).body).To(Equal(bodyOf("before", "first")))
+			p.first.close()
+			p.first = newStandIn("first", p.first.address, false)
+			g := c.ask("row", kind, nil)
+			Expect(g.status).To(Equal(http.StatusOK))
+			Expect(g.body).To(Equal(bodyOf("row", "first")))
+			Expect(ran("row")).To(Equal(1))
+		})
 		ginkgo.It("a kill while its request runs: the connection closes with no answer, and it ran once, "+kind, func() {
 			began := make(chan struct{})
 			p.first.on("row", func(t *turn) bool {
