Further calls are known as soon as chance can't explain the missing callers

Cause: after all nodes are killed and back, each learns anew which routes only the upstreams of another service call, and took 80 calls a node for it, 3 to 4 s at 23 calls a second.

Now it takes as many calls as make it improbable (1 in 2,000) that a service with its share of the zone's nodes would have made none: two dozen for two services of one size, 80 for one node in eleven.

--- a/internal/dataplane/callers.go
+++ b/internal/dataplane/callers.go
@@ -1,13 +1,19 @@
 package dataplane
 
 import (
-	"slices"
+	"math"
 	"sync"
 )
 
 const (
-	enoughCalls = 80
-	callsFade   = 4000
+	// unlikely is the chance below which it is no accident that a service has made none of a route's calls.
+	unlikely = 0.0005
+	// fewestCalls are counted of a route before anything is concluded: just after a start not all nodes are known.
+	fewestCalls = 24
+	// callsFade is the number of calls after which the counts of a route begin anew.
+	callsFade = 4000
+	// renewedCalls is what a route's count begins anew with.
+	renewedCalls = 80
 )
 
 type callers struct {
@@ -24,25 +30,49 @@
 // NewCallers knows nothing yet.
 func NewCallers() *Callers { return &Callers{routes: map[string]*callers{}} }
 
-// Further counts a call and tells whether its route goes uncalled by one of the services.
-func (c *Callers) Further(route, caller string, services []string) bool {
+// Further counts a call and tells whether its route goes uncalled by one of the services. nodes tells how many nodes of
+// each service there are in this zone: clients call from all of them alike.
+func (c *Callers) Further(route, caller string, nodes map[string]int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := c.routes[route]
 	if at == nil || at.seen > callsFade {
-		old := at
-		at = &callers{from: map[string]int{}}
-		if old != nil {
-			at.seen = enoughCalls
-			for name, count := range old.from {
-				if count > 1 {
-					at.from[name] = 1
-				}
-			}
-		}
+		at = at.renewed()
 		c.routes[route] = at
 	}
 	at.seen++
 	at.from[caller]++
-	return at.seen > enoughCalls && slices.ContainsFunc(services, func(service string) bool { return at.from[service] == 0 })
+	all := 0
+	for _, count := range nodes {
+		all += count
+	}
+	for service, count := range nodes {
+		if at.from[service] == 0 && at.seen > enoughCalls(float64(count)/float64(all)) {
+			return true
+		}
+	}
+	return false
+}
+
+// renewed begins the counts anew, with a trace of each service that has called before.
+func (at *callers) renewed() *callers {
+	next := &callers{from: map[string]int{}}
+	if at == nil {
+		return next
+	}
+	next.seen = renewedCalls
+	for name, count := range at.from {
+		if count > 1 {
+			next.from[name] = 1
+		}
+	}
+	return next
+}
+
+// enoughCalls is the number of calls among which a service with that share of the nodes would surely have made one.
+func enoughCalls(share float64) int {
+	if share >= 1 {
+		return fewestCalls
+	}
+	return max(fewestCalls, int(math.Ceil(math.Log(unlikely)/math.Log1p(-share))))
 }
--- a/internal/dataplane/peer_table.go
+++ b/internal/dataplane/peer_table.go
@@ -53,7 +53,7 @@
 	index   map[string][]string
 	size    int
 	sized   time.Duration
-	beside  []string
+	beside  map[string]int // nodes of each service in this zone; replaced, never changed once it has been handed out
 	counted time.Duration
 }
 
@@ -168,16 +168,16 @@
 	return max(r.size, 1)
 }
 
-// Services lists the services that have a node in a zone.
-func (r *PeerTable) Services(zone string) []string {
+// Services counts the nodes of each service in a zone. The map must not be changed.
+func (r *PeerTable) Services(zone string) map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
 	if r.beside == nil || now-r.counted > sizeEvery {
-		r.beside, r.counted = []string{}, now
+		r.beside, r.counted = map[string]int{}, now
 		for _, at := range r.places {
-			if at.post.GetZone() == zone && at.post.Service != "" && !slices.Contains(r.beside, at.post.Service) {
-				r.beside = append(r.beside, at.post.Service)
+			if at.post.GetZone() == zone && at.post.Service != "" {
+				r.beside[at.post.Service]++
 			}
 		}
 	}
