--- a/deploy/daygen/variant.go
+++ b/deploy/daygen/variant.go
@@ -82,32 +82,40 @@
 			return err
 		}
 	}
-	if v.Tolerate > 0 {
-		if err := setField(site, "tolerate", "machines", int64(v.Tolerate)); err != nil {
+	for _, each := range v.fields() {
+		if err := setField(site, each.table, each.name, each.value); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// siteField is a field of one of the site file's tables, with its new value.
+type siteField struct {
+	table string
+	name  string
+	value any
+}
+
+// fields lists what the variant changes in the site file's tables.
+func (v Variant) fields() []siteField {
+	var changed []siteField
+	if v.Tolerate > 0 {
+		changed = append(changed, siteField{"tolerate", "machines", int64(v.Tolerate)})
+	}
 	if v.CrossZoneMs > 0 {
-		if err := setField(site, "net", "cross_zone_ms", v.CrossZoneMs); err != nil {
-			return err
-		}
+		changed = append(changed, siteField{"net", "cross_zone_ms", v.CrossZoneMs})
 	}
 	if v.LagMs > 0 {
-		if err := setField(site, "discovery", "lag_ms", v.LagMs); err != nil {
-			return err
-		}
+		changed = append(changed, siteField{"discovery", "lag_ms", v.LagMs})
 	}
 	if v.BeatMs > 0 {
-		if err := setField(site, "discovery", "beat_ms", v.BeatMs); err != nil {
-			return err
-		}
+		changed = append(changed, siteField{"discovery", "beat_ms", v.BeatMs})
 	}
 	for name, value := range v.Bounds {
-		if err := setField(site, "bounds", name, value); err != nil {
-			return err
-		}
+		changed = append(changed, siteField{"bounds", name, value})
 	}
-	return nil
+	return changed
 }
 
 // setField replaces a field that exists, so that a misspelt name isn't passed over.
--- a/fleet/open/rules.go
+++ b/fleet/open/rules.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -234,16 +233,26 @@
 			continue
 		}
 		b.judged()
-		arrivals, half := b.runs[id], b.spells[at].From+graceBound/2
-		broke := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return a.Broke || a.Ran && a.At < half && a.Ended > half+lossSlack })
-		working := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return a.Ran && a.Gone })
-		switch {
-		case broke || told.At >= ask.Until-20*time.Millisecond:
-		case told.Broken != "" && told.Read && (len(arrivals) > 0 || told.At > ask.At+lossSlack):
-			b.found("%s at %s broke off after %s: %s (%d arrivals)", id, ask.Node, told.At-ask.At, told.Broken, len(arrivals))
-		case told.Broken == "" && !told.Sealed && told.Status >= 500 && working:
-			b.found("%s at %s was told %d %s while an upstream worked on it", id, ask.Node, told.Status, told.Kind)
+		b.lostAround(b.spells[at], ask, told)
+	}
+}
+
+// lostAround judges a request that met planned work at its node.
+func (b *book) lostAround(stop *judge.Spell, ask *Ask, told *Told) {
+	arrivals, half := b.runs[ask.ID], stop.From+graceBound/2
+	broke := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return a.Broke || a.Ran && a.At < half && a.Ended > half+lossSlack })
+	if broke || told.At >= ask.Until-20*time.Millisecond {
+		return
+	}
+	if told.Broken != "" {
+		if told.Read && (len(arrivals) > 0 || told.At > ask.At+lossSlack) {
+			b.found("%s at %s broke off after %s: %s (%d arrivals)", ask.ID, ask.Node, told.At-ask.At, told.Broken, len(arrivals))
 		}
+		return
+	}
+	working := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return a.Ran && a.Gone })
+	if !told.Sealed && told.Status >= 500 && working {
+		b.found("%s at %s was told %d %s while an upstream worked on it", ask.ID, ask.Node, told.Status, told.Kind)
 	}
 }
 
@@ -271,16 +280,8 @@
 			continue
 		}
 		charts := b.standing(ask.At, told.At)
-		for _, each := range b.runs[ask.ID] {
-			if !each.Ran {
-				continue
-			}
-			b.judged()
-			if !slices.ContainsFunc(charts, func(sent *Sent) bool { return b.allows(sent, ask, each.Service) }) {
-				b.found("%s %s%s, asked at %s of %s, ran at %s, which only older or refused charts allow", ask.ID, ask.Host, ask.Target, ask.At, ask.Node, each.Berth)
-			}
-		}
-		if told.Status == http.StatusNotFound && !told.Sealed {
+		b.judgeRuns(ask, charts)
+		if told.noRoute() {
 			b.judged()
 			if !slices.ContainsFunc(charts, func(sent *Sent) bool { return !b.knows(sent, ask) }) {
 				b.found("%s %s%s, asked at %s of %s, had no route", ask.ID, ask.Host, ask.Target, ask.At, ask.Node)
@@ -289,6 +290,22 @@
 	}
 }
 
+// judgeRuns looks whether one of the charts allows each run of a request.
+func (b *book) judgeRuns(ask *Ask, charts []*Sent) {
+	for _, each := range b.runs[ask.ID] {
+		if !each.Ran {
+			continue
+		}
+		b.judged()
+		if !slices.ContainsFunc(charts, func(sent *Sent) bool { return b.allows(sent, ask, each.Service) }) {
+			b.found("%s %s%s, asked at %s of %s, ran at %s, which only older or refused charts allow", ask.ID, ask.Host, ask.Target, ask.At, ask.Node, each.Berth)
+		}
+	}
+}
+
+// noRoute tells whether a node answered by itself that no route fits.
+func (t *Told) noRoute() bool { return t.Status == http.StatusNotFound && !t.Sealed }
+
 func (b *book) span(fits func(*Sent) bool) (low, high uint64) {
 	for _, each := range b.sent {
 		if fits(each) {
@@ -308,6 +325,14 @@
 }
 
 func back(b *book) {
+	lives := b.effects()
+	for _, life := range sorted(lives) {
+		b.neverBack(life, lives[life])
+	}
+}
+
+// effects lists, by life of a node, what upstreams and visitors saw of the charts in force there.
+func (b *book) effects() map[string][]effect {
 	lives := map[string][]effect{}
 	for _, ask := range b.asks {
 		life := fmt.Sprint(ask.Node, " ", ask.Life)
@@ -317,25 +342,27 @@
 				lives[life] = append(lives[life], effect{ask.At, each.At, low, high, ask.ID})
 			}
 		}
-		if told := b.told[ask.ID]; told != nil && told.Status == http.StatusNotFound && !told.Sealed {
+		if told := b.told[ask.ID]; told != nil && told.noRoute() {
 			if low, high := b.span(func(sent *Sent) bool { return !b.knows(sent, ask) }); low > 0 {
 				lives[life] = append(lives[life], effect{ask.At, told.At, low, high, ask.ID})
 			}
 		}
 	}
-	for _, life := range sorted(lives) {
-		effects := lives[life]
-		slices.SortFunc(effects, func(a, b effect) int { return cmp.Compare(a.seen, b.seen) })
-		newest := make([]uint64, len(effects)+1)
-		for i, each := range effects {
-			newest[i+1] = max(newest[i], each.low)
-		}
-		for _, each := range effects {
-			seen, _ := slices.BinarySearchFunc(effects, each.asked-revertSlack, func(e effect, at time.Duration) int { return cmp.Compare(e.seen, at) })
-			b.judged()
-			if each.high < newest[seen] {
-				b.found("%s in %s was handled by %d at most, after %d had been seen", each.id, life, each.high, newest[seen])
-			}
+	return lives
+}
+
+// neverBack looks whether each effect in a life fits the newest chart seen there before its request was sent.
+func (b *book) neverBack(life string, effects []effect) {
+	slices.SortFunc(effects, func(a, b effect) int { return cmp.Compare(a.seen, b.seen) })
+	newest := make([]uint64, len(effects)+1)
+	for i, each := range effects {
+		newest[i+1] = max(newest[i], each.low)
+	}
+	for _, each := range effects {
+		seen, _ := slices.BinarySearchFunc(effects, each.asked-revertSlack, func(e effect, at time.Duration) int { return cmp.Compare(e.seen, at) })
+		b.judged()
+		if each.high < newest[seen] {
+			b.found("%s in %s was handled by %d at most, after %d had been seen", each.id, life, each.high, newest[seen])
 		}
 	}
 }
@@ -391,6 +418,17 @@
 }
 
 func budget(b *book) {
+	comings, asked := b.comings(), b.askedOf()
+	worst, most := -1e9, 0.0
+	for _, service := range sorted(comings) {
+		over, share := b.repeatsOf(service, comings[service], asked[service])
+		worst, most = max(worst, over), max(most, share)
+	}
+	b.verdict.Remark = fmt.Sprintf("(most above the ratio: %.1f, largest share %.2f)", worst, most)
+}
+
+// comings lists the arrivals at each service, and which of them are repeats.
+func (b *book) comings() map[string][]coming {
 	comings := map[string][]coming{}
 	seen := map[string]bool{}
 	for _, each := range b.arrivals {
@@ -401,52 +439,76 @@
 		comings[each.Service] = append(comings[each.Service], coming{each.At, seen[each.ID] || ask.Repeats})
 		seen[each.ID] = true
 	}
+	return comings
+}
+
+// askedOf lists when requests were sent for each service.
+func (b *book) askedOf() map[string][]time.Duration {
 	asked := map[string][]time.Duration{}
 	for _, ask := range b.asks {
-		named := map[string]bool{}
-		for _, sent := range b.sent {
-			if route, known := b.tables[sent].Find(ask.Host, path(ask.Target)); known {
-				for _, service := range sent.Chart.Services {
-					named[service.Name] = named[service.Name] || route.Names(service.Name)
-				}
-			}
+		for service := range b.named(ask) {
+			asked[service] = append(asked[service], ask.At)
+		}
+	}
+	return asked
+}
+
+// named gives the services to which any chart lets a request go.
+func (b *book) named(ask *Ask) map[string]bool {
+	named := map[string]bool{}
+	for _, sent := range b.sent {
+		route, known := b.tables[sent].Find(ask.Host, path(ask.Target))
+		if !known {
+			continue
 		}
-		for service := range maps.Keys(named) {
-			if named[service] {
-				asked[service] = append(asked[service], ask.At)
+		for _, service := range sent.Chart.Services {
+			if route.Names(service.Name) {
+				named[service.Name] = true
 			}
 		}
 	}
-	worst, most := -1e9, 0.0
-	for _, service := range sorted(comings) {
-		each := comings[service]
-		start, again := 0, 0
-		for _, last := range each {
-			if last.again {
-				again++
-				b.judged()
-			}
-			for last.at-each[start].at > repeatWindow {
-				if each[start].again {
-					again--
-				}
-				start++
-			}
-			from := last.at - repeatWindow
-			requests := within(asked[service], from, last.at+1)
-			requests = max(requests, within(asked[service], from-repeatWindow, from), within(asked[service], from-repeatWindow/2, last.at-repeatWindow/2))
-			over := float64(again) - repeatRatio*float64(requests)
-			worst = max(worst, over)
-			if requests > 50 {
-				most = max(most, float64(again)/float64(requests))
-			}
-			if over > repeatSlack {
-				b.found("%s: %d repeats of %d requests at %s", service, again, requests, last.at)
-				break
+	return named
+}
+
+// repeatsOf judges the repeats within each window that ends with an arrival. It gives the most above the ratio, and the
+// largest share of repeats where there were enough requests to tell.
+func (b *book) repeatsOf(service string, comings []coming, asked []time.Duration) (worst, most float64) {
+	worst = -1e9
+	start, again := 0, 0
+	for _, last := range comings {
+		if last.again {
+			again++
+			b.judged()
+		}
+		for last.at-comings[start].at > repeatWindow {
+			if comings[start].again {
+				again--
 			}
+			start++
+		}
+		requests := requestsFor(asked, last.at)
+		over := float64(again) - repeatRatio*float64(requests)
+		worst = max(worst, over)
+		if requests > 50 {
+			most = max(most, float64(again)/float64(requests))
+		}
+		if over > repeatSlack {
+			b.found("%s: %d repeats of %d requests at %s", service, again, requests, last.at)
+			break
 		}
 	}
-	b.verdict.Remark = fmt.Sprintf("(most above the ratio: %.1f, largest share %.2f)", worst, most)
+	return worst, most
+}
+
+// requestsFor counts the requests in the window that ends at a moment, in the one before it, or in the one half a window
+// before it, whichever holds the most.
+func requestsFor(asked []time.Duration, at time.Duration) int {
+	from := at - repeatWindow
+	return max(
+		within(asked, from, at+1),
+		within(asked, from-repeatWindow, from),
+		within(asked, from-repeatWindow/2, at-repeatWindow/2),
+	)
 }
 
 func denied(b *book) {
--- a/fleet/open/talk.go
+++ b/fleet/open/talk.go
@@ -52,6 +52,15 @@
 	return nil
 }
 
+// sayLater says something after a while, if the connection is still there.
+func (t *talk) sayLater(after time.Duration, bytes []byte) {
+	time.AfterFunc(after, func() {
+		if t.gone.Err() == nil {
+			_ = t.say(bytes)
+		}
+	})
+}
+
 func (t *talk) reset() {
 	if conn, ok := t.conn.(interface{ Reset() }); ok {
 		conn.Reset()
--- a/fleet/open/tally.go
+++ b/fleet/open/tally.go
@@ -31,33 +31,45 @@
 		if job.At < from || till > 0 && job.At >= till || fits != nil && !fits(job) {
 			continue
 		}
-		t.Jobs++
-		t.Tries += job.Tries
-		if job.Early > 0 && job.Early <= job.Aim/4 {
-			t.Early++
-		}
-		if job.Served {
-			t.Served++
-			if job.Ended-job.At <= job.Aim {
-				t.InAim++
-			} else if job.Early > 0 && job.Early <= job.Aim/4 && job.Fresh <= job.Aim {
-				t.Retold++
-			}
-			continue
-		}
-		told := h.told[fmt.Sprintf("%s-%d", job.ID, job.Tries-1)]
+		t.add(job, h.told[fmt.Sprintf("%s-%d", job.ID, job.Tries-1)])
+	}
+	return t
+}
+
+// add counts a job; told is what its last try was told.
+func (t *Tally) add(job *Job, told *Told) {
+	t.Jobs++
+	t.Tries += job.Tries
+	early := job.Early > 0 && job.Early <= job.Aim/4
+	if early {
+		t.Early++
+	}
+	switch {
+	case !job.Served:
 		if promised(told) {
 			t.Refused++
 		}
-		why := told.Broken
-		if why == "" {
-			why = fmt.Sprint(told.Status, " ", told.Kind)
-		} else if told.Status != 0 {
-			why = fmt.Sprint(told.Status, " ", why)
-		}
-		t.How[why]++
+		t.How[told.why()]++
+	case job.Ended-job.At <= job.Aim:
+		t.Served++
+		t.InAim++
+	case early && job.Fresh <= job.Aim:
+		t.Served++
+		t.Retold++
+	default:
+		t.Served++
 	}
-	return t
+}
+
+// why names how a try ended that wasn't served.
+func (t *Told) why() string {
+	switch {
+	case t.Broken == "":
+		return fmt.Sprint(t.Status, " ", t.Kind)
+	case t.Status != 0:
+		return fmt.Sprint(t.Status, " ", t.Broken)
+	}
+	return t.Broken
 }
 
 // Share returns the fraction of jobs that were served, from 0 to 1.
--- a/fleet/open/upstream.go
+++ b/fleet/open/upstream.go
@@ -370,53 +370,59 @@
 	if chunks && status == http.StatusOK {
 		whole = chunked(header, answer)
 	}
-	later := func(bytes []byte) bool {
-		if t.say(whole) != nil {
-			return false
-		}
-		time.AfterFunc(trouble.Late, func() {
-			if t.gone.Err() == nil {
-				_ = t.say(bytes)
-			}
-		})
-		return true
+	if u.breaks(t, trouble.Fault, text(status, header, answer), whole, answer) {
+		return false
+	}
+	if t.say(spoilt(t, trouble.Fault, whole, text(status, tagged, answer), text(http.StatusInternalServerError, tagged, nil))) != nil {
+		return false
 	}
 	switch trouble.Fault {
+	case LateTwin:
+		t.sayLater(trouble.Late, whole)
+	case LateTrail:
+		t.sayLater(trouble.Late, []byte(junkBytes))
+	}
+	return true
+}
+
+// breaks ends the connection without a whole answer, if the fault asks for it. plain is the answer in one piece with its
+// length, whole as it would be sent.
+func (u *Upstream) breaks(t *talk, fault Fault, plain, whole, body []byte) (broke bool) {
+	switch fault {
 	case Silent:
 		base.Await(u.scope.Under(t.gone), stuckFor)
-		return false
 	case Reset:
 		t.reset()
-		return false
 	case Torn:
-		_ = t.say(whole[:len(whole)-6-len(answer)/2])
-		return false
+		_ = t.say(whole[:len(whole)-6-len(body)/2])
 	case Garbled:
 		_ = t.say([]byte(junkBytes))
-		return false
-	case Unsealed:
-		return t.say(text(status, tagged, answer)) == nil
 	case Endless:
-		head, _, _ := bytes.Cut(text(status, header, answer), []byte("Content-Length"))
-		_ = t.say(append(append(head, "Connection: close\r\n\r\n"...), answer[:len(answer)/2]...))
+		head, _, _ := bytes.Cut(plain, []byte("Content-Length"))
+		_ = t.say(append(append(head, "Connection: close\r\n\r\n"...), body[:len(body)/2]...))
+	case Hangup:
+		_ = t.conn.Close()
+	default:
 		return false
+	}
+	return true
+}
+
+// spoilt gives what is sent in place of a whole answer, and keeps what is to come with the next one.
+func spoilt(t *talk, fault Fault, whole, unsealed, failing []byte) []byte {
+	switch fault {
+	case Unsealed:
+		return unsealed
 	case Twin:
-		return t.say(append(whole, whole...)) == nil
+		return append(whole, whole...)
 	case Trail:
-		return t.say(append(whole, junkBytes...)) == nil
+		return append(whole, junkBytes...)
 	case Crossed:
-		return t.say(append([]byte(trailBytes), whole...)) == nil
-	case LateTwin:
-		return later(whole)
-	case LateTrail:
-		return later([]byte(junkBytes))
+		return append([]byte(trailBytes), whole...)
 	case Stale:
 		t.owed = whole
-	case Hangup:
-		_ = t.conn.Close()
-		return false
 	case Failing:
-		return t.say(text(http.StatusInternalServerError, tagged, nil)) == nil
+		return failing
 	}
-	return t.say(whole) == nil
+	return whole
 }
--- a/fleet/open/visitors.go
+++ b/fleet/open/visitors.go
@@ -1,6 +1,7 @@
 package open
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"net/http"
@@ -149,12 +150,8 @@
 		body = nil
 	}
 	path := fmt.Sprintf("%s%d?of=%x", plan.Path, random.Below(50), random.Uint64()&0xffff)
-	within := plan.Within
-	if within == 0 {
-		within = 2 * time.Second
-	}
 	job := &Job{ID: fmt.Sprintf("v%d", n), Node: m.Name, At: h.Now()}
-	until := job.At + within
+	until := job.At + cmp.Or(plan.Within, 2*time.Second)
 	chunked, fresh := random.Float64() < chunkedShare, random.Float64() < freshShare
 	pause := firstPause
 	for {
@@ -163,15 +160,8 @@
 		job.Route, job.Aim = ask.Route, ask.Aim
 		job.Tries++
 		told := m.visitors.ask(ask, body, chunked && len(body) > 0, fresh || job.Tries > 1, "Curlew-Caller: nobody", "X-Kept: "+job.ID)
-		job.Status, job.Ended = told.Status, h.Now()
-		if told.Broken == "" && told.Status == http.StatusOK && told.Mixed == "" {
-			job.Served, job.Fresh = true, job.Ended-ask.At
-			break
-		}
-		if job.Tries == 1 && promised(told) {
-			job.Early = job.Ended - job.At
-		}
-		if job.Tries >= mostTries || m.retired.Load() || !again(ask.Repeat, told) {
+		job.hear(ask, told, h.Now())
+		if job.Served || job.Tries >= mostTries || m.retired.Load() || !again(ask.Repeat, told) {
 			break
 		}
 		wait := pause
@@ -191,6 +181,18 @@
 	return job
 }
 
+// hear notes what a try was told.
+func (j *Job) hear(ask *Ask, told *Told, now time.Duration) {
+	j.Status, j.Ended = told.Status, now
+	if told.Broken == "" && told.Status == http.StatusOK && told.Mixed == "" {
+		j.Served, j.Fresh = true, now-ask.At
+		return
+	}
+	if j.Tries == 1 && promised(told) {
+		j.Early = now - j.At
+	}
+}
+
 func promised(told *Told) bool {
 	switch told.Status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
