A stop of a listed fleet's node closes no idle connection

Cause: Vane.Stop switched keep-alives off, which closes connections that the server holds for idle, and a request that is just being read still counts as idle; Drain did the same at the end.

Now answers of a node that stops carry Connection: close, and what idles is closed once nothing has been in flight for 60 ms (Door.Quit).

--- a/fleet/ways_test.go
+++ b/fleet/ways_test.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -178,7 +182,48 @@
 	})
 })
 
+// holdOn sends a hold on a connection that is open already and reads its answer.
+func holdOn(conn net.Conn, in *bufio.Reader, id string) (*http.Response, error) {
+	request, err := http.NewRequest(hold.Method, "http://lending.example"+hold.Path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(standin.IDHeader, id)
+	if err := request.Write(conn); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(in, request)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
 var _ = ginkgo.Describe("stops", func() {
+	story("given a kept connection that is idle when a stop begins, when a request comes on it, then it is answered, and told to go elsewhere", []uint64{1, 2}, func(f *Fleet) {
+		raised(f)
+		m := f.Vanes[0]
+		s := f.scope("asker", m.IP, m.Disk, m.Clock, m.Journal)
+		conn, err := s.Net.Dial(s, "tcp", m.At(visitorsPort))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		in := bufio.NewReader(conn)
+		before, err := holdOn(conn, in, "before")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(before.Close).To(BeFalse())
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			f.Stop(m)
+		}()
+		f.Pass(20 * time.Millisecond)
+		during, err := holdOn(conn, in, "during")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(during.Close).To(BeTrue())
+		<-stopped
+	})
+
 	story("given every machine rolled with long answers in flight, when each stops, then it carries what fits in its grace and drops none", []uint64{1, 2, 3}, func(f *Fleet) {
 		f.Habits = append([]standin.Habit{{Prefix: "/catalogue/report", Base: 1500, Swing: 1000, Size: 200000}}, habits...)
 		raised(f)
--- a/flow/vane.go
+++ b/flow/vane.go
@@ -12,14 +12,9 @@
 	"curlewreach/proto/wire"
 )
 
-const (
-	// stopRatio, of the grace, is the time to stop in; the rest is for the
-	// process to end.
-	stopRatio = 0.95
-	// visitorsDoors is the index, in the order they open, of the first server
-	// that takes requests.
-	visitorsDoors = 2
-)
+// stopRatio, of the grace, is the time to stop in; the rest is for the process
+// to end.
+const stopRatio = 0.95
 
 type opening struct {
 	address string
@@ -50,8 +45,8 @@
 	for _, each := range []opening{
 		{params.Mates, v.Node.Mates()},
 		{params.Ops, v.Node.Ops()},
-		{params.Upstreams, v.Node.Upstreams()},
-		{params.Visitors, v.Node.Visitors()},
+		{params.Upstreams, v.closingWhileStopping(v.Node.Upstreams())},
+		{params.Visitors, v.closingWhileStopping(v.Node.Visitors())},
 	} {
 		door, err := base.Open(s, each.address, each.handler)
 		if err != nil {
@@ -86,19 +81,27 @@
 	return nil
 }
 
+// closingWhileStopping tells clients of a node that stops to go elsewhere after
+// each answer. Their idle connections stay open: closing one races with a
+// request that is just being read from it.
+func (v *Vane) closingWhileStopping(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.Node.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Stop lets requests in flight end and ends the process's parts within the
 // grace.
 func (v *Vane) Stop() {
 	grace := time.Duration(float64(v.params.Bounds.Grace.AsDuration()) * stopRatio)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	for _, door := range v.doors[visitorsDoors:] {
-		door.Wind()
-	}
 	v.Node.Stop(ctx, grace)
-	for _, door := range v.doors {
-		door.Drain(ctx)
-	}
+	s := v.Node.scope.Under(ctx)
+	base.All(v.doors, func(door *base.Door) { door.Quit(s) })
 	v.Kill()
 }
 
