--- a/fleet/open/replace_test.go
+++ b/fleet/open/replace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -30,6 +31,7 @@
 		f.PowerLoss(old)
 	}
 	f.Keels[place] = next
+	f.seeds = slices.Clone(f.seeds) // processes that run keep the list that they were started with
 	f.seeds[place] = next.At(inwardPort)
 	Expect(f.Until(converged, next.Keel.Ready)).To(BeTrue(), f.Story)
 	end()
