--- a/review/_harness/fleet.go
+++ b/review/_harness/fleet.go
@@ -31,6 +31,7 @@
 const (
 	contact     = 3000 * time.Millisecond
 	drain       = 2000 * time.Millisecond
+	grace       = 6000 * time.Millisecond
 	sampleEvery = 1500 * time.Millisecond
 	coreMB      = 280
 	sidecarMB   = 284
@@ -320,6 +321,25 @@
 	}
 }
 
+// terminate sends the process SIGTERM, and SIGKILL after GraceS. The platform starts it again.
+func (m *machine) terminate() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	process := m.process
+	if process == nil {
+		return
+	}
+	m.killed = true
+	_ = process.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.process == process {
+			_ = process.Kill()
+		}
+	})
+}
+
 // startedAt returns when the current process was started.
 func (m *machine) startedAt() time.Time {
 	m.mu.Lock()
--- a/review/_harness/upstream.go
+++ b/review/_harness/upstream.go
@@ -31,26 +31,39 @@
 	state    string // steady or decaying; empty: it sends no beats
 	runs     []run
 	slots    chan struct{}
+	listener net.Listener
 	server   *http.Server
 	client   *http.Client
 	done     chan struct{}
 }
 
-// startUpstream listens at the machine's App address and begins to send beats.
+// startUpstream starts a sound upstream at the machine's App address.
 func startUpstream(rec *record, beside *machine, id, target string, capacity int, work time.Duration) (*upstream, error) {
-	u := &upstream{
-		record: rec, beside: beside, id: id, target: target, capacity: capacity, work: work, state: "steady",
-		slots: make(chan struct{}, capacity), done: make(chan struct{}),
-		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	u, err := newUpstream(rec, beside, id, target, capacity, work)
+	if err == nil {
+		u.serve(u)
 	}
+	return u, err
+}
+
+// newUpstream listens at the machine's App address.
+func newUpstream(rec *record, beside *machine, id, target string, capacity int, work time.Duration) (*upstream, error) {
 	listener, err := net.Listen("tcp", beside.at(portApp))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
-	u.server = &http.Server{Handler: u}
-	go func() { _ = u.server.Serve(listener) }()
+	return &upstream{
+		record: rec, beside: beside, id: id, target: target, capacity: capacity, work: work, state: "steady",
+		slots: make(chan struct{}, capacity), done: make(chan struct{}), listener: listener,
+		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}, nil
+}
+
+// serve begins to answer requests with the handler and to send beats.
+func (u *upstream) serve(handler http.Handler) {
+	u.server = &http.Server{Handler: handler}
+	go func() { _ = u.server.Serve(smallWindows{u.listener}) }()
 	go u.sendBeats()
-	return u, nil
 }
 
 func (u *upstream) sendBeats() {
