An acknowledged departure outlives the process that acknowledged it

Cause: LocalInstance.departed was the only memory of the acknowledgement. It ended with the process (and after a minute, or, for a leaving instance, after four silent heartbeat intervals), so the next process took any first heartbeat for that of a live instance. The Sequence can't help: a new process knows no earlier one.

Change: a node answers 200 to a departure only once a majority of the control machines' disks holds it, in a replicated register of its own ("departures"). A node that has just started holds back the first heartbeat of an instance until a majority read that began after its start has told it which instances beside it have departed. The old process acknowledged only what a majority had, and had ended before the new one asked, so nothing acknowledged can be missing. Instance IDs are never reused, so a new instance at the same address is believed at once.

Specs of the request path have no controller, so their nodes are told that nothing has departed.

--- a/internal/controlplane/confirm.go
+++ b/internal/controlplane/confirm.go
@@ -15,33 +15,33 @@
 // started after its arrival from earlier ones.
 type readSequence uint64
 
-// sharedReads shares majority reads of the configuration among concurrent requests. Which read may serve which
-// request follows from their sequence numbers alone, so neither a stalled process nor a clock step can make a read
-// look newer than it is.
-type sharedReads struct {
+// sharedReads shares majority reads of one register among concurrent requests. Which read may serve which request
+// follows from their sequence numbers alone, so neither a stalled process nor a clock step can make a read look newer
+// than it is.
+type sharedReads[Result any] struct {
 	lock    base.ContextMutex
 	started atomic.Uint64
-	last    readResult // guarded by lock
+	last    Result // guarded by lock
 }
 
-// readResult is the outcome of one majority read; version is nil unless confirmed.
+// readResult is the outcome of one majority read of the configuration; version is nil unless confirmed.
 type readResult struct {
 	version   *configurationVersion
 	confirmed bool
 }
 
-func newSharedReads() *sharedReads {
-	return &sharedReads{lock: base.NewContextMutex()}
+func newSharedReads[Result any]() *sharedReads[Result] {
+	return &sharedReads[Result]{lock: base.NewContextMutex()}
 }
 
 // sequence returns the number of majority reads started so far.
-func (r *sharedReads) sequence() readSequence { return readSequence(r.started.Load()) }
+func (r *sharedReads[Result]) sequence() readSequence { return readSequence(r.started.Load()) }
 
 // readAfter returns the result of a read that started after the arrival of the request. It starts one unless
-// another request has done so since. It returns an unconfirmed result if the scope ends first.
-func (r *sharedReads) readAfter(s base.Scope, arrival readSequence, read func() readResult) readResult {
+// another request has done so since. It returns the zero result if the scope ends first.
+func (r *sharedReads[Result]) readAfter(s base.Scope, arrival readSequence, read func() Result) (result Result) {
 	if !r.lock.Lock(s) {
-		return readResult{}
+		return result
 	}
 	defer r.lock.Unlock()
 	if readSequence(r.started.Load()) == arrival {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -25,6 +25,8 @@
 	// LearningKey names the replicated register that holds the sampling odds of tracing and what they were learned
 	// from.
 	LearningKey = "learning"
+	// DeparturesKey names the replicated register that holds the newest acknowledged departures of instances.
+	DeparturesKey = "departures"
 
 	// Ratios of the bounds in the settings. Ack bounds the time until a proposal is acknowledged, InForce the time
 	// until a committed configuration is in force at the nodes, and Grace the time that a stop may take.
@@ -64,7 +66,8 @@
 	stopping      atomic.Bool
 	startedAt     time.Duration
 	recent        recentConfigurations // to compute changes for nodes from
-	reads         *sharedReads
+	reads         *sharedReads[readResult]
+	departures    *sharedReads[departuresRead]
 }
 
 // Start opens the servers for peers and for operators and returns; the data folder is opened and the peers are
@@ -76,7 +79,7 @@
 		return nil, err
 	}
 	s, cancel := s.WithCancel()
-	m := &Server{scope: s, address: p.Peers, incarnation: s.Rand.Hex(8), client: httpserver.NewClient(s), cancel: cancel, registry: newRegistry(s.Clock), reads: newSharedReads()}
+	m := &Server{scope: s, address: p.Peers, incarnation: s.Rand.Hex(8), client: httpserver.NewClient(s), cancel: cancel, registry: newRegistry(s.Clock), reads: newSharedReads[readResult](), departures: newSharedReads[departuresRead]()}
 	m.startedAt = s.Clock.Mono()
 	m.params.Store(p)
 	m.configuration.Store(newConfigurationVersion(nil, nil))
@@ -229,7 +232,7 @@
 		if err := c.replica.Leave(handOverScope); err != nil {
 			m.scope.Log.Warn("not replaced before the stop", "error", err)
 		}
-		c.replica.TransferOwnership(handOverScope, ConfigurationKey, LearningKey)
+		c.replica.TransferOwnership(handOverScope, ConfigurationKey, LearningKey, DeparturesKey)
 		cancel()
 	}
 	m.stopping.Store(true)
--- a/internal/controlplane/views.go
+++ b/internal/controlplane/views.go
@@ -84,7 +84,7 @@
 	for _, each := range replicaView.Learners {
 		view.Learners = append(view.Learners, &wire.ControllerLearner{Address: each.Replica.Address, CaughtUp: each.CaughtUp})
 	}
-	for _, key := range []string{ConfigurationKey, LearningKey} {
+	for _, key := range []string{ConfigurationKey, LearningKey, DeparturesKey} {
 		if version := c.replica.Chosen(key); version != nil {
 			owner, term := c.replica.Owner(key)
 			view.Keys = append(view.Keys, &wire.KeyState{Key: key, Owner: owner, Epoch: term.GetNumber(), Serial: version.Serial, Copies: uint32(c.replica.Copies(key))})
--- a/internal/dataplane/controlclient/client.go
+++ b/internal/dataplane/controlclient/client.go
@@ -1,5 +1,6 @@
 // Package controlclient implements a node's side of the control plane: it selects the controllers to poll,
-// learns of new configurations within the in-force bound and reports the node's status.
+// learns of new configurations within the in-force bound, reports the node's status and has departures of
+// instances recorded.
 package controlclient
 
 import (
@@ -28,6 +29,8 @@
 	Contact time.Duration
 	// Seeds are the addresses of the controllers to try first.
 	Seeds []string
+	// NodeAddress is the address at which the node serves other nodes. Departures are recorded under it.
+	NodeAddress string
 }
 
 // Hooks connects a client to its node. The functions are called from several goroutines.
@@ -39,6 +42,9 @@
 	ApplyObservations func(address string, full bool, observations []*wire.Observation)
 	// RemoveController receives the address of a controller that is no longer polled.
 	RemoveController func(address string)
+	// ApplyDepartures receives the instances beside this node that are recorded as leaving or gone. Once they are
+	// confirmed, they include all that any earlier process of the node has acknowledged.
+	ApplyDepartures func(instances []string, confirmed bool)
 	// Sampling receives the sampling probabilities that controllers distribute.
 	Sampling *tracing.Sampler
 }
@@ -89,6 +95,7 @@
 	c.tasks.Go(func() { c.maintainPolls(s) })
 	c.tasks.Go(func() { c.serveUnconfirmed(s) })
 	c.tasks.Go(func() { c.runRefreshes(s) })
+	c.tasks.Go(func() { c.learnDepartures(s) })
 	c.tasks.Wait()
 }
 
--- a/internal/dataplane/controlclient/freshness.go
+++ b/internal/dataplane/controlclient/freshness.go
@@ -8,7 +8,6 @@
 
 	"curlewreach/base"
 	"curlewreach/proto/wire"
-	"curlewreach/proto/wire/wireconnect"
 )
 
 // These constants govern refreshes: requests beyond the polls, sent when the polls have not brought a newer
@@ -247,7 +246,7 @@
 	request, current := c.newPollRequest(fetch)
 	request.ConfigOnly, request.Confirm = true, !c.Confirmed()
 	sentAt := s.Clock.Mono()
-	response, err := wireconnect.NewMoorClient(c.refreshHTTP, "http://"+address).Hail(ctx, connect.NewRequest(request))
+	response, err := c.controller(address).Hail(ctx, connect.NewRequest(request))
 	if err != nil {
 		return false
 	}
--- a/internal/dataplane/controlclient/suite_test.go
+++ b/internal/dataplane/controlclient/suite_test.go
@@ -54,6 +54,7 @@
 	httpClient := httpserver.NewClientWithDialTimeout(scope, DialTimeout(contact))
 	n := &testNode{Client: New(scope, Settings{InForce: inForce, Contact: contact, Seeds: seeds}, httpClient, Hooks{
 		Status: status, ApplyObservations: func(string, bool, []*wire.Observation) {}, RemoveController: func(string) {}, Sampling: tracing.NewSampler(scope.Rand),
+		ApplyDepartures: func([]string, bool) {},
 	})}
 	n.sink = tracing.NewExporter(scope, httpClient, n.Responsive, 512)
 	var tasks base.Group
--- a/internal/dataplane/local_instance.go
+++ b/internal/dataplane/local_instance.go
@@ -25,7 +25,8 @@
 	mu                sync.Mutex
 	instance          *wire.Instance
 	lastHeartbeat     time.Duration
-	departed          map[string]time.Duration // when instances left, by ID
+	departures        *departures
+	pending           *wire.Instance // the newest heartbeat that waits until the departures are complete
 	queue             *admission.Queue
 	revision          uint64
 	changed           base.Broadcast
@@ -34,44 +35,100 @@
 // NewLocalInstance returns a LocalInstance without an instance. heartbeat is the interval at which an instance
 // sends heartbeats; it is dropped after maxMissedHeartbeats intervals of silence.
 func NewLocalInstance(clock base.Clock, heartbeat time.Duration) *LocalInstance {
-	return &LocalInstance{clock: clock, heartbeatInterval: heartbeat, departed: map[string]time.Duration{}, queue: admission.NewQueue(clock, 1, initialServiceTime)}
+	return &LocalInstance{clock: clock, heartbeatInterval: heartbeat, departures: newDepartures(), queue: admission.NewQueue(clock, 1, initialServiceTime)}
 }
 
-// Heartbeat records what the upstream reports about itself. Heartbeats that are out of sequence or come from an
-// instance that has left are ignored. A heartbeat with a new ID replaces the previous instance, which then counts as
-// left. A leaving instance stays leaving.
+// Heartbeat records what the upstream reports about itself. Heartbeats that are out of sequence are ignored, and so
+// are those of a departed instance that is not the current one: they are late. Until the departures are complete,
+// the heartbeat of an instance that this process has not heard before is held back. A heartbeat with a new ID replaces
+// the previous instance, which then counts as departed. A leaving instance stays leaving.
 func (l *LocalInstance) Heartbeat(instance *wire.Instance) *base.Fault {
 	if instance.GetId() == "" || instance.Service == "" || instance.Address == "" {
 		return base.NewFault(base.Malformed, "id", "an upstream tells its id, service and address")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, left := l.departed[instance.Id]; left {
-		return nil
-	}
-	previous := l.instance
-	if previous != nil && previous.Id == instance.Id && instance.Sequence < previous.Sequence {
-		return nil
+	l.apply(proto.Clone(instance).(*wire.Instance))
+	return nil
+}
+
+// apply applies a heartbeat. l.mu must be held.
+func (l *LocalInstance) apply(instance *wire.Instance) {
+	isCurrent, departed := l.instance.GetId() == instance.Id, l.departures.has(instance.Id)
+	switch {
+	case isCurrent && instance.Sequence < l.instance.Sequence:
+		return
+	case !isCurrent && departed:
+		return
+	case !isCurrent && !instance.Leaving && !l.departures.complete:
+		if l.pending.GetId() != instance.Id || l.pending.Sequence <= instance.Sequence {
+			l.pending = instance
+		}
+		return
 	}
-	if previous != nil && previous.Id != instance.Id {
-		l.departed[previous.Id] = l.clock.Mono()
+	if l.instance != nil && !isCurrent {
+		l.departures.add(l.instance.Id, false)
 	}
-	instance = proto.Clone(instance).(*wire.Instance)
-	if previous != nil && previous.Id == instance.Id && previous.Leaving {
-		instance.Leaving = true
+	if instance.Leaving {
+		l.departures.add(instance.Id, false)
 	}
-	l.lastHeartbeat = l.clock.Mono()
-	isNew := previous == nil || previous.Id != instance.Id
+	instance.Leaving = instance.Leaving || departed
+	l.setCurrent(instance)
+}
+
+// setCurrent stores the newest heartbeat of the current instance. l.mu must be held.
+func (l *LocalInstance) setCurrent(instance *wire.Instance) {
+	previous := l.instance
+	l.instance, l.lastHeartbeat = instance, l.clock.Mono()
+	isNew := previous.GetId() != instance.Id
 	if isNew {
 		l.queue = admission.NewQueue(l.clock, int(instance.Capacity), initialServiceTime)
 	} else if previous.Capacity != instance.Capacity {
 		l.queue.Resize(int(instance.Capacity))
 	}
-	l.instance = instance
 	if isNew || previous.Leaving != instance.Leaving || previous.Capacity != instance.Capacity || previous.Address != instance.Address || previous.Service != instance.Service {
 		l.notifyChanged()
 	}
-	return nil
+}
+
+// ApplyDepartures records departures that the control plane has recorded. If complete is set, they include all that
+// earlier processes of the node have acknowledged, and the heartbeat that was held back for them is applied.
+func (l *LocalInstance) ApplyDepartures(ids []string, complete bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		l.departures.add(id, true)
+		l.stopRequests(id)
+	}
+	l.departures.complete = l.departures.complete || complete
+	if pending := l.pending; pending != nil && l.departures.complete {
+		l.pending = nil
+		l.apply(pending)
+	}
+}
+
+// stopRequests marks the current instance as leaving if it has the given ID. l.mu must be held.
+func (l *LocalInstance) stopRequests(id string) {
+	if l.instance.GetId() != id || l.instance.Leaving {
+		return
+	}
+	l.instance = proto.Clone(l.instance).(*wire.Instance)
+	l.instance.Leaving = true
+	l.notifyChanged()
+}
+
+// IsRecorded reports whether the control plane has recorded the departure of an instance.
+func (l *LocalInstance) IsRecorded(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.departures.isRecorded(id)
+}
+
+// MarkRecorded notes that the control plane has recorded the departure of an instance.
+func (l *LocalInstance) MarkRecorded(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.departures.add(id, true)
 }
 
 // notifyChanged increments the revision and wakes watchers. l.mu must be held.
@@ -85,7 +142,10 @@
 func (l *LocalInstance) Leave(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.departed[id] = l.clock.Mono()
+	l.departures.add(id, false)
+	if l.pending.GetId() == id {
+		l.pending = nil
+	}
 	if l.instance.GetId() == id {
 		l.instance = nil
 		l.notifyChanged()
@@ -100,21 +160,14 @@
 	return l.instance, l.queue, l.revision
 }
 
-// Sweep drops an instance that has been silent for maxMissedHeartbeats intervals, and forgets instances that left more
-// than a minute ago.
+// Sweep drops an instance that has been silent for maxMissedHeartbeats intervals.
 func (l *LocalInstance) Sweep() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock.Mono()
-	if l.instance != nil && now-l.lastHeartbeat > maxMissedHeartbeats*l.heartbeatInterval {
+	if l.instance != nil && l.clock.Mono()-l.lastHeartbeat > maxMissedHeartbeats*l.heartbeatInterval {
 		l.instance = nil
 		l.notifyChanged()
 	}
-	for id, leftAt := range l.departed {
-		if now-leftAt > time.Minute {
-			delete(l.departed, id)
-		}
-	}
 }
 
 // SinceHeartbeat returns the time since the last heartbeat, 0 if there is no instance.
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -183,8 +183,9 @@
 	n.peers.LocalLoad = n.loadReport
 	n.fences = fencing.New(s, fencing.Settings{Incarnation: n.incarnation, InForce: inForce, MemoryMb: p.MemoryMb, RequestIDHeader: n.headers.RequestID}, n.countOutcome)
 	n.retryBudget = retry.NewBudget(s.Clock, p.RepeatRatio, p.RepeatSlack, p.RepeatWindow.AsDuration(), n.peers.Size)
-	n.controlClient = controlclient.New(s, controlclient.Settings{InForce: inForce, Contact: contact, Seeds: p.Seeds}, n.httpClient, controlclient.Hooks{
+	n.controlClient = controlclient.New(s, controlclient.Settings{InForce: inForce, Contact: contact, Seeds: p.Seeds, NodeAddress: p.Inward}, n.httpClient, controlclient.Hooks{
 		Status: n.nodeStatus, ApplyObservations: n.peers.ApplyObservations, RemoveController: n.peers.RemoveController, Sampling: n.sampler,
+		ApplyDepartures: n.instance.ApplyDepartures,
 	})
 	n.exporter = tracing.NewExporter(s, n.httpClient, n.controlClient.Responsive, maxPendingSpans)
 	n.callTracker = callgraph.NewTracker(s, p.Name, n.sampler, n.exporter.Enqueue)
@@ -294,17 +295,38 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Heartbeat records a heartbeat of the local upstream. It returns a fault if a required field is missing.
+// Heartbeat records a heartbeat of the local upstream. It returns a fault if a required field is missing, or if the
+// upstream says that it is leaving and the control plane has not recorded that yet.
 func (n *Node) Heartbeat(instance *wire.Instance) *base.Fault {
 	fault := n.instance.Heartbeat(instance)
 	n.peers.SetOwnStatus(n.nodeStatus())
-	return fault
+	if fault != nil || !instance.Leaving {
+		return fault
+	}
+	return n.recordDeparture(instance.Id)
 }
 
-// Leave records that the local upstream instance with the given ID has left.
+// Leave records that the local upstream instance with the given ID has left. It returns a fault if the control plane
+// has not recorded that yet.
 func (n *Node) Leave(id string) *base.Fault {
 	n.instance.Leave(id)
 	n.peers.SetOwnStatus(n.nodeStatus())
+	return n.recordDeparture(id)
+}
+
+// recordDeparture has the control plane record a departure, unless it has done so already. The instance gets no new
+// requests from the moment on at which the node has heard of it; the record keeps that so after this process.
+func (n *Node) recordDeparture(id string) *base.Fault {
+	if n.instance.IsRecorded(id) {
+		return nil
+	}
+	startedAt := n.scope.Clock.Mono()
+	if fault := n.controlClient.RecordDeparture(n.scope, id); fault != nil {
+		n.scope.Log.Warn("departure not acknowledged", "instance", id, "reason", fault.Reason)
+		return fault
+	}
+	n.instance.MarkRecorded(id)
+	n.scope.Log.Info("departure recorded", "instance", id, "took", n.scope.Clock.Mono()-startedAt)
 	return nil
 }
 
--- a/internal/dataplane/path_bench_test.go
+++ b/internal/dataplane/path_bench_test.go
@@ -257,6 +257,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(n.Kill)
+	n.instance.ApplyDepartures(nil, true) // no controller runs that could confirm it
 	n.controlClient.Adopt(benchConfiguration(1000, 560), true)
 	return n
 }
--- a/internal/dataplane/stub_server_test.go
+++ b/internal/dataplane/stub_server_test.go
@@ -288,6 +288,7 @@
 	n, err := Start(scope, params, forwarding.DefaultHeaderNames, func(*Node) http.Handler { return http.NotFoundHandler() })
 	Expect(err).NotTo(HaveOccurred())
 	f.cleanups = append(f.cleanups, n.Kill, cancel)
+	n.instance.ApplyDepartures(nil, true) // no controller runs that could confirm it
 	return n
 }
 
--- a/internal/dataplane/suite_test.go
+++ b/internal/dataplane/suite_test.go
@@ -51,6 +51,7 @@
 	}
 	n, err := Start(s.Scope(ip), p, forwarding.DefaultHeaderNames, func(*Node) http.Handler { return http.NotFoundHandler() })
 	Expect(err).NotTo(HaveOccurred())
+	n.instance.ApplyDepartures(nil, true) // no controller runs that could confirm it
 	s.Cleanup(n.Kill)
 	return n
 }
--- a/internal/testing/openfleet/upstream.go
+++ b/internal/testing/openfleet/upstream.go
@@ -64,6 +64,7 @@
 	mu                    sync.Mutex
 	faults                []FaultRate
 	leaving               bool
+	silent                bool
 	sequence              uint64
 	waiting               int
 	conns                 int
@@ -99,10 +100,7 @@
 		}
 	})
 	if !u.NoHeartbeats {
-		u.tasks.Go(func() {
-			u.sendHeartbeat(s)
-			base.Tick(s, heartbeatInterval, func(s base.Scope) { u.sendHeartbeat(s) })
-		})
+		u.tasks.Go(func() { u.sendHeartbeats(s) })
 	}
 	return nil
 }
@@ -140,12 +138,35 @@
 	return &wire.Instance{Id: u.ID, Service: u.Service, Address: u.Address, Zone: u.Zone, Capacity: uint32(u.Capacity + u.ExtraReportedCapacity), Leaving: u.leaving, Sequence: u.sequence}
 }
 
+// sendHeartbeats sends heartbeats until the scope ends, except while the instance is silent.
+func (u *Upstream) sendHeartbeats(s base.Scope) {
+	u.sendHeartbeat(s)
+	base.Tick(s, heartbeatInterval, func(s base.Scope) {
+		if !u.isSilent() {
+			u.sendHeartbeat(s)
+		}
+	})
+}
+
 // sendHeartbeat sends one heartbeat to the node and reports whether the node accepted it.
-func (u *Upstream) sendHeartbeat(s base.Scope) bool {
-	body, _ := json.Marshal(u.NextHeartbeat())
+func (u *Upstream) sendHeartbeat(s base.Scope) bool { return u.deliver(s, u.NextHeartbeat()) }
+
+// deliver sends a heartbeat, which may be an old one, and reports whether the node accepted it.
+func (u *Upstream) deliver(s base.Scope, heartbeat *wire.Instance) bool {
+	body, _ := json.Marshal(heartbeat)
 	return u.callNode(s, http.MethodPut, body)
 }
 
+// DeliverLate delivers a heartbeat that NextHeartbeat returned some time ago.
+func (u *Upstream) DeliverLate(heartbeat *wire.Instance) bool { return u.deliver(u.scope, heartbeat) }
+
+// isSilent reports whether the instance has stopped its heartbeats.
+func (u *Upstream) isSilent() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.silent
+}
+
 // callNode calls the node's control endpoint for this instance and reports whether the response is a success.
 func (u *Upstream) callNode(s base.Scope, method string, body []byte) bool {
 	request, err := http.NewRequestWithContext(s, method, "http://"+u.machine.Address(controlPort)+"/berths/"+u.ID, bytes.NewReader(body))
@@ -170,20 +191,35 @@
 	u.shutDown(false)
 }
 
-// AnnounceLeaving reports to the node that the instance is leaving, up to 50 times at 100 ms intervals, and records
-// when the node acknowledges it.
-func (u *Upstream) AnnounceLeaving() {
+// AnnounceLeaving reports to the node that the instance is leaving, until the node acknowledges it, and records when
+// that was. It reports whether the node acknowledged it.
+func (u *Upstream) AnnounceLeaving() bool {
 	u.mu.Lock()
 	u.leaving = true
 	u.mu.Unlock()
+	return u.announce(func() bool { return u.sendHeartbeat(u.scope) })
+}
+
+// AnnounceGone ends the heartbeats and reports to the node that the instance is gone, without having said that it is
+// leaving, until the node acknowledges it. The instance serves on.
+func (u *Upstream) AnnounceGone() bool {
+	u.mu.Lock()
+	u.silent = true
+	u.mu.Unlock()
+	return u.announce(func() bool { return u.callNode(u.scope, http.MethodDelete, nil) })
+}
+
+// announce makes a call up to 50 times at 100 ms intervals until it is acknowledged, and records when that was.
+func (u *Upstream) announce(call func() bool) (acknowledged bool) {
 	for range 50 {
-		if u.sendHeartbeat(u.scope) {
+		if call() {
 			h := u.fleet.History
 			appendRecord(h, &h.departures, Departure{u.ID, h.Now()})
-			return
+			return true
 		}
 		base.Await(u.scope, 100*time.Millisecond)
 	}
+	return false
 }
 
 // Kill ends the instance at once and closes its connections, without draining and without a last heartbeat.
--- a/proto/wire/wireconnect/moor.connect.go
+++ b/proto/wire/wireconnect/moor.connect.go
@@ -39,6 +39,10 @@
 	MoorProposeProcedure = "/curlewreach.Moor/Propose"
 	// MoorKeelsProcedure is the fully-qualified name of the Moor's Keels RPC.
 	MoorKeelsProcedure = "/curlewreach.Moor/Keels"
+	// MoorRecordDepartureProcedure is the fully-qualified name of the Moor's RecordDeparture RPC.
+	MoorRecordDepartureProcedure = "/curlewreach.Moor/RecordDeparture"
+	// MoorListDeparturesProcedure is the fully-qualified name of the Moor's ListDepartures RPC.
+	MoorListDeparturesProcedure = "/curlewreach.Moor/ListDepartures"
 )
 
 // MoorClient is a client for the curlewreach.Moor service.
@@ -49,6 +53,11 @@
 	Propose(context.Context, *connect.Request[wire.ConfigurationProposal]) (*connect.Response[wire.ConfigurationOutcome], error)
 	// Keels returns the voters.
 	Keels(context.Context, *connect.Request[wire.ControllersRequest]) (*connect.Response[wire.ControllersReply], error)
+	// RecordDeparture replies once a majority of disks holds the departure, or forwards it to the owner of the
+	// departures' register.
+	RecordDeparture(context.Context, *connect.Request[wire.RecordDepartureRequest]) (*connect.Response[wire.RecordDepartureReply], error)
+	// ListDepartures lists the departures recorded for one node.
+	ListDepartures(context.Context, *connect.Request[wire.ListDeparturesRequest]) (*connect.Response[wire.ListDeparturesReply], error)
 }
 
 // NewMoorClient constructs a client for the curlewreach.Moor service. By default, it uses the
@@ -80,14 +89,28 @@
 			connect.WithSchema(moorMethods.ByName("Keels")),
 			connect.WithClientOptions(opts...),
 		),
+		recordDeparture: connect.NewClient[wire.RecordDepartureRequest, wire.RecordDepartureReply](
+			httpClient,
+			baseURL+MoorRecordDepartureProcedure,
+			connect.WithSchema(moorMethods.ByName("RecordDeparture")),
+			connect.WithClientOptions(opts...),
+		),
+		listDepartures: connect.NewClient[wire.ListDeparturesRequest, wire.ListDeparturesReply](
+			httpClient,
+			baseURL+MoorListDeparturesProcedure,
+			connect.WithSchema(moorMethods.ByName("ListDepartures")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // moorClient implements MoorClient.
 type moorClient struct {
-	hail    *connect.Client[wire.PollRequest, wire.PollReply]
-	propose *connect.Client[wire.ConfigurationProposal, wire.ConfigurationOutcome]
-	keels   *connect.Client[wire.ControllersRequest, wire.ControllersReply]
+	hail            *connect.Client[wire.PollRequest, wire.PollReply]
+	propose         *connect.Client[wire.ConfigurationProposal, wire.ConfigurationOutcome]
+	keels           *connect.Client[wire.ControllersRequest, wire.ControllersReply]
+	recordDeparture *connect.Client[wire.RecordDepartureRequest, wire.RecordDepartureReply]
+	listDepartures  *connect.Client[wire.ListDeparturesRequest, wire.ListDeparturesReply]
 }
 
 // Hail calls curlewreach.Moor.Hail.
@@ -105,6 +128,16 @@
 	return c.keels.CallUnary(ctx, req)
 }
 
+// RecordDeparture calls curlewreach.Moor.RecordDeparture.
+func (c *moorClient) RecordDeparture(ctx context.Context, req *connect.Request[wire.RecordDepartureRequest]) (*connect.Response[wire.RecordDepartureReply], error) {
+	return c.recordDeparture.CallUnary(ctx, req)
+}
+
+// ListDepartures calls curlewreach.Moor.ListDepartures.
+func (c *moorClient) ListDepartures(ctx context.Context, req *connect.Request[wire.ListDeparturesRequest]) (*connect.Response[wire.ListDeparturesReply], error) {
+	return c.listDepartures.CallUnary(ctx, req)
+}
+
 // MoorHandler is an implementation of the curlewreach.Moor service.
 type MoorHandler interface {
 	// Hail is the long poll of the nodes. It replies at once if there is something new.
@@ -113,6 +146,11 @@
 	Propose(context.Context, *connect.Request[wire.ConfigurationProposal]) (*connect.Response[wire.ConfigurationOutcome], error)
 	// Keels returns the voters.
 	Keels(context.Context, *connect.Request[wire.ControllersRequest]) (*connect.Response[wire.ControllersReply], error)
+	// RecordDeparture replies once a majority of disks holds the departure, or forwards it to the owner of the
+	// departures' register.
+	RecordDeparture(context.Context, *connect.Request[wire.RecordDepartureRequest]) (*connect.Response[wire.RecordDepartureReply], error)
+	// ListDepartures lists the departures recorded for one node.
+	ListDepartures(context.Context, *connect.Request[wire.ListDeparturesRequest]) (*connect.Response[wire.ListDeparturesReply], error)
 }
 
 // NewMoorHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -140,6 +178,18 @@
 		connect.WithSchema(moorMethods.ByName("Keels")),
 		connect.WithHandlerOptions(opts...),
 	)
+	moorRecordDepartureHandler := connect.NewUnaryHandler(
+		MoorRecordDepartureProcedure,
+		svc.RecordDeparture,
+		connect.WithSchema(moorMethods.ByName("RecordDeparture")),
+		connect.WithHandlerOptions(opts...),
+	)
+	moorListDeparturesHandler := connect.NewUnaryHandler(
+		MoorListDeparturesProcedure,
+		svc.ListDepartures,
+		connect.WithSchema(moorMethods.ByName("ListDepartures")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/curlewreach.Moor/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MoorHailProcedure:
@@ -148,6 +198,10 @@
 			moorProposeHandler.ServeHTTP(w, r)
 		case MoorKeelsProcedure:
 			moorKeelsHandler.ServeHTTP(w, r)
+		case MoorRecordDepartureProcedure:
+			moorRecordDepartureHandler.ServeHTTP(w, r)
+		case MoorListDeparturesProcedure:
+			moorListDeparturesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -168,3 +222,11 @@
 func (UnimplementedMoorHandler) Keels(context.Context, *connect.Request[wire.ControllersRequest]) (*connect.Response[wire.ControllersReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Moor.Keels is not implemented"))
 }
+
+func (UnimplementedMoorHandler) RecordDeparture(context.Context, *connect.Request[wire.RecordDepartureRequest]) (*connect.Response[wire.RecordDepartureReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Moor.RecordDeparture is not implemented"))
+}
+
+func (UnimplementedMoorHandler) ListDepartures(context.Context, *connect.Request[wire.ListDeparturesRequest]) (*connect.Response[wire.ListDeparturesReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("curlewreach.Moor.ListDepartures is not implemented"))
+}
