--- a/internal/testing/openfleet/connection_reset_test.go
+++ b/internal/testing/openfleet/connection_reset_test.go
@@ -53,7 +53,7 @@
 		startAll(f)
 		f.StartLoad(80)
 		f.Sleep(time.Second)
-		f.resetConnections(150*time.Millisecond, 40)
+		f.resetConnections(150*time.Millisecond, 160) // with some 900 jobs the share is stable; with 200 it depends on a few
 		f.StopLoad()
 		f.expectFewIndeterminate(0.02)
 		checkHistory(f, RuleAtMostOnce, RuleResponseIntegrity)
