A late heartbeat of an ended instance no longer locks out the live one

Callers saw (as read from the code, shown by the unit cases): a node restarts, its instance B is believed, then a heartbeat of A, which ended before that restart, arrives late. The node took A for the newcomer, counted B as gone and ignored B's heartbeats for a minute.

Cause: related to the departures: which of two instances came first was also known to the ended process alone.

Change: an instance that was replaced, not departed, takes its place back when its heartbeats go on and the other's don't (1.5 heartbeat intervals of silence, at once if the other was found to be gone). Which controller is asked first follows from the node's address, without drawing random numbers.

--- a/internal/dataplane/controlclient/departures.go
+++ b/internal/dataplane/controlclient/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/crc32"
 	"time"
 
 	"connectrpc.com/connect"
@@ -37,13 +38,13 @@
 	unsupported map[string]bool
 }
 
-// departureTargets returns the controllers to ask about departures: first those that have replied recently, from a
-// random one on, then the others.
+// departureTargets returns the controllers to ask about departures: first those that have replied recently, from one
+// on that depends on the node, so that nodes spread over them, then the others.
 func (c *Client) departureTargets() *departureTargets {
 	responsive, others := c.directory.responsive()
 	targets := &departureTargets{unsupported: map[string]bool{}}
 	if len(responsive) > 0 {
-		start := c.scope.Rand.IntN(len(responsive))
+		start := int(crc32.ChecksumIEEE([]byte(c.settings.NodeAddress)) % uint32(len(responsive)))
 		targets.addresses = append(targets.addresses, responsive[start:]...)
 		targets.addresses = append(targets.addresses, responsive[:start]...)
 	}
--- a/internal/dataplane/local_instance.go
+++ b/internal/dataplane/local_instance.go
@@ -16,6 +16,9 @@
 	maxMissedHeartbeats = 4
 	// initialServiceTime is how long a request is expected to hold a slot of a new instance, until some have been measured.
 	initialServiceTime = 150 * time.Millisecond
+	// takeBackIntervals is how many heartbeat intervals an instance must have been silent before the one that it
+	// replaced takes its place again: a live instance sends a heartbeat each interval.
+	takeBackIntervals = 1.5
 )
 
 // LocalInstance tracks the upstream instance beside this node from its heartbeats. It is safe for concurrent use.
@@ -25,8 +28,8 @@
 	mu                sync.Mutex
 	instance          *wire.Instance
 	lastHeartbeat     time.Duration
-	departures        *departures
-	pending           *wire.Instance // the newest heartbeat that waits until the departures are complete
+	past              *pastInstances
+	pending           *wire.Instance // the newest heartbeat that waits until the past instances are complete
 	queue             *admission.Queue
 	revision          uint64
 	changed           base.Broadcast
@@ -35,13 +38,12 @@
 // NewLocalInstance returns a LocalInstance without an instance. heartbeat is the interval at which an instance
 // sends heartbeats; it is dropped after maxMissedHeartbeats intervals of silence.
 func NewLocalInstance(clock base.Clock, heartbeat time.Duration) *LocalInstance {
-	return &LocalInstance{clock: clock, heartbeatInterval: heartbeat, departures: newDepartures(), queue: admission.NewQueue(clock, 1, initialServiceTime)}
+	return &LocalInstance{clock: clock, heartbeatInterval: heartbeat, past: newPastInstances(), queue: admission.NewQueue(clock, 1, initialServiceTime)}
 }
 
 // Heartbeat records what the upstream reports about itself. Heartbeats that are out of sequence are ignored, and so
 // are those of a departed instance that is not the current one: they are late. Until the departures are complete,
-// the heartbeat of an instance that this process has not heard before is held back. A heartbeat with a new ID replaces
-// the previous instance, which then counts as departed. A leaving instance stays leaving.
+// the heartbeat of an instance that this process has not heard before is held back. A leaving instance stays leaving.
 func (l *LocalInstance) Heartbeat(instance *wire.Instance) *base.Fault {
 	if instance.GetId() == "" || instance.Service == "" || instance.Address == "" {
 		return base.NewFault(base.Malformed, "id", "an upstream tells its id, service and address")
@@ -54,34 +56,55 @@
 
 // apply applies a heartbeat. l.mu must be held.
 func (l *LocalInstance) apply(instance *wire.Instance) {
-	isCurrent, departed := l.instance.GetId() == instance.Id, l.departures.has(instance.Id)
-	switch {
-	case isCurrent && instance.Sequence < l.instance.Sequence:
-		return
-	case !isCurrent && departed:
-		return
-	case !isCurrent && !instance.Leaving && !l.departures.complete:
-		if l.pending.GetId() != instance.Id || l.pending.Sequence <= instance.Sequence {
-			l.pending = instance
+	departed := l.past.departed(instance.Id)
+	if l.instance.GetId() == instance.Id {
+		if instance.Sequence < l.instance.Sequence {
+			return
 		}
+	} else if departed || !l.mayBecomeCurrent(instance) {
 		return
 	}
-	if l.instance != nil && !isCurrent {
-		l.departures.add(l.instance.Id, false)
-	}
 	if instance.Leaving {
-		l.departures.add(instance.Id, false)
+		l.past.depart(instance.Id, false)
 	}
 	instance.Leaving = instance.Leaving || departed
 	l.setCurrent(instance)
 }
 
+// mayBecomeCurrent reports whether an instance that has not departed takes the place of the current one. A leaving one
+// takes only a free place. A steady one waits until the past instances are complete; then one that this process hears
+// for the first time takes the place at once. If that was a late heartbeat of an instance that ended before this
+// process began, the instance that it replaced goes on with its heartbeats and takes its place back. l.mu must be held.
+func (l *LocalInstance) mayBecomeCurrent(instance *wire.Instance) bool {
+	if instance.Leaving {
+		if l.instance != nil {
+			l.past.depart(instance.Id, false)
+		}
+		return l.instance == nil
+	}
+	if !l.past.complete {
+		if l.pending.GetId() != instance.Id || l.pending.Sequence <= instance.Sequence {
+			l.pending = instance
+		}
+		return false
+	}
+	replacedAt, replaced := l.past.replacedAt(instance.Id)
+	if !replaced {
+		return true
+	}
+	silence := l.clock.Mono() - l.lastHeartbeat
+	return instance.Sequence > replacedAt && (l.instance == nil || silence > base.ScaleDuration(l.heartbeatInterval, takeBackIntervals))
+}
+
 // setCurrent stores the newest heartbeat of the current instance. l.mu must be held.
 func (l *LocalInstance) setCurrent(instance *wire.Instance) {
 	previous := l.instance
 	l.instance, l.lastHeartbeat = instance, l.clock.Mono()
 	isNew := previous.GetId() != instance.Id
 	if isNew {
+		if previous != nil {
+			l.past.replace(previous.Id, previous.Sequence)
+		}
 		l.queue = admission.NewQueue(l.clock, int(instance.Capacity), initialServiceTime)
 	} else if previous.Capacity != instance.Capacity {
 		l.queue.Resize(int(instance.Capacity))
@@ -97,11 +120,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, id := range ids {
-		l.departures.add(id, true)
+		l.past.depart(id, true)
 		l.stopRequests(id)
 	}
-	l.departures.complete = l.departures.complete || complete
-	if pending := l.pending; pending != nil && l.departures.complete {
+	l.past.complete = l.past.complete || complete
+	if pending := l.pending; pending != nil && l.past.complete {
 		l.pending = nil
 		l.apply(pending)
 	}
@@ -121,14 +144,14 @@
 func (l *LocalInstance) IsRecorded(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.departures.isRecorded(id)
+	return l.past.isRecorded(id)
 }
 
 // MarkRecorded notes that the control plane has recorded the departure of an instance.
 func (l *LocalInstance) MarkRecorded(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.departures.add(id, true)
+	l.past.depart(id, true)
 }
 
 // notifyChanged increments the revision and wakes watchers. l.mu must be held.
@@ -142,7 +165,7 @@
 func (l *LocalInstance) Leave(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.departures.add(id, false)
+	l.past.depart(id, false)
 	if l.pending.GetId() == id {
 		l.pending = nil
 	}
--- a/internal/dataplane/local_instance_test.go
+++ b/internal/dataplane/local_instance_test.go
@@ -68,6 +68,14 @@
 		{"also after a silence", []instanceStep{known, steady("a", 1), leaving("a", 2), pass(10 * testHeartbeatInterval), steady("a", 1)}, ""},
 		{"an instance that is gone stays gone, however long ago", []instanceStep{known, steady("a", 1), gone("a"), pass(time.Hour), steady("a", 2)}, ""},
 		{"a silent instance that has not departed comes back", []instanceStep{known, steady("a", 1), pass(10 * testHeartbeatInterval), steady("a", 2)}, "a"},
+		{"a new instance replaces one that crashed", []instanceStep{known, steady("a", 5), steady("b", 1)}, "b"},
+		{"whose late heartbeat does not count", []instanceStep{known, steady("a", 5), steady("b", 1), steady("a", 6)}, "b"},
+		{"a late heartbeat of an instance that ended before this process is taken for a new instance", []instanceStep{known, steady("b", 3), steady("a", 9)}, "a"},
+		{"but the live instance takes its place back", []instanceStep{known, steady("b", 3), steady("a", 9), pass(testHeartbeatInterval), steady("b", 4), pass(testHeartbeatInterval), steady("b", 5)}, "b"},
+		{"at once if the late one was found to be gone", []instanceStep{known, steady("b", 3), steady("a", 9), gone("a"), steady("b", 4)}, "b"},
+		{"and keeps it when a second heartbeat is late", []instanceStep{known, steady("b", 3), steady("a", 9), pass(2 * testHeartbeatInterval), steady("b", 5), steady("a", 10)}, "b"},
+		{"a late heartbeat of the live one does not take its place back", []instanceStep{known, steady("b", 3), steady("a", 9), pass(2 * testHeartbeatInterval), steady("b", 2)}, "a"},
+		{"a late heartbeat that says leaving does not displace the instance", []instanceStep{known, steady("b", 3), leaving("a", 9)}, "b"},
 		{"a departure that is recorded later stops the requests", []instanceStep{known, steady("a", 1), recorded(false, "a")}, ""},
 	} {
 		t.Run(each.name, func(t *testing.T) {
@@ -87,22 +95,22 @@
 	}
 }
 
-// A node remembers a bounded number of departures, the newest, and which of them are recorded.
-func TestDeparturesOfANodeAreBounded(t *testing.T) {
-	d := newDepartures()
-	for i := range 2 * maxDepartures {
-		d.add(string(rune('A'+i)), i%2 == 0)
+// A node remembers a bounded number of past instances, the newest, and which departures are recorded.
+func TestPastInstancesAreBounded(t *testing.T) {
+	past := newPastInstances()
+	for i := range 2 * maxPastInstances {
+		past.depart(string(rune('A'+i)), i%2 == 0)
 	}
-	if len(d.recorded) != maxDepartures || len(d.order) != maxDepartures {
-		t.Errorf("%d and %d departures are kept, want %d", len(d.recorded), len(d.order), maxDepartures)
+	if len(past.byID) != maxPastInstances || len(past.order) != maxPastInstances {
+		t.Errorf("%d and %d instances are kept, want %d", len(past.byID), len(past.order), maxPastInstances)
 	}
-	newest := string(rune('A' + 2*maxDepartures - 1))
-	if !d.has(newest) || d.isRecorded(newest) {
-		t.Error("the newest is known and not recorded")
+	newest := string(rune('A' + 2*maxPastInstances - 1))
+	if !past.departed(newest) || past.isRecorded(newest) {
+		t.Error("the newest has departed and is not recorded")
 	}
-	d.add(newest, true)
-	d.add(newest, false)
-	if !d.isRecorded(newest) {
+	past.depart(newest, true)
+	past.depart(newest, false)
+	if !past.isRecorded(newest) {
 		t.Error("a recorded departure stays recorded")
 	}
 }
--- a/internal/dataplane/past_instances.go
+++ b/internal/dataplane/past_instances.go
@@ -1,40 +1,75 @@
 package dataplane
 
-// maxDepartures is how many instances a node remembers as leaving or gone. One instance at a time is beside a node, so
-// the oldest can't be heard of again.
-const maxDepartures = 64
-
-// departures holds the instances beside a node that are leaving or gone, and which of them the control plane has
-// recorded. An acknowledgement of a departure is a promise of the fleet: it is given only for a recorded one, and a
-// node that has just started learns of those that earlier processes had recorded before it believes any heartbeat.
-type departures struct {
-	recorded map[string]bool // by instance ID
-	order    []string        // the oldest first
-	// complete is set once the departures of earlier processes of the node are known.
+// maxPastInstances is how many past instances a node remembers. One instance at a time is beside a node, so the oldest
+// can't be heard of again.
+const maxPastInstances = 64
+
+// pastInstance is what a node knows of an instance that is leaving, gone or replaced.
+type pastInstance struct {
+	// departed is set if the instance is leaving or gone; it gets no requests any more. Otherwise another instance
+	// has replaced it.
+	departed bool
+	// recorded is set if the control plane has recorded the departure.
+	recorded bool
+	// sequence is the number of the newest heartbeat of an instance that was replaced.
+	sequence uint64
+}
+
+// pastInstances holds the instances that were beside a node. An acknowledgement of a departure is a promise of the
+// fleet: it is given only for a recorded one, and a node that has just started learns of those that earlier processes
+// had recorded before it believes any heartbeat.
+type pastInstances struct {
+	byID  map[string]*pastInstance
+	order []string // IDs, the oldest first
+	// complete is set once the recorded departures of earlier processes of the node are known.
 	complete bool
 }
 
-func newDepartures() *departures { return &departures{recorded: map[string]bool{}} }
+func newPastInstances() *pastInstances { return &pastInstances{byID: map[string]*pastInstance{}} }
 
-// add remembers a departure. A recorded one stays recorded.
-func (d *departures) add(id string, recorded bool) {
-	wasRecorded, known := d.recorded[id]
-	d.recorded[id] = recorded || wasRecorded
-	if known {
-		return
+// entry returns the entry of an instance and adds one if there is none.
+func (p *pastInstances) entry(id string) *pastInstance {
+	entry := p.byID[id]
+	if entry != nil {
+		return entry
 	}
-	d.order = append(d.order, id)
-	if len(d.order) > maxDepartures {
-		delete(d.recorded, d.order[0])
-		d.order = d.order[1:]
+	entry = &pastInstance{}
+	p.byID[id] = entry
+	p.order = append(p.order, id)
+	if len(p.order) > maxPastInstances {
+		delete(p.byID, p.order[0])
+		p.order = p.order[1:]
 	}
+	return entry
+}
+
+// depart remembers that an instance is leaving or gone. A recorded departure stays recorded.
+func (p *pastInstances) depart(id string, recorded bool) {
+	entry := p.entry(id)
+	entry.departed, entry.recorded = true, entry.recorded || recorded
 }
 
-// has reports whether an instance is leaving or gone.
-func (d *departures) has(id string) bool {
-	_, known := d.recorded[id]
-	return known
+// replace remembers that another instance has taken the place of one whose newest heartbeat had the given number.
+func (p *pastInstances) replace(id string, sequence uint64) { p.entry(id).sequence = sequence }
+
+// departed reports whether an instance is leaving or gone.
+func (p *pastInstances) departed(id string) bool {
+	entry := p.byID[id]
+	return entry != nil && entry.departed
 }
 
 // isRecorded reports whether the control plane has recorded the departure of an instance.
-func (d *departures) isRecorded(id string) bool { return d.recorded[id] }
+func (p *pastInstances) isRecorded(id string) bool {
+	entry := p.byID[id]
+	return entry != nil && entry.recorded
+}
+
+// replacedAt returns the number of the newest heartbeat of an instance before it was replaced. known is false if the
+// instance was never beside this node.
+func (p *pastInstances) replacedAt(id string) (sequence uint64, known bool) {
+	entry := p.byID[id]
+	if entry == nil {
+		return 0, false
+	}
+	return entry.sequence, true
+}
