--- a/internal/controlplane/departures_test.go
+++ b/internal/controlplane/departures_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"curlewreach/internal/bytedelta"
 	"curlewreach/proto/wire"
 	"curlewreach/proto/wire/wireconnect"
 )
@@ -169,3 +170,18 @@
 		t.Errorf("a recorded departure changes the register again (%v)", err)
 	}
 }
+
+// BenchmarkAddDeparture records one more departure in a full register, and reports the register's size and the size of
+// what the other replicas are sent.
+func BenchmarkAddDeparture(b *testing.B) {
+	var full []byte
+	for i := range maxDepartures {
+		full, _ = addDeparture(full, &wire.Departure{Instance: fmt.Sprintf("i-%010x", i), NodeAddress: fmt.Sprintf("10.%d.%d.%d:8146", i%8, i/256, i%256)})
+	}
+	var next []byte
+	for i := 0; b.Loop(); i++ {
+		next, _ = addDeparture(full, &wire.Departure{Instance: fmt.Sprintf("j-%010x", i), NodeAddress: "10.1.2.3:8146"})
+	}
+	b.ReportMetric(float64(len(full)), "register-bytes")
+	b.ReportMetric(float64(len(bytedelta.Encode(full, next))), "delta-bytes")
+}
--- a/internal/dataplane/controlclient/departures.go
+++ b/internal/dataplane/controlclient/departures.go
@@ -140,6 +140,9 @@
 	switch {
 	case err == nil:
 		c.hooks.ApplyDepartures(reply.Msg.Instances, reply.Msg.Confirmed)
+		if reply.Msg.Confirmed {
+			c.scope.Log.Info("departures known", "instances", len(reply.Msg.Instances), "after", c.scope.Clock.Mono()-c.startedAt)
+		}
 		return reply.Msg.Confirmed
 	case targets.allUnsupported(address, err):
 		c.scope.Log.Warn("the controllers keep no departures")
--- a/internal/dataplane/local_instance.go
+++ b/internal/dataplane/local_instance.go
@@ -140,6 +140,13 @@
 	l.notifyChanged()
 }
 
+// DeparturesKnown reports whether the departures that earlier processes of the node have acknowledged are known.
+func (l *LocalInstance) DeparturesKnown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.past.complete
+}
+
 // IsRecorded reports whether the control plane has recorded the departure of an instance.
 func (l *LocalInstance) IsRecorded(id string) bool {
 	l.mu.Lock()
--- a/internal/dataplane/views.go
+++ b/internal/dataplane/views.go
@@ -77,6 +77,7 @@
 	gauge("curlew_config_age_seconds", "since the configuration in force was last known to be the newest", float64(view.ConfigAgeMs)/1000)
 	gauge("curlew_config_stale", "whether that is longer ago than the in-force bound", metrics.BoolValue(view.ConfigStale))
 	gauge("curlew_upstream", "whether an upstream is here", metrics.BoolValue(view.Instance != nil))
+	gauge("curlew_departures_known", "whether the departures acknowledged by earlier processes are known", metrics.BoolValue(n.instance.DeparturesKnown()))
 	gauge("curlew_inside", "requests of clients and peers in flight here", float64(view.Inside))
 	gauge("curlew_gate_flying", "requests at the upstream", float64(view.Gate.Flying))
 	gauge("curlew_gate_waiting", "requests that wait for their turn", float64(view.Gate.Waiting))
