--- a/internal/controlplane/propose_test.go
+++ b/internal/controlplane/propose_test.go
@@ -13,17 +13,21 @@
 	"curlewreach/proto/wire"
 )
 
+// agreeOn reports whether every running control machine reads, serves and has settled on the configuration with a
+// serial.
+func (f *fleet) agreeOn(serial uint64) bool {
+	for i, c := range f.controllers {
+		if c.server != nil && (f.newestSerial(i) != serial || c.server.configuration.Load().serial() != serial || !c.server.Settled()) {
+			return false
+		}
+	}
+	return true
+}
+
 // expectAgreement waits until every running control machine reads, serves and has settled on the configuration
 // with a serial.
 func (f *fleet) expectAgreement(serial uint64) {
-	Expect(f.eventually(func() bool {
-		for i, c := range f.controllers {
-			if c.server != nil && (f.newestSerial(i) != serial || c.server.configuration.Load().serial() != serial || !c.server.Settled()) {
-				return false
-			}
-		}
-		return true
-	})).To(BeTrue(), "not all have serial %d", serial)
+	Expect(f.eventually(func() bool { return f.agreeOn(serial) })).To(BeTrue(), "not all have serial %d", serial)
 }
 
 // ownerIndex returns the index of the control machine that owns the configuration's register, or -1.
--- a/internal/controlplane/soak_test.go
+++ b/internal/controlplane/soak_test.go
@@ -223,12 +223,35 @@
 	}
 }
 
+const (
+	// abandonedFor is how long after its operator gave up a proposal may still be under way.
+	abandonedFor = 2 * time.Second
+	// unchangedFor is how long an agreement must last that nothing is proposed against any more.
+	unchangedFor = 5 * time.Second
+)
+
+// expectLastingAgreement waits until all control machines agree on a configuration, and expects that it stays. Which
+// one isn't known in advance: a proposal that got no clear answer may be committed after its operator has given up. It
+// isn't older than an acknowledged one.
+func (f *fleet) expectLastingAgreement(acknowledged uint64) {
+	time.Sleep(abandonedFor)
+	var serial uint64
+	Expect(f.eventually(func() bool {
+		serial = f.newestSerial(0)
+		return f.agreeOn(serial)
+	})).To(BeTrue(), "not all agree, the first has serial %d", serial)
+	Expect(serial).To(BeNumerically(">=", acknowledged))
+	time.Sleep(unchangedFor)
+	Expect(f.agreeOn(serial)).To(BeTrue(), "serial %d, on which all had agreed, was replaced", serial)
+}
+
 // checkHistory waits until all control machines agree and checks the history: no two proposals were committed on
-// one base, every final answer matches the committed proposals, and only committed configurations were served.
+// one base, every final answer matches the committed proposals, and only committed configurations were served, all of
+// them proposed by an operator.
 func (f *fleet) checkHistory(h *history) {
 	f.network.HealAll()
 	Expect(f.eventually(func() bool { return f.ready() && f.newestSerial(0) > 0 })).To(BeTrue())
-	f.expectAgreement(f.newestSerial(0))
+	f.expectLastingAgreement(h.newestSerial())
 	head := f.controllers[0].server.configuration.Load().head
 	Expect(head.Orders.Forgotten).To(BeZero(), "every committed proposal is remembered")
 	remembered, serials := map[proposalID]bool{}, map[uint64]bool{}
@@ -236,9 +259,10 @@
 		remembered[proposalID{serial, head.Orders.Digests[i]}] = true
 		serials[serial] = true
 	}
-	committedOn, commits := map[uint64]*proposalID{}, 0
+	committedOn, proposed, commits := map[uint64]*proposalID{}, map[proposalID]bool{}, 0
 	for _, each := range h.answers {
 		id := proposalIDOf(each.p)
+		proposed[id] = true
 		if each.committed {
 			commits++
 			Expect(committedOn[config.ProposedBase(each.p)]).To(BeNil(), "two proposals were committed on base %d", config.ProposedBase(each.p))
@@ -248,6 +272,9 @@
 			Expect(remembered[id]).To(Equal(each.committed), "serial %d on base %d, answered committed=%t", config.ProposedSerial(each.p), config.ProposedBase(each.p), each.committed)
 		}
 	}
+	for id := range remembered {
+		Expect(proposed[id]).To(BeTrue(), "serial %d was committed but never proposed", id.serial)
+	}
 	for serial := range h.served {
 		Expect(serials[serial]).To(BeTrue(), "serial %d was served but never committed", serial)
 	}
