--- a/internal/controlplane/departures_test.go
+++ b/internal/controlplane/departures_test.go
@@ -132,6 +132,19 @@
 		f.expectDepartures(1, "i-1", "i-2", "i-3")
 	})
 
+	scenario("given recorded departures, when every control machine has been replaced by a new one, then they are there", func(f *fleet) {
+		Expect(f.recordDeparture(0, "i-1")).To(BeTrue())
+		for gone := range 3 {
+			f.loseForever(gone)
+			successor := f.addMachine()
+			f.expectVote(successor)
+			Expect(f.eventually(func() bool { return f.recordDeparture(successor, fmt.Sprint("i-", gone+2)) })).To(BeTrue())
+		}
+		for i := 3; i < 6; i++ {
+			f.expectDepartures(i, "i-1", "i-2", "i-3", "i-4")
+		}
+	})
+
 	scenario("given many nodes that ask at once, when they are answered, then they share majority reads", func(f *fleet) {
 		began := f.controllers[0].server.departures.started.Load()
 		var tasks sync.WaitGroup
