Departures: only controllers that reply to polls count as of the previous version

A node beside control machines of the previous version, which keep no departures, goes on as before. It told them by "unimplemented", which any other HTTP server at the address of a former controller answers as well. Now only controllers that have replied to polls lately count.

--- a/internal/dataplane/controlclient/departures.go
+++ b/internal/dataplane/controlclient/departures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/crc32"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -30,10 +31,11 @@
 // maxRecordRequests is the number of requests in flight to record one departure.
 const maxRecordRequests = 3
 
-// departureTargets hands out controllers in turn and tracks which of them keep no departures, since they are of the
-// previous version.
+// departureTargets hands out controllers in turn and tracks which of those that reply to polls keep no departures,
+// since they are of the previous version.
 type departureTargets struct {
 	addresses   []string
+	responsive  int // the first addresses, which have replied recently
 	next        int
 	unsupported map[string]bool
 }
@@ -42,7 +44,7 @@
 // on that depends on the node, so that nodes spread over them, then the others.
 func (c *Client) departureTargets() *departureTargets {
 	responsive, others := c.directory.responsive()
-	targets := &departureTargets{unsupported: map[string]bool{}}
+	targets := &departureTargets{responsive: len(responsive), unsupported: map[string]bool{}}
 	if len(responsive) > 0 {
 		start := int(crc32.ChecksumIEEE([]byte(c.settings.NodeAddress)) % uint32(len(responsive)))
 		targets.addresses = append(targets.addresses, responsive[start:]...)
@@ -59,12 +61,13 @@
 	return address
 }
 
-// allUnsupported records the error of a controller and reports whether none of them keeps departures.
+// allUnsupported records the error of a controller and reports whether none of those that reply to polls keeps
+// departures. Others don't count: an address of a former controller may belong to another server.
 func (t *departureTargets) allUnsupported(address string, err error) bool {
-	if connect.CodeOf(err) == connect.CodeUnimplemented {
+	if connect.CodeOf(err) == connect.CodeUnimplemented && slices.Contains(t.addresses[:t.responsive], address) {
 		t.unsupported[address] = true
 	}
-	return len(t.unsupported) == len(t.addresses)
+	return t.responsive > 0 && len(t.unsupported) == t.responsive
 }
 
 // recordResult is the result of one request to record a departure.
--- a/internal/dataplane/controlclient/suite_test.go
+++ b/internal/dataplane/controlclient/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,9 @@
 type testNode struct {
 	*Client
 	sink *tracing.Exporter
+	// departed are the instances that the node has learned of as departed, departuresKnown whether they are all.
+	departed        base.Table[bool]
+	departuresKnown atomic.Bool
 }
 
 // Ready reports whether a configuration is in force.
@@ -52,10 +56,16 @@
 		return &wire.NodeStatus{Node: name, Incarnation: "one", Number: 1, Inward: ip + ":7002", Zone: "a", Service: books}
 	}
 	httpClient := httpserver.NewClientWithDialTimeout(scope, DialTimeout(contact))
-	n := &testNode{Client: New(scope, Settings{InForce: inForce, Contact: contact, Seeds: seeds}, httpClient, Hooks{
+	n := &testNode{}
+	n.Client = New(scope, Settings{InForce: inForce, Contact: contact, Seeds: seeds}, httpClient, Hooks{
 		Status: status, ApplyObservations: func(string, bool, []*wire.Observation) {}, RemoveController: func(string) {}, Sampling: tracing.NewSampler(scope.Rand),
-		ApplyDepartures: func([]string, bool) {},
-	})}
+		ApplyDepartures: func(instances []string, confirmed bool) {
+			for _, each := range instances {
+				n.departed.Put(each, true)
+			}
+			n.departuresKnown.Store(n.departuresKnown.Load() || confirmed)
+		},
+	})
 	n.sink = tracing.NewExporter(scope, httpClient, n.Responsive, 512)
 	var tasks base.Group
 	tasks.Go(func() { n.Run(scope) })
