--- a/review/_second/fleet.go
+++ b/review/_second/fleet.go
@@ -254,6 +254,11 @@
 	}
 	f.tasks.Add(1)
 	go f.watchReadiness()
+	return f.waitReady()
+}
+
+// waitReady waits until all nodes are in rotation.
+func (f *fleet) waitReady() error {
 	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, m := range f.nodes {
