--- a/review/_second/upstream.go
+++ b/review/_second/upstream.go
@@ -32,11 +32,13 @@
 	id       string
 	capacity int
 	workOf   func(r *http.Request) time.Duration
-	slots    chan struct{}
-	waiting  chan struct{}
-	server   *http.Server
-	stopped  chan struct{}
-	stopOnce sync.Once
+	// readsLate reports whether the body of a request is read only after the work.
+	readsLate func(r *http.Request) bool
+	slots     chan struct{}
+	waiting   chan struct{}
+	server    *http.Server
+	stopped   chan struct{}
+	stopOnce  sync.Once
 
 	mu       sync.Mutex
 	sequence int
@@ -46,12 +48,17 @@
 
 // startUpstream starts an upstream beside a node and its heartbeats.
 func (m *machine) startUpstream(capacity, queue int, workOf func(r *http.Request) time.Duration) error {
+	return m.startUpstreamReading(capacity, queue, workOf, func(*http.Request) bool { return false })
+}
+
+// startUpstreamReading does the same with an upstream that reads some bodies late.
+func (m *machine) startUpstreamReading(capacity, queue int, workOf func(r *http.Request) time.Duration, readsLate func(r *http.Request) bool) error {
 	listener, err := net.Listen("tcp", m.at(portApp))
 	if err != nil {
 		return err
 	}
 	u := &upstream{
-		machine: m, id: fmt.Sprintf("i-%s-%d", m.name, m.fleet.lastID.Add(1)), capacity: capacity, workOf: workOf,
+		machine: m, id: fmt.Sprintf("i-%s-%d", m.name, m.fleet.lastID.Add(1)), capacity: capacity, workOf: workOf, readsLate: readsLate,
 		slots: make(chan struct{}, capacity), waiting: make(chan struct{}, capacity+queue), stopped: make(chan struct{}), state: "steady",
 	}
 	u.server = &http.Server{Handler: u, BaseContext: func(net.Listener) context.Context { return context.Background() }}
@@ -147,18 +154,32 @@
 		return
 	}
 	defer func() { <-u.slots }()
-	size, _ := io.Copy(io.Discard, r.Body)
 	u.update(func() { record.began = time.Now() })
-	rec.log("upstream %s: %s runs, body of %d bytes", u.id, id, size)
+	late := u.readsLate(r)
+	rec.log("upstream %s: %s runs, reads its body late: %v", u.id, id, late)
+	broken := false
+	read := func() {
+		size, err := io.Copy(io.Discard, r.Body)
+		broken = broken || err != nil
+		if size > 0 || err != nil {
+			rec.log("upstream %s: %s has a body of %d bytes, error %v", u.id, id, size, err)
+		}
+	}
+	if !late {
+		read()
+	}
 	status := http.StatusOK
 	select {
 	case <-time.After(min(u.workOf(r), time.Until(deadline))):
 	case <-r.Context().Done():
 	}
+	if late {
+		read()
+	}
 	if !time.Now().Before(deadline) {
 		status = http.StatusGatewayTimeout
 	}
-	u.update(func() { record.ended, record.cut = time.Now(), r.Context().Err() != nil })
+	u.update(func() { record.ended, record.cut = time.Now(), broken || r.Context().Err() != nil })
 	rec.log("upstream %s: %s ends with %d, connection closed: %v", u.id, id, status, record.cut)
 	if status != http.StatusOK {
 		w.WriteHeader(status)
