--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 test "${TROUBLE:-1}" != 0 || trouble=false
-timeout -k 5 110 target/review/second -case bodies "-trouble=$trouble" -record review/5/record.txt
+timeout -k 5 110 target/review/second -case stop "-trouble=$trouble" -record review/5/record.txt
 status=$?
 test "$status" -le 1 || status=2
 exit "$status"
--- a/review/_second/client.go
+++ b/review/_second/client.go
@@ -14,6 +14,7 @@
 type request struct {
 	id       string
 	route    string
+	path     string
 	method   string
 	node     string
 	headers  string
@@ -60,7 +61,7 @@
 func (m *machine) exchange(c *connection, r *request) {
 	rec := m.fleet.rec
 	_ = c.SetDeadline(time.Now().Add(r.timeout))
-	_, err := fmt.Fprintf(c, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Left: %d\r\n%s\r\n", r.method, r.route, r.id, routeHost, r.id, r.timeout.Milliseconds(), r.headers)
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Left: %d\r\n%s\r\n", r.method, r.path, routeHost, r.id, r.timeout.Milliseconds(), r.headers)
 	if err == nil && r.body != nil {
 		err = r.body(c)
 	}
@@ -88,6 +89,7 @@
 // newRequest returns a try of a request on a route.
 func (f *fleet) newRequest(route, method string, timeout time.Duration) *request {
 	r := &request{id: fmt.Sprintf("%s-%04d", route, f.lastID.Add(1)), route: route, method: method, timeout: timeout}
+	r.path = "/" + route + "/" + r.id
 	if method == http.MethodPost {
 		r.headers = "Content-Length: 0\r\n"
 	}
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -16,16 +16,12 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"stop":    playStop,
-	"bodies":  playBodies,
-	"reading": playReading,
+	"stop": playStop,
 }
 
 // services are the services of a case's machines.
 var services = map[string][]string{
-	"reading": {"circdesk", "circdesk", "ledger", "ledger"},
-	"bodies":  {"circdesk", "circdesk", "ledger"},
-	"stop":    {"circdesk", "circdesk", "ledger", "ledger"},
+	"stop": {"circdesk", "circdesk", "ledger", "ledger"},
 }
 
 func main() {
--- a/review/_second/stop.go
+++ b/review/_second/stop.go
@@ -97,6 +97,7 @@
 	for range 2*ledgerSlots + 4 { // the two upstreams of the ledger work on twelve at once
 		r := f.newRequest("report", http.MethodGet, reportTimeout)
 		r.id = strings.Replace(r.id, "report-", "long-", 1)
+		r.path = "/report/" + r.id
 		c.begin(other, r)
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/review/_second/upstream.go
+++ b/review/_second/upstream.go
@@ -32,33 +32,34 @@
 	id       string
 	capacity int
 	workOf   func(r *http.Request) time.Duration
-	// readsLate reports whether the body of a request is read only after the work.
-	readsLate func(r *http.Request) bool
-	slots     chan struct{}
-	waiting   chan struct{}
-	server    *http.Server
-	stopped   chan struct{}
-	stopOnce  sync.Once
+	// losesAnswer reports, for the number of a request that it ran, whether its answer is lost.
+	losesAnswer func(number int) bool
+	slots       chan struct{}
+	waiting     chan struct{}
+	server      *http.Server
+	stopped     chan struct{}
+	stopOnce    sync.Once
 
 	mu       sync.Mutex
 	sequence int
 	state    string
 	runs     []*run
+	ran      int // requests
 }
 
 // startUpstream starts an upstream beside a node and its heartbeats.
 func (m *machine) startUpstream(capacity, queue int, workOf func(r *http.Request) time.Duration) error {
-	return m.startUpstreamReading(capacity, queue, workOf, func(*http.Request) bool { return false })
+	return m.startLossyUpstream(capacity, queue, workOf, func(int) bool { return false })
 }
 
-// startUpstreamReading does the same with an upstream that reads some bodies late.
-func (m *machine) startUpstreamReading(capacity, queue int, workOf func(r *http.Request) time.Duration, readsLate func(r *http.Request) bool) error {
+// startLossyUpstream does the same with an upstream that loses some of its answers.
+func (m *machine) startLossyUpstream(capacity, queue int, workOf func(r *http.Request) time.Duration, losesAnswer func(number int) bool) error {
 	listener, err := net.Listen("tcp", m.at(portApp))
 	if err != nil {
 		return err
 	}
 	u := &upstream{
-		machine: m, id: fmt.Sprintf("i-%s-%d", m.name, m.fleet.lastID.Add(1)), capacity: capacity, workOf: workOf, readsLate: readsLate,
+		machine: m, id: fmt.Sprintf("i-%s-%d", m.name, m.fleet.lastID.Add(1)), capacity: capacity, workOf: workOf, losesAnswer: losesAnswer,
 		slots: make(chan struct{}, capacity), waiting: make(chan struct{}, capacity+queue), stopped: make(chan struct{}), state: "steady",
 	}
 	u.server = &http.Server{Handler: u, BaseContext: func(net.Listener) context.Context { return context.Background() }}
@@ -154,37 +155,33 @@
 		return
 	}
 	defer func() { <-u.slots }()
-	u.update(func() { record.began = time.Now() })
-	late := u.readsLate(r)
-	rec.log("upstream %s: %s runs, reads its body late: %v", u.id, id, late)
-	broken := false
-	read := func() {
-		size, err := io.Copy(io.Discard, r.Body)
-		broken = broken || err != nil
-		if size > 0 || err != nil {
-			rec.log("upstream %s: %s has a body of %d bytes, error %v", u.id, id, size, err)
-		}
-	}
-	if !late {
-		read()
-	}
+	number := 0
+	u.update(func() {
+		record.began = time.Now()
+		u.ran++
+		number = u.ran
+	})
+	size, _ := io.Copy(io.Discard, r.Body)
+	rec.log("upstream %s: %s runs, path %s, body of %d bytes", u.id, id, r.RequestURI, size)
 	status := http.StatusOK
 	select {
 	case <-time.After(min(u.workOf(r), time.Until(deadline))):
 	case <-r.Context().Done():
 	}
-	if late {
-		read()
-	}
 	if !time.Now().Before(deadline) {
 		status = http.StatusGatewayTimeout
 	}
-	u.update(func() { record.ended, record.cut = time.Now(), broken || r.Context().Err() != nil })
+	u.update(func() { record.ended, record.cut = time.Now(), r.Context().Err() != nil })
 	rec.log("upstream %s: %s ends with %d, connection closed: %v", u.id, id, status, record.cut)
 	if status != http.StatusOK {
 		w.WriteHeader(status)
 		return
 	}
+	if u.losesAnswer(number) {
+		rec.log("upstream %s: the answer to %s is lost", u.id, id)
+		reset(w)
+		return
+	}
 	body := u.id + " for " + id + "\n"
 	w.Header().Set("Server-Seal", sealFor(body))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -208,3 +205,15 @@
 	}
 	return false
 }
+
+// reset resets the connection of a request.
+func reset(w http.ResponseWriter) {
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
