--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -16,14 +16,16 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"stop": playStop,
-	"path": playPath,
+	"stop":   playStop,
+	"path":   playPath,
+	"upload": playUpload,
 }
 
 // services are the services of a case's machines.
 var services = map[string][]string{
-	"path": {"circdesk", "circdesk", "ledger", "ledger"},
-	"stop": {"circdesk", "circdesk", "ledger", "ledger"},
+	"upload": {"circdesk", "circdesk", "ledger", "ledger"},
+	"path":   {"circdesk", "circdesk", "ledger", "ledger"},
+	"stop":   {"circdesk", "circdesk", "ledger", "ledger"},
 }
 
 func main() {
