A body that ends late in a stop gets 503 and isn't passed on

Cause: whether requests are turned away was looked at when the head had been read, never again.

Why this works: serveClient looks again once the body is whole, before anything is sent. A body that doesn't end is never read whole.

--- a/internal/dataplane/client_server.go
+++ b/internal/dataplane/client_server.go
@@ -114,6 +114,10 @@
 		return
 	}
 	defer release()
+	if n.shutdown.isRejecting() {
+		n.reject(w, base.Stopping, "this node began to stop before the request was whole", unavailableRetryAfter, c.timeout)
+		return
+	}
 	call := n.newClientCall(c, &connection.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: n.upstreamHeader(r.Header), Body: body}, timeoutShare)
 	stop := context.AfterFunc(r.Context(), call.cancel)
 	defer stop()
--- a/internal/dataplane/shutdown_test.go
+++ b/internal/dataplane/shutdown_test.go
@@ -324,6 +324,17 @@
 			f.expectRefused(f.exchange(conn, route, "a", shortWork), "a", whenRejecting+50*time.Millisecond)
 			expectAnswered(<-running)
 		})
+		// Guards against a body that ends late being passed on and then cut off.
+		itSimulated("given a body that ends once requests are rejected, then it is answered 503 at once and never runs, "+route, func(s *testbed) {
+			f := s.newStopFixture()
+			conn := f.open(f.stopping)
+			head := strings.Replace(stopRequest(route, "a", shortWork), "\r\n\r\n", "\r\nContent-Length: 10\r\n\r\n", 1)
+			_, _ = io.WriteString(conn, strings.Replace(head, "GET", "POST", 1)+"half!")
+			f.stop(f.stopping)
+			f.sleepUntil(whenRejecting)
+			_, _ = io.WriteString(conn, "whole")
+			f.expectRefused(f.receive(conn), "a", whenRejecting+50*time.Millisecond)
+		})
 	}
 	itSimulated("given a body that doesn't end, then the connection closes at the end of the stop and nothing runs", func(s *testbed) {
 		f := s.newStopFixture()
