A stopping node tells those that wait in its queue that they won't run

What callers saw: requests of other nodes' clients that waited at a stopping node waited until its connections closed; then nobody was left to ask and they got 502, though they never ran. The node's own waited as long.

Cause: from half of the grace period on a request that got a slot was turned away, but one that got none was not told. A slot that came free shortly before started work that could not end in time.

Why this works: the queue is closed when requests are turned away, under the lock under which slots are given. A replaced instance's queue is closed too. A request that gets its slot isn't begun if that usually takes too long.

--- a/internal/dataplane/admission/queue_test.go
+++ b/internal/dataplane/admission/queue_test.go
@@ -94,3 +94,40 @@
 		}
 	})
 })
+
+// Guards against waiters that nobody tells that they won't be admitted.
+var _ = ginkgo.Describe("a closed queue", func() {
+	simulation.It("given waiters, when the queue closes, then each is rejected at once, later requests too, and those that hold a slot keep it", func(s *simulation.Simulation) {
+		q, releases, results := fullQueue(s, 2)
+		closedAt := s.Clock.Mono()
+		q.Close(base.NewFault(base.Stopping, "", "the node is stopping"))
+		time.Sleep(time.Millisecond)
+		Expect(results).To(HaveLen(2 * waitersPerSlot))
+		for range 2 * waitersPerSlot {
+			rejected := <-results
+			Expect(rejected.fault.Kind).To(Equal(base.Stopping))
+			Expect(rejected.at).To(Equal(closedAt))
+		}
+		Expect(q.Load().InFlight).To(Equal(2))
+		for _, release := range releases {
+			release()
+		}
+		_, fault := q.Acquire(context.Background(), patientRequest(0, s.Clock.Mono()))
+		Expect(fault.Kind).To(Equal(base.Stopping))
+		Expect(q.Load().InFlight).To(BeZero())
+	})
+	// A waiter is admitted or rejected, never both, however close the two are.
+	simulation.It("given a slot that comes free at the moment at which the queue closes, then a waiter gets one decision", func(s *simulation.Simulation) {
+		for range 50 {
+			q, releases, results := fullQueue(s, 1)
+			s.Go(releases[0])
+			s.Go(func() { q.Close(base.NewFault(base.Stopping, "", "the node is stopping")) })
+			time.Sleep(time.Second)
+			Expect(results).To(HaveLen(1))
+			if decided := <-results; decided.fault != nil {
+				Expect(decided.fault.Kind).To(Equal(base.Stopping))
+			}
+			Expect(q.Load().InFlight).To(BeZero())
+		}
+	})
+})
--- a/internal/dataplane/delivery.go
+++ b/internal/dataplane/delivery.go
@@ -98,6 +98,9 @@
 	if fault != nil {
 		return forwarding.RejectedOutcome(fault)
 	}
+	if !n.shutdown.leavesTimeFor(d.queue.ServiceTime()) {
+		return forwarding.RejectedOutcome(stoppingFault())
+	}
 	timeLeft := d.deadline - n.scope.Clock.Mono() - forwarding.DeadlineMargin
 	if timeLeft <= 0 || ctx.Err() != nil {
 		return forwarding.RejectedOutcome(base.NewFault(base.Expired, "", "no time was left after the wait in the queue"))
--- a/internal/dataplane/local_instance.go
+++ b/internal/dataplane/local_instance.go
@@ -105,7 +105,9 @@
 		if previous != nil {
 			l.past.replace(previous.Id, previous.Sequence)
 		}
+		previousQueue := l.queue
 		l.queue = admission.NewQueue(l.clock, int(instance.Capacity), initialServiceTime)
+		previousQueue.Close(base.NewFault(base.NoInstance, "", "another instance has taken the place of the one waited for"))
 	} else if previous.Capacity != instance.Capacity {
 		l.queue.Resize(int(instance.Capacity))
 	}
@@ -182,6 +184,13 @@
 	}
 }
 
+// CloseQueue rejects the requests that wait for the current instance, and all that ask for it from now on. It serves
+// the end of the process: the queue of a later instance is open.
+func (l *LocalInstance) CloseQueue(fault *base.Fault) {
+	_, queue, _ := l.Current()
+	queue.Close(fault)
+}
+
 // Current returns the instance, nil if there is none, the admission queue in front of it, and a revision that
 // increases with each change.
 func (l *LocalInstance) Current() (*wire.Instance, *admission.Queue, uint64) {
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -97,6 +97,7 @@
 	clientServer.CloseListener()
 	base.Await(n.scope, base.ScaleDuration(grace, peerDrainRatio))
 	n.shutdown.reject()
+	n.instance.CloseQueue(stoppingFault())
 	for idle := 0; idle < requiredIdleChecks && n.scope.Clock.Mono() < n.shutdown.at(stopDeadlineRatio); idle++ {
 		base.Await(n.scope, idleCheckInterval)
 		if n.inFlight.Load() > 0 {
--- a/internal/dataplane/shutdown_test.go
+++ b/internal/dataplane/shutdown_test.go
@@ -304,6 +304,57 @@
 	})
 })
 
+var _ = ginkgo.Describe("a request that waits at the stopping node", func() {
+	itSimulated("given another upstream, when requests are rejected, then that one runs it", func(s *testbed) {
+		f := s.newStopFixture()
+		f.addWorker(f.stopping, 1)
+		f.begin(f.stopping, lendRoute, "own", longWork) // one of the two has the slot of the node's own upstream
+		f.begin(f.stopping, lendRoute, "other", 2*time.Second)
+		replies := f.begin(f.stopping, lendRoute, "a", shortWork)
+		f.stop(f.stopping)
+		expectAnswered(<-replies)
+		Expect(f.ran("a")).To(Equal(1))
+	})
+	itSimulated("given no other upstream, when requests are rejected, then it is answered 503 at once and never runs", func(s *testbed) {
+		f := s.newStopFixture()
+		f.other.instance.Leave("i-" + f.other.params.Name)
+		f.stopping.peers.InstanceGone(f.other.params.Name, "i-"+f.other.params.Name)
+		f.addWorker(f.stopping, 1)
+		f.begin(f.stopping, lendRoute, "own", longWork)
+		replies := f.begin(f.stopping, lendRoute, "a", shortWork)
+		f.stop(f.stopping)
+		f.expectRefused(<-replies, "a", whenRejecting+100*time.Millisecond)
+	})
+	itSimulated("given that it is a client's of another node, then it is told at once and gets an answer there", func(s *testbed) {
+		f := s.newStopFixture()
+		f.takeSlot(longWork)
+		replies := f.begin(f.third, lendRoute, "a", shortWork)
+		f.stop(f.other)
+		f.expectRefused(<-replies, "a", whenRejecting+100*time.Millisecond)
+	})
+	itSimulated("given that it is a client's of another node and there is a second upstream, then that one runs it", func(s *testbed) {
+		f := s.newStopFixture()
+		f.takeSlot(longWork)
+		replies := f.begin(f.third, lendRoute, "a", shortWork)
+		f.addWorker(f.third, 1)
+		f.stop(f.other)
+		expectAnswered(<-replies)
+		Expect(f.ran("a")).To(Equal(1))
+	})
+	itSimulated("given an upstream too slow for the time left, when a slot comes free, then it isn't begun", func(s *testbed) {
+		f := s.newStopFixture()
+		expectAnswered(f.roundTrip(f.third, lendRoute, "warm", shortWork))
+		f.slowDown(f.other, 2500*time.Millisecond)
+		blocker := f.takeSlot(2 * time.Second)
+		replies := f.begin(f.third, lendRoute, "a", shortWork)
+		f.stop(f.other)
+		expectAnswered(<-blocker)
+		reply := <-replies
+		Expect(reply.at).To(BeNumerically(">", time.Second))
+		f.expectRefused(reply, "a", whenRejecting)
+	})
+})
+
 var _ = ginkgo.Describe("a request that arrives in a stop", func() {
 	for _, route := range []string{lendRoute, seekRoute} {
 		itSimulated("given an open connection, while the node drains, then it is answered and the connection closes, "+route, func(s *testbed) {
