--- a/internal/testing/knownred/entry.go
+++ b/internal/testing/knownred/entry.go
@@ -18,8 +18,8 @@
 
 // Entry is one line of KNOWN-RED.txt: a test that fails because of a real fault that is not fixed yet.
 type Entry struct {
-	// Test is the full text of one ginkgo spec (the texts of its containers and its own, joined by single spaces), or a
-	// test function in the form folder/of/package.TestName.
+	// Test is the full text of one ginkgo spec (the texts of its containers and its own, joined by single spaces), a test
+	// function in the form folder/of/package.TestName, or a run of the soak in the form target/soak ARGUMENTS.
 	Test string
 	// Cause describes why the test fails.
 	Cause string
--- a/internal/testing/knownred/main.go
+++ b/internal/testing/knownred/main.go
@@ -6,9 +6,11 @@
 //	knownred rest [FLAGS]   runs the tests that ginkgo skips in addition: the
 //	                        other test functions of packages with a listed one
 //	knownred run            runs only the listed tests and prints their results
+//	knownred soak           runs the listed soaks and prints their results
 //
 // All of them exit with status 1 if the list is malformed or too long. rest does so too if a test fails, and run if a
-// line doesn't name exactly one test. The failure of a listed test is printed and doesn't affect the exit status.
+// line doesn't name exactly one test, and soak if a soak could not run. The failure of a listed test or soak is printed
+// and doesn't affect the exit status.
 package main
 
 import (
@@ -31,7 +33,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: knownred skip|rest|run < KNOWN-RED.txt")
+		fmt.Fprintln(os.Stderr, "usage: knownred skip|rest|run|soak < KNOWN-RED.txt")
 		os.Exit(2)
 	}
 	if err := runCommand(os.Args[1], os.Args[2:], os.Stdin, os.Stdout); err != nil {
@@ -45,13 +47,16 @@
 	if err != nil {
 		return err
 	}
+	tests := withoutSoaks(entries)
 	switch name {
 	case "skip":
-		return printSkipFlags(entries, out)
+		return printSkipFlags(tests, out)
 	case "rest":
-		return runOtherTests(entries, flags, out)
+		return runOtherTests(tests, flags, out)
 	case "run":
-		return runListed(entries, out)
+		return runListed(tests, out)
+	case "soak":
+		return runSoaks(entries, out, runSoakProgram)
 	default:
 		return errors.Errorf("unknown command %q", name)
 	}
