--- a/internal/dataplane/local_instance_test.go
+++ b/internal/dataplane/local_instance_test.go
@@ -1,10 +1,12 @@
 package dataplane
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"curlewreach/base"
+	"curlewreach/internal/dataplane/admission"
 	"curlewreach/proto/wire"
 )
 
@@ -114,3 +116,34 @@
 		t.Error("a recorded departure stays recorded")
 	}
 }
+
+// Guards against requests that wait for an instance whose place another one has taken: they can't run any more.
+func TestReplacedInstanceRejectsThoseThatWaitForIt(t *testing.T) {
+	clock := &manualClock{now: time.Hour}
+	l := NewLocalInstance(clock, testHeartbeatInterval)
+	recorded(true)(l)
+	steady("a", 1)(l)
+	_, queue, _ := l.Current()
+	patient := admission.Request{SoftDeadline: clock.now + time.Hour, HardDeadline: clock.now + time.Hour, MaxWait: time.Hour}
+	for range 4 {
+		if _, fault := queue.Acquire(context.Background(), patient); fault != nil {
+			t.Fatal(fault)
+		}
+	}
+	rejected := make(chan *base.Fault, 1)
+	go func() {
+		_, fault := queue.Acquire(context.Background(), patient)
+		rejected <- fault
+	}()
+	for queue.Load().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	steady("b", 1)(l)
+	if fault := <-rejected; fault == nil || fault.Kind != base.NoInstance {
+		t.Errorf("the waiting request got %v, want %s", fault, base.NoInstance)
+	}
+	_, newQueue, _ := l.Current()
+	if _, fault := newQueue.Acquire(context.Background(), patient); fault != nil {
+		t.Errorf("the queue of the new instance rejects: %v", fault)
+	}
+}
