--- a/internal/dataplane/client_server.go
+++ b/internal/dataplane/client_server.go
@@ -106,6 +106,10 @@
 	}
 	timeoutShare := n.latencies.TimeLeftRatio(c.route.Name(), c.timeout)
 	body, release, fault := n.bodyMemory.Read(r, c.bodyLimit())
+	defer release()
+	if fault == nil && n.shutdown.isRejecting() {
+		fault = stoppingFault()
+	}
 	if fault != nil {
 		if fault.Kind == base.Malformed {
 			panic(http.ErrAbortHandler)
@@ -113,11 +117,6 @@
 		n.reject(w, fault.Kind, fault.Reason, fault.RetryAfter, c.timeout)
 		return
 	}
-	defer release()
-	if n.shutdown.isRejecting() {
-		n.reject(w, base.Stopping, "this node began to stop before the request was whole", unavailableRetryAfter, c.timeout)
-		return
-	}
 	call := n.newClientCall(c, &connection.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: n.upstreamHeader(r.Header), Body: body}, timeoutShare)
 	stop := context.AfterFunc(r.Context(), call.cancel)
 	defer stop()
--- a/internal/dataplane/delivery.go
+++ b/internal/dataplane/delivery.go
@@ -99,7 +99,7 @@
 	if fault != nil {
 		return forwarding.RejectedOutcome(fault)
 	}
-	if !n.shutdown.leavesTimeFor(n.serviceTimes.Mean(d.metadata.Route, d.queue.ServiceTime())) {
+	if n.shutdown.hasBegun() && !n.shutdown.leavesTimeFor(n.serviceTimes.Mean(d.metadata.Route, d.queue.ServiceTime())) {
 		return forwarding.RejectedOutcome(stoppingFault())
 	}
 	timeLeft := d.deadline - n.scope.Clock.Mono() - forwarding.DeadlineMargin
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -84,8 +84,9 @@
 
 // Stop shuts the node down gracefully: it reports not ready, tells the peers, serves clients for a while, then rejects
 // what arrives and waits until requests in flight have been answered or the stop deadline is reached. Each request that
-// the node has read gets its upstream's answer, or status 503 if it has not begun and never will. Idle connections stay
-// open until the end, because closing one would race with a request that is just being read from it.
+// the node has read gets its upstream's answer, status 503 if it has not begun and never will, or 502 if neither is known
+// in time. Idle connections stay open until the end, because closing one would race with a request that is just being
+// read from it.
 func (n *Node) Stop() {
 	grace := n.params.Grace.AsDuration()
 	n.scope.Log.Info("stopping")
