A stop ends only once no request lies unread on a client's connection

Suspected cause: the stop counts requests whose handler runs; one that lies in the socket's buffer, because the process got no processor time to read it, counts as none, and its connection is closed. The new spec failed before (the node ended while such a connection was open).

--- a/internal/dataplane/connection/client_connections.go
+++ b/internal/dataplane/connection/client_connections.go
@@ -18,6 +18,8 @@
 	grace     time.Duration
 	mu        sync.Mutex
 	idle      map[net.Conn]*idleConnection
+	// unused holds the connections on which no request has begun, active those on which one has and is not answered.
+	unused, active map[net.Conn]bool
 }
 
 // idleConnection is the state of an idle client connection.
@@ -30,7 +32,7 @@
 // NewClientConnections returns a set without connections. idleLimit returns the idle limit of the newest
 // configuration.
 func NewClientConnections(clock base.Clock, grace time.Duration, idleLimit func() time.Duration) *ClientConnections {
-	return &ClientConnections{clock: clock, idleLimit: idleLimit, grace: grace, idle: map[net.Conn]*idleConnection{}}
+	return &ClientConnections{clock: clock, idleLimit: idleLimit, grace: grace, idle: map[net.Conn]*idleConnection{}, unused: map[net.Conn]bool{}, active: map[net.Conn]bool{}}
 }
 
 // StateChanged is called by the HTTP server when a connection changes state (http.Server.ConnState).
@@ -38,11 +40,39 @@
 	limit := c.idleLimit()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state != http.StateIdle {
-		delete(c.idle, conn)
-		return
+	delete(c.idle, conn)
+	delete(c.unused, conn)
+	delete(c.active, conn)
+	switch state {
+	case http.StateNew:
+		c.unused[conn] = true
+	case http.StateActive:
+		c.active[conn] = true
+	case http.StateIdle:
+		c.idle[conn] = &idleConnection{since: c.clock.Mono(), promisedIdle: limit}
+	case http.StateClosed, http.StateHijacked:
 	}
-	c.idle[conn] = &idleConnection{since: c.clock.Mono(), promisedIdle: limit}
+}
+
+// Quiescent reports whether no request has begun to arrive without having been answered, those included of which
+// nothing has been read yet. A server that closes its connections then cuts no request that it has got.
+func (c *ClientConnections) Quiescent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.active) > 0 {
+		return false
+	}
+	for conn := range c.idle {
+		if !quiet(conn) {
+			return false
+		}
+	}
+	for conn := range c.unused {
+		if !quiet(conn) {
+			return false
+		}
+	}
+	return true
 }
 
 // Sweep closes connections that were idle for longer than promised. A connection with data to read is left to
--- a/internal/dataplane/connection/client_connections_test.go
+++ b/internal/dataplane/connection/client_connections_test.go
@@ -48,6 +48,30 @@
 	})
 })
 
+var _ = ginkgo.Describe("the connections of clients", func() {
+	ginkgo.It("given a connection with data that nobody has read, or with a request that is not answered, then they are not quiescent", func() {
+		connections := NewClientConnections(&simulation.ManualClock{Now: time.Hour}, time.Second, func() time.Duration { return 10 * time.Second })
+		near, far := net.Pipe()
+		defer func() { _, _ = near.Close(), far.Close() }()
+		for _, each := range []struct {
+			conn      net.Conn
+			state     http.ConnState
+			quiescent bool
+		}{
+			{near, http.StateNew, true},
+			{near, http.StateActive, false},
+			{near, http.StateIdle, true},
+			{near, http.StateClosed, true},
+			{readableConn{near}, http.StateNew, false},
+			{readableConn{near}, http.StateIdle, false},
+			{readableConn{near}, http.StateClosed, true},
+		} {
+			connections.StateChanged(each.conn, each.state)
+			Expect(connections.Quiescent()).To(Equal(each.quiescent), "%v", each.state)
+		}
+	})
+})
+
 // readableConn is a connection with data that was not read yet.
 type readableConn struct{ net.Conn }
 
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -22,8 +22,8 @@
 	withdrawalRatio = 0.15
 	// stopDeadlineRatio is when the node closes its connections, with answers still being written or not.
 	stopDeadlineRatio = 0.88
-	// requiredIdleChecks consecutive checks, idleCheckInterval apart, that find no request in flight end the stop
-	// early.
+	// requiredIdleChecks consecutive checks, idleCheckInterval apart, that find no request in flight, nor one that has
+	// begun to arrive, end the stop early.
 	requiredIdleChecks = 3
 	idleCheckInterval  = 20 * time.Millisecond
 )
@@ -101,7 +101,7 @@
 	n.instance.CloseQueue(stoppingFault())
 	for idle := 0; idle < requiredIdleChecks && n.scope.Clock.Mono() < n.shutdown.at(stopDeadlineRatio); idle++ {
 		base.Await(n.scope, idleCheckInterval)
-		if n.inFlight.Load() > 0 {
+		if n.inFlight.Load() > 0 || !n.clientConnections.Quiescent() {
 			idle = -1
 		}
 	}
--- a/internal/dataplane/shutdown_close_test.go
+++ b/internal/dataplane/shutdown_close_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -48,3 +49,29 @@
 		Expect(refused.Load()).To(BeEquivalentTo(f.clientNode.outcomeCount(string(base.Stopping))))
 	})
 })
+
+// unreadConnection is a client's connection with a request on it that the server has not read yet.
+type unreadConnection struct{ net.Conn }
+
+func (unreadConnection) Quiet() bool { return false }
+
+// Guards against a request that has come, but that the server has had no processor time to read when the node ends.
+var _ = ginkgo.Describe("a request that nobody has read when a stop would end", func() {
+	ginkgo.It("given a connection with data that was not read, when nothing else is in flight, then the node ends once it is read, and not before", func() {
+		f := newRequestFixture(false)
+		defer f.close()
+		n := f.clientNode
+		near, far := net.Pipe()
+		defer func() { _, _ = near.Close(), far.Close() }()
+		n.clientConnections.StateChanged(unreadConnection{near}, http.StateIdle)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			n.Stop()
+		}()
+		rejecting := time.Duration((clientDrainRatio + peerDrainRatio) * float64(n.params.Grace.AsDuration()))
+		Consistently(stopped, rejecting+3*requiredIdleChecks*idleCheckInterval).ShouldNot(BeClosed())
+		n.clientConnections.StateChanged(unreadConnection{near}, http.StateClosed)
+		Eventually(stopped).Should(BeClosed())
+	})
+})
