--- a/internal/dataplane/admission/body_memory.go
+++ b/internal/dataplane/admission/body_memory.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,9 +13,6 @@
 )
 
 const (
-	// MemoryRetryAfter is how long a client should wait before it retries a request rejected for lack of body
-	// memory.
-	MemoryRetryAfter = 250 * time.Millisecond
 	// DefaultBodyLimit is the largest body in bytes if the configuration sets no limit.
 	DefaultBodyLimit = 8 << 20
 
@@ -28,6 +26,8 @@
 	// minReserve is the least number of bytes reserved for a body, and what is reserved at first for one of unknown
 	// length.
 	minReserve = 64 << 10
+	// holdSmoothing is the weight of the newest body in the average time for which a body's memory is held.
+	holdSmoothing = 0.1
 	// maxBlock is the size in bytes of the largest block of memory that a body is read into.
 	maxBlock = 1 << 20
 	megabyte = 1 << 20
@@ -35,9 +35,55 @@
 
 // BodyMemory limits the memory taken by request bodies. It is safe for concurrent use.
 type BodyMemory struct {
+	clock base.Clock
 	// capacity and reserved are in bytes.
 	capacity int64
 	reserved atomic.Int64
+	holds    holdTimes
+}
+
+// holdTimes tells for how long bodies hold their memory. It is safe for concurrent use.
+type holdTimes struct {
+	mu sync.Mutex
+	// mean is the average of those that have released it; 0 until one has.
+	mean time.Duration
+	// held counts the bodies that hold memory, sinceSum is the sum of the times since when.
+	held     int
+	sinceSum time.Duration
+}
+
+// begin records that a body begins to hold memory.
+func (h *holdTimes) begin(now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held++
+	h.sinceSum += now
+}
+
+// end records that a body that was read has released its memory, or with read unset that it was rejected.
+func (h *holdTimes) end(since, now time.Duration, read bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held--
+	h.sinceSum -= since
+	switch {
+	case !read:
+	case h.mean == 0:
+		h.mean = now - since
+	default:
+		h.mean += time.Duration(holdSmoothing * float64(now-since-h.mean))
+	}
+}
+
+// expected returns for how long memory is expected to be held: the average, or while there is none, as long again as
+// bodies have held theirs so far.
+func (h *holdTimes) expected(now time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.mean > 0 || h.held == 0 {
+		return h.mean
+	}
+	return now - h.sinceSum/time.Duration(h.held)
 }
 
 // Capacity returns the limit in bytes.
@@ -45,11 +91,16 @@
 
 // NewBodyMemory returns a limit of a quarter of the process's memory, which is given in megabytes; 64 MiB if
 // memoryMb is 0.
-func NewBodyMemory(memoryMb uint32) *BodyMemory {
+func NewBodyMemory(clock base.Clock, memoryMb uint32) *BodyMemory {
 	if memoryMb == 0 {
-		return &BodyMemory{capacity: defaultCapacity}
+		return &BodyMemory{clock: clock, capacity: defaultCapacity}
 	}
-	return &BodyMemory{capacity: int64(float64(memoryMb) * memoryRatio * megabyte)}
+	return &BodyMemory{clock: clock, capacity: int64(float64(memoryMb) * memoryRatio * megabyte)}
+}
+
+// RetryAfter returns the time within which memory that is taken now is expected to be released.
+func (m *BodyMemory) RetryAfter() time.Duration {
+	return max(m.holds.expected(m.clock.Mono()), minRetryAfter)
 }
 
 // Body is a request body in blocks of memory.
@@ -74,23 +125,26 @@
 	if r.ContentLength > limit {
 		return nil, noRelease, base.NewFault(base.TooLarge, "", "a body of %d bytes; at most %d may come", r.ContentLength, limit)
 	}
-	reservation := &reservation{memory: m}
+	reservation := &reservation{memory: m, since: m.clock.Mono()}
+	m.holds.begin(reservation.since)
 	if r.ContentLength > 0 {
 		body, fault = reservation.readKnown(r.Body, r.ContentLength)
 	} else {
 		body, fault = reservation.readUnknown(r.Body, limit)
 	}
 	if fault != nil {
-		reservation.release()
+		reservation.end(false)
 		return nil, noRelease, fault
 	}
-	return body, reservation.release, nil
+	var once sync.Once
+	return body, func() { once.Do(func() { reservation.end(true) }) }, nil
 }
 
 // reservation is the memory that one body has reserved.
 type reservation struct {
 	memory *BodyMemory
 	bytes  int64
+	since  time.Duration
 }
 
 // grow reserves between least and wanted bytes more, and returns how many; 0 if least aren't there.
@@ -118,13 +172,21 @@
 	r.bytes = bytes
 }
 
-// release returns all that is reserved.
-func (r *reservation) release() { r.shrink(0) }
+// end returns all that is reserved. read is unset if the body was rejected.
+func (r *reservation) end(read bool) {
+	r.shrink(0)
+	r.memory.holds.end(r.since, r.memory.clock.Mono(), read)
+}
+
+// noMemory says that there is no memory for the body now.
+func (r *reservation) noMemory() *base.Fault {
+	return base.NewFault(base.Overloaded, "", "the body has no room now").WithRetryAfter(r.memory.RetryAfter())
+}
 
 // readKnown reads a body of the given length.
 func (r *reservation) readKnown(in io.Reader, length int64) (body Body, fault *base.Fault) {
 	if needed := max(length, minReserve); r.grow(needed, needed) == 0 {
-		return nil, noMemory()
+		return nil, r.noMemory()
 	}
 	for length > 0 {
 		block := make([]byte, min(length, maxBlock))
@@ -143,7 +205,7 @@
 	for {
 		size := r.grow(minReserve, min(max(minReserve, length), maxBlock))
 		if size == 0 {
-			return nil, noMemory()
+			return nil, r.noMemory()
 		}
 		block := make([]byte, size)
 		n, err := io.ReadFull(in, block)
@@ -174,10 +236,5 @@
 	return n == 0 && err == io.EOF
 }
 
-// noMemory says that there is no memory for a body now.
-func noMemory() *base.Fault {
-	return base.NewFault(base.Overloaded, "", "the body has no room now").WithRetryAfter(MemoryRetryAfter)
-}
-
 // endedEarly says that a body broke off.
 func endedEarly() *base.Fault { return base.NewFault(base.Malformed, "", "the body ended early") }
--- a/internal/dataplane/admission/body_memory_test.go
+++ b/internal/dataplane/admission/body_memory_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"curlewreach/base"
+	"curlewreach/internal/testing/simulation"
 )
 
 var _ = ginkgo.Describe("the memory of request bodies", func() {
@@ -25,7 +26,7 @@
 	}
 	ginkgo.It("given a body within the configured limit, when it is read, with a length or in chunks, then all of it counts against the memory until it is released", func() {
 		for _, chunked := range []bool{false, true} {
-			memory := NewBodyMemory(284)
+			memory := NewBodyMemory(&simulation.ManualClock{}, 284)
 			body, release, fault := read(memory, 12<<20, chunked, 64<<20)
 			gomega.Expect(fault).To(gomega.BeNil())
 			gomega.Expect(body.Len()).To(gomega.Equal(12 << 20))
@@ -36,14 +37,14 @@
 	})
 	ginkgo.It("given a body over the configured limit, when it is read, then it is too large and no memory stays reserved", func() {
 		for _, chunked := range []bool{false, true} {
-			memory := NewBodyMemory(284)
+			memory := NewBodyMemory(&simulation.ManualClock{}, 284)
 			_, _, fault := read(memory, 5000, chunked, 4000)
 			gomega.Expect(fault.Kind).To(gomega.Equal(base.TooLarge))
 			gomega.Expect(memory.reserved.Load()).To(gomega.BeZero())
 		}
 	})
 	ginkgo.It("given too little memory, when a body is read, then it is rejected with a time to retry, and accepted once memory is released", func() {
-		memory := NewBodyMemory(16)
+		memory := NewBodyMemory(&simulation.ManualClock{}, 16)
 		_, release, fault := read(memory, 3<<20, false, 64<<20)
 		gomega.Expect(fault).To(gomega.BeNil())
 		_, _, fault = read(memory, 3<<20, false, 64<<20)
@@ -56,7 +57,7 @@
 
 	// Guards against a node killed for its memory by bodies in chunks, which took theirs before it was reserved: issue 45.
 	ginkgo.It("given bodies of unknown length that don't fit together, when they are read at the same time, then no more than the limit is ever reserved or taken, and the rest is rejected early", func() {
-		memory := NewBodyMemory(64)
+		memory := NewBodyMemory(&simulation.ManualClock{}, 64)
 		var taken, most atomic.Int64
 		outcomes := make(chan *base.Fault, 12)
 		for range cap(outcomes) {
@@ -89,7 +90,7 @@
 	})
 
 	ginkgo.It("given long bodies that take all they may, when a short one comes, with a length or in chunks, then it is read", func() {
-		memory := NewBodyMemory(16)
+		memory := NewBodyMemory(&simulation.ManualClock{}, 16)
 		_, release, fault := read(memory, 15*memory.capInt()/16-minReserve, true, 64<<20)
 		defer release()
 		gomega.Expect(fault).To(gomega.BeNil())
@@ -103,7 +104,7 @@
 	})
 
 	ginkgo.It("given bodies of every length around that of a block, when they are read in chunks, then they are whole; one that breaks off is malformed and keeps no memory", func() {
-		memory := NewBodyMemory(284)
+		memory := NewBodyMemory(&simulation.ManualClock{}, 284)
 		for _, size := range []int{1, minReserve - 1, minReserve, minReserve + 1, 2 * minReserve, maxBlock, maxBlock + 1, 3*maxBlock + 5} {
 			content := strings.Repeat("abcdefg", size/7+1)[:size]
 			r := httptest.NewRequest("POST", "/", strings.NewReader(content))
--- a/internal/dataplane/admission/link_pacer.go
+++ b/internal/dataplane/admission/link_pacer.go
@@ -32,6 +32,8 @@
 	busyUntil time.Duration
 	// pendingBytes is the expected total size of the responses reserved and not settled.
 	pendingBytes float64
+	// waiting counts the responses in Wait.
+	waiting int
 	// averageSizes holds the average response size in bytes by route.
 	averageSizes map[string]float64
 }
@@ -56,6 +58,19 @@
 	return max(p.busyUntil-p.clock.Mono(), 0) + p.transmitTime(p.pendingBytes)
 }
 
+// Waiting returns the number of responses that wait until they may be written.
+func (p *LinkPacer) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting
+}
+
+func (p *LinkPacer) countWaiting(change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting += change
+}
+
 // Reserve accounts for a response of the route's average size until settle is called with its actual size, or
 // with 0 if there was no response. Further calls of settle have no effect.
 func (p *LinkPacer) Reserve(route string) (settle func(size int64)) {
@@ -103,6 +118,8 @@
 	if bytes <= maxUnpacedBytes || wait <= 0 {
 		return
 	}
+	p.countWaiting(1)
+	defer p.countWaiting(-1)
 	wakeup := time.NewTimer(wait)
 	defer wakeup.Stop()
 	select {
--- a/internal/dataplane/admission/queue.go
+++ b/internal/dataplane/admission/queue.go
@@ -9,87 +9,40 @@
 	"curlewreach/base"
 )
 
-// MaxUrgentRank is the highest rank that counts as urgent. Among urgent requests, a missed soft deadline does
-// not change the order of admission.
-const MaxUrgentRank = 1
-
 const (
-	// serviceTimeSmoothing is the weight of the newest request in the average service time.
-	serviceTimeSmoothing = 0.1
-	// urgentShareSmoothing is the weight of the newest request in the share of urgent requests.
-	urgentShareSmoothing = 0.02
-	// maxUrgentShare bounds the share of urgent requests in estimates of the wait.
-	maxUrgentShare = 0.9
-	// staleServiceTimes is the number of average service times after which an admitted request no longer
-	// counts as occupying its slot.
-	staleServiceTimes = 8
-	// waitersPerSlot is how many requests may wait for each slot.
+	// workSmoothing is the weight of the newest request in the average work.
+	workSmoothing = 0.1
+	// staleWorkTimes is how many times its expected work a request may hold a slot. After that it no longer counts
+	// while all slots are taken: a response that was lost on its way never releases the slot that the upstream has
+	// long had free.
+	staleWorkTimes = 8
+	// waitersPerSlot is how many requests may wait for each slot. One keeps every slot in use, even if all are
+	// released at once; any more would only make all later callers wait longer.
 	waitersPerSlot = 1
-	// minServiceTime is the lower bound of the average service time, in seconds.
-	minServiceTime = 0.001
+	// minRetryAfter is the shortest delay that a rejected request is told, the resolution of the header.
+	minRetryAfter = time.Millisecond
 )
 
-// Request holds the conditions of a request that asks for admission. Times are readings of the monotonic
-// clock.
-type Request struct {
-	// Rank is the priority; 0 is the most urgent.
-	Rank int
-	// SoftDeadline is the latest start with which the response still meets the latency target.
-	SoftDeadline time.Duration
-	// HardDeadline is the latest start; a request that has not been admitted by then is rejected.
-	HardDeadline time.Duration
-	// MaxWait is the longest wait that the request accepts. If the expected wait is longer, the request is
-	// rejected at once.
-	MaxWait time.Duration
-}
-
-// waiter is a request in the queue.
-type waiter struct {
-	Request
-	// sequence is the order of arrival.
-	sequence uint64
-	// decision receives nil when the request is admitted, and a fault when it is rejected.
-	decision chan *base.Fault
-}
-
-// before reports whether w is admitted ahead of other. Requests that can still meet their soft deadline go
-// ahead of those that can't, unless both are urgent. Ties are broken by rank, soft deadline and order of
-// arrival.
-func (w *waiter) before(other *waiter, now time.Duration) bool {
-	late, otherLate := now > w.SoftDeadline, now > other.SoftDeadline
-	switch {
-	case w.Rank > MaxUrgentRank && late != otherLate || other.Rank > MaxUrgentRank && late != otherLate:
-		return otherLate
-	case w.Rank != other.Rank:
-		return w.Rank < other.Rank
-	case w.SoftDeadline != other.SoftDeadline:
-		return w.SoftDeadline < other.SoftDeadline
-	}
-	return w.sequence < other.sequence
-}
-
-// Queue limits the number of requests at an upstream. Further requests wait. Those that can still meet their
-// latency target are admitted first, by rank and then by the time left. It is safe for concurrent use.
+// Queue limits the number of requests at an upstream. Further requests wait, one for each slot, as long as a slot is
+// expected in time for them. They are admitted by rank, then by the time by which they should start. It is safe for
+// concurrent use.
 type Queue struct {
 	clock base.Clock
 	mu    sync.Mutex
 	limit int
-	// startedAt holds the admission time of the requests in flight, by sequence number.
-	startedAt    map[uint64]time.Duration
+	// active holds the requests in flight by sequence number, waiters those that wait, in their order.
+	active       map[uint64]active
 	waiters      []*waiter
 	lastSequence uint64
-	// serviceTime is the average time in seconds for which a request occupies a slot.
-	serviceTime float64
-	// urgentShare is the average share of urgent requests among those admitted.
-	urgentShare float64
+	// meanWork is the average time for which a request occupies a slot; 0 until one has ended.
+	meanWork time.Duration
 	// closed is the fault with which requests are rejected; nil while the queue is open.
 	closed *base.Fault
 }
 
-// NewQueue returns a queue in front of limit slots. serviceTime is the assumed service time until requests
-// have been measured.
-func NewQueue(clock base.Clock, limit int, serviceTime time.Duration) *Queue {
-	return &Queue{clock: clock, limit: max(limit, 1), startedAt: map[uint64]time.Duration{}, serviceTime: serviceTime.Seconds()}
+// NewQueue returns a queue in front of limit slots.
+func NewQueue(clock base.Clock, limit int) *Queue {
+	return &Queue{clock: clock, limit: max(limit, 1), active: map[uint64]active{}}
 }
 
 // Resize sets the number of slots; at least one.
@@ -98,6 +51,7 @@
 	defer q.mu.Unlock()
 	q.limit = max(limit, 1)
 	q.admitWaiters()
+	q.rejectLate(q.clock.Mono())
 }
 
 // Close rejects all waiters, and all requests that ask for admission from now on, with the given fault. Requests that
@@ -115,38 +69,27 @@
 	q.waiters = nil
 }
 
-// ServiceTime returns the average time for which a request occupies a slot.
-func (q *Queue) ServiceTime() time.Duration {
+// MeanWork returns the average time for which a request occupies a slot; 0 until one has ended.
+func (q *Queue) MeanWork() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return time.Duration(q.serviceTime * float64(time.Second))
+	return q.meanWork
 }
 
-// inFlight counts the occupied slots. Once all are taken, requests admitted longer than staleServiceTimes
-// average service times ago are left out. The caller must hold q.mu.
+// inFlight counts the occupied slots. Once all are taken, stale requests are left out. The caller must hold q.mu.
 func (q *Queue) inFlight() int {
-	if len(q.startedAt) < q.limit {
-		return len(q.startedAt)
+	if len(q.active) < q.limit {
+		return len(q.active)
 	}
-	cutoff, count := q.clock.Mono()-time.Duration(staleServiceTimes*q.serviceTime*float64(time.Second)), 0
-	for _, began := range q.startedAt {
-		if began >= cutoff {
+	now, count := q.clock.Mono(), 0
+	for _, each := range q.active {
+		if !q.isStale(each, now) {
 			count++
 		}
 	}
 	return count
 }
 
-// drainTime estimates how long it takes until as many slots are released as there are requests ahead. For
-// ranks that are not urgent, the share of urgent requests is deducted from the rate.
-func (q *Queue) drainTime(ahead int, rank int) time.Duration {
-	rate := float64(q.limit) / q.serviceTime
-	if rank > MaxUrgentRank {
-		rate *= 1 - min(q.urgentShare, maxUrgentShare)
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
-}
-
 // Load describes how full a queue is.
 type Load struct {
 	// InFlight is the number of requests at the upstream, Waiting those in the queue, and Limit the number of
@@ -154,45 +97,37 @@
 	InFlight, Waiting, Limit int
 	// ServiceTimeMs is the average time in milliseconds for which a request occupies a slot.
 	ServiceTimeMs int
-	// UrgentWaitMs and NormalWaitMs are the expected waits in milliseconds of an urgent request and of
-	// others; 0 while a slot is free.
-	UrgentWaitMs, NormalWaitMs int
+	// SlotWaitMs is the expected time in milliseconds until a slot is released, QueueWaitMs until there is one for a
+	// request behind all that wait; 0 while a slot is free.
+	SlotWaitMs, QueueWaitMs int
 }
 
-// Load returns how full the queue is and how long urgent and other requests would wait.
+// Full reports whether no slot is free and no further request may wait.
+func (l Load) Full() bool { return l.Limit > 0 && l.Waiting >= waitersPerSlot*l.Limit }
+
+// Load returns how full the queue is and how long requests would wait.
 func (q *Queue) Load() Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	load := Load{InFlight: q.inFlight(), Waiting: len(q.waiters), Limit: q.limit, ServiceTimeMs: int(q.serviceTime * 1000)}
+	now := q.clock.Mono()
+	load := Load{InFlight: q.inFlight(), Waiting: len(q.waiters), Limit: q.limit, ServiceTimeMs: int(q.expectedWork(now).Milliseconds())}
 	if load.InFlight >= q.limit {
-		now := q.clock.Mono()
-		load.UrgentWaitMs = int(q.expectedWait(&waiter{Request: Request{Rank: MaxUrgentRank, SoftDeadline: now}}, now).Milliseconds())
-		load.NormalWaitMs = int(q.expectedWait(&waiter{Request: Request{Rank: MaxUrgentRank + 1, SoftDeadline: now + time.Hour}}, now).Milliseconds())
+		starts := q.expectedStarts(append(slices.Clone(q.waiters), &waiter{}), now)
+		load.SlotWaitMs = int((starts[0] - now).Milliseconds())
+		load.QueueWaitMs = int((starts[len(starts)-1] - now).Milliseconds())
 	}
 	return load
 }
 
-// expectedWait estimates the wait of a request by the waiters ahead of it. The caller must hold q.mu.
-func (q *Queue) expectedWait(w *waiter, now time.Duration) time.Duration {
-	ahead := 1
-	for _, each := range q.waiters {
-		if each.before(w, now) {
-			ahead++
-		}
-	}
-	return q.drainTime(ahead, w.Rank)
-}
-
-// Acquire takes a slot. If none is free, it waits for one, provided that the expected wait does not exceed
-// the request's MaxWait or a lower rank is waiting (see outranksWaiter), and that the queue has room or a
-// waiter can be evicted. release returns the slot. A fault of kind Overloaded carries the time after which to
-// retry.
+// Acquire takes a slot. If none is free, it waits for one, if the request may wait, a slot is expected by its latest
+// start, and there is room for it in the queue, which a waiter of a lower priority makes. release returns the slot. A
+// fault of kind Overloaded carries the expected time until there is a slot for the request.
 func (q *Queue) Acquire(ctx context.Context, request Request) (release func(), fault *base.Fault) {
 	w, release, fault := q.enter(request)
 	if w == nil {
 		return release, fault
 	}
-	wakeup := time.NewTimer(request.HardDeadline - q.clock.Mono())
+	wakeup := time.NewTimer(request.LatestStart - q.clock.Mono())
 	defer wakeup.Stop()
 	select {
 	case fault = <-w.decision:
@@ -221,26 +156,43 @@
 	if len(q.waiters) == 0 && q.inFlight() < q.limit {
 		return nil, q.admit(w), nil
 	}
-	wait := q.expectedWait(w, now)
-	waitTooLong := request.MaxWait <= 0 || wait > request.MaxWait
-	if waitTooLong && !q.outranksWaiter(w) || len(q.waiters) >= waitersPerSlot*q.limit && !q.evict(w, now) {
-		return nil, nil, base.NewFault(base.Overloaded, "", "every slot is taken").WithRetryAfter(wait)
+	start := q.insert(w, now)
+	if !request.MayWait || start > request.LatestStart || len(q.waiters) > waitersPerSlot*q.limit && !q.evictBehind(w, now) {
+		q.remove(w)
+		return nil, nil, overloaded("every slot is taken", start-now)
 	}
-	q.waiters = append(q.waiters, w)
+	q.rejectLate(now)
 	q.admitWaiters()
 	return w, nil, nil
 }
 
+// insert adds a waiter at its turn and returns when it is expected to start. The caller must hold q.mu.
+func (q *Queue) insert(w *waiter, now time.Duration) (start time.Duration) {
+	position, _ := slices.BinarySearchFunc(q.waiters, w, (*waiter).compare)
+	q.waiters = slices.Insert(q.waiters, position, w)
+	return q.expectedStarts(q.waiters[:position+1], now)[position]
+}
+
+// remove removes a waiter and reports whether it was in the queue. The caller must hold q.mu.
+func (q *Queue) remove(w *waiter) bool {
+	position := slices.Index(q.waiters, w)
+	if position < 0 {
+		return false
+	}
+	q.waiters = slices.Delete(q.waiters, position, position+1)
+	return true
+}
+
 // leave removes a waiter that no longer waits, for the reason given by fault. If it has been admitted meanwhile, it
 // keeps its slot, unless its context is done.
 func (q *Queue) leave(ctx context.Context, w *waiter, fault *base.Fault) (release func(), _ *base.Fault) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, each := range q.waiters {
-		if each == w {
-			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
-			return nil, fault.WithRetryAfter(q.expectedWait(w, q.clock.Mono()))
-		}
+	if q.remove(w) {
+		now := q.clock.Mono()
+		start := q.insert(w, now)
+		q.remove(w)
+		return nil, fault.WithRetryAfter(max(start-now, minRetryAfter))
 	}
 	if decided := <-w.decision; decided != nil {
 		return nil, decided
@@ -248,81 +200,101 @@
 	if ctx.Err() == nil {
 		return q.releaseFunc(w.sequence), nil
 	}
-	delete(q.startedAt, w.sequence)
+	delete(q.active, w.sequence)
 	q.admitWaiters()
 	return nil, fault
 }
 
-// outranksWaiter reports whether a request of a lower priority is waiting. A request is not rejected for its
-// expected wait then: if it were, while that one is served later, its rank would be served less often than a
-// lower one. Urgent ranks are excluded, since they are served first anyway.
-func (q *Queue) outranksWaiter(w *waiter) bool {
-	return w.Rank > MaxUrgentRank && slices.ContainsFunc(q.waiters, func(each *waiter) bool { return each.Rank > w.Rank })
+// evictBehind rejects the last waiter if its priority is lower than that of w, and reports whether it did. The caller
+// must hold q.mu.
+func (q *Queue) evictBehind(w *waiter, now time.Duration) bool {
+	last := q.waiters[len(q.waiters)-1]
+	if last.Rank <= w.Rank {
+		return false
+	}
+	q.reject(last, "one of a higher priority took its place", now)
+	return true
 }
 
-// evict rejects the waiter that would be served last if w goes ahead of it, and reports whether it did.
-func (q *Queue) evict(w *waiter, now time.Duration) bool {
-	worst := 0
-	for i, each := range q.waiters {
-		if q.waiters[worst].before(each, now) {
-			worst = i
+// rejectLate rejects the waiters that are not expected to start in time any more, because others go ahead of them. The
+// caller must hold q.mu.
+func (q *Queue) rejectLate(now time.Duration) {
+	for {
+		late := q.firstLate(now)
+		if late == nil {
+			return
 		}
+		q.reject(late, "no turn is expected in time", now)
 	}
-	evicted := q.waiters[worst]
-	if !w.before(evicted, now) {
-		return false
+}
+
+// firstLate returns the first waiter that is expected to start too late; nil if there is none. The caller must hold
+// q.mu.
+func (q *Queue) firstLate(now time.Duration) *waiter {
+	for i, start := range q.expectedStarts(q.waiters, now) {
+		if start > q.waiters[i].LatestStart {
+			return q.waiters[i]
+		}
 	}
-	q.waiters = append(q.waiters[:worst], q.waiters[worst+1:]...)
-	evicted.decision <- base.NewFault(base.Overloaded, "", "a better one took its place").WithRetryAfter(q.expectedWait(evicted, now))
-	return true
+	return nil
+}
+
+// reject removes a waiter and tells it when a slot is expected for one behind all others. The caller must hold q.mu.
+func (q *Queue) reject(w *waiter, reason string, now time.Duration) {
+	q.remove(w)
+	starts := q.expectedStarts(append(slices.Clone(q.waiters), w), now)
+	w.decision <- overloaded(reason, starts[len(starts)-1]-now)
+}
+
+// overloaded returns the fault of a request for which a slot is expected after the given wait.
+func overloaded(reason string, wait time.Duration) *base.Fault {
+	return base.NewFault(base.Overloaded, "", "%s", reason).WithRetryAfter(max(wait, minRetryAfter))
 }
 
 // admit gives a slot to a request and returns its release function. The caller must hold q.mu.
 func (q *Queue) admit(w *waiter) func() {
-	q.startedAt[w.sequence] = q.clock.Mono()
-	sample := 0.0
-	if w.Rank <= MaxUrgentRank {
-		sample = 1
-	}
-	q.urgentShare += urgentShareSmoothing * (sample - q.urgentShare)
+	q.active[w.sequence] = active{since: q.clock.Mono(), work: w.Work}
 	return q.releaseFunc(w.sequence)
 }
 
-// releaseFunc returns the function that releases a slot, adds the service time to the average and admits
+// releaseFunc returns the function that releases a slot, adds the time for which it was held to the average and admits
 // waiters. Further calls of the function have no effect.
 func (q *Queue) releaseFunc(sequence uint64) func() {
 	return func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		began, active := q.startedAt[sequence]
-		if !active {
+		ended, isActive := q.active[sequence]
+		if !isActive {
 			return
 		}
-		delete(q.startedAt, sequence)
-		took := (q.clock.Mono() - began).Seconds()
-		q.serviceTime += serviceTimeSmoothing * (min(took, staleServiceTimes*q.serviceTime) - q.serviceTime)
-		q.serviceTime = max(q.serviceTime, minServiceTime)
+		delete(q.active, sequence)
+		q.recordWork(q.clock.Mono() - ended.since)
 		q.admitWaiters()
 	}
 }
 
-// admitWaiters gives free slots to waiters in their order, and rejects those past their hard deadline. The
-// caller must hold q.mu.
+// recordWork adds a time for which a slot was held to the average. A much longer one than usual counts as
+// staleWorkTimes the average. The caller must hold q.mu.
+func (q *Queue) recordWork(took time.Duration) {
+	if q.meanWork == 0 {
+		q.meanWork = took
+		return
+	}
+	took = min(took, staleWorkTimes*q.meanWork)
+	q.meanWork += time.Duration(workSmoothing * float64(took-q.meanWork))
+}
+
+// admitWaiters gives free slots to waiters in their order, and rejects those past their latest start. The caller must
+// hold q.mu.
 func (q *Queue) admitWaiters() {
 	now := q.clock.Mono()
 	for len(q.waiters) > 0 && q.inFlight() < q.limit {
-		first := 0
-		for i, each := range q.waiters {
-			if each.before(q.waiters[first], now) {
-				first = i
-			}
-		}
-		next := q.waiters[first]
-		q.waiters = append(q.waiters[:first], q.waiters[first+1:]...)
-		if now > next.HardDeadline {
-			next.decision <- base.NewFault(base.Overloaded, "", "no turn in time")
+		next := q.waiters[0]
+		if now > next.LatestStart {
+			q.reject(next, "no turn in time", now)
 			continue
 		}
+		q.remove(next)
 		q.admit(next)
 		next.decision <- nil
 	}
--- a/internal/dataplane/admission/queue_test.go
+++ b/internal/dataplane/admission/queue_test.go
@@ -18,13 +18,13 @@
 }
 
 func patientRequest(rank int, now time.Duration) Request {
-	return Request{Rank: rank, SoftDeadline: now + 5*time.Second, HardDeadline: now + 8*time.Second, MaxWait: 8 * time.Second}
+	return Request{Rank: rank, WantedStart: now + 5*time.Second, LatestStart: now + 8*time.Second, MayWait: true}
 }
 
 // fullQueue returns a queue with every slot taken and every waiting place taken by requests of the lowest
 // rank.
 func fullQueue(s *simulation.Simulation, limit int) (q *Queue, releases []func(), results chan acquireResult) {
-	q, results = NewQueue(s.Clock, limit, 100*time.Millisecond), make(chan acquireResult, 100)
+	q, results = NewQueue(s.Clock, limit), make(chan acquireResult, 100)
 	for range limit {
 		release, fault := q.Acquire(context.Background(), patientRequest(3, s.Clock.Mono()))
 		Expect(fault).To(BeNil())
--- a/internal/dataplane/balancer/candidates.go
+++ b/internal/dataplane/balancer/candidates.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"curlewreach/internal/dataplane/admission"
 	"curlewreach/internal/random"
 )
 
@@ -21,9 +20,8 @@
 // Terms of a candidate's score; the lowest score is the best. A score of 1 is an idle peer with the usual
 // latency.
 const (
-	// crossZonePenalty is added for a peer in another zone.
-	crossZonePenalty = 0.8
-	// utilizationWeight is the relative increase of the score of a fully used upstream.
+	// utilizationWeight is the relative increase of the score of a fully used upstream: many upstreams get slower as
+	// they fill up, and one with more free slots is less likely to have none when the request arrives.
 	utilizationWeight = 0.35
 	// scoreJitter bounds the random term that spreads requests over candidates with similar scores.
 	scoreJitter = 0.1
@@ -33,20 +31,16 @@
 	avoidedPenalty = 100
 )
 
-// urgentWaitRatio is the fraction of the estimated wait that requests of urgent ranks are expected to wait,
-// since they usually go ahead of the others.
-const urgentWaitRatio = 0.5
-
 // Candidate is a peer whose upstream may serve a request.
 type Candidate struct {
 	Node     string
 	Address  string
 	Instance string
-	zone     string
 	// Free is set if the upstream is expected to have a free slot; otherwise Wait is the estimated time in
-	// its queue.
+	// its queue, and Full is set if its queue had no room for another request lately.
 	Free  bool
 	Wait  time.Duration
+	Full  bool
 	score float64
 	// Avoided is set if the peer could not be reached recently.
 	Avoided     bool
@@ -98,8 +92,8 @@
 }
 
 // Candidates returns the peers that may serve a request, the best first. serviceTime is how long such
-// requests usually occupy a slot. Peers for which tried returns true are left out.
-func (t *Table) Candidates(service, zone string, rank int, serviceTime time.Duration, tried func(node string) bool, rand *random.Source) []Candidate {
+// requests usually take; 0 if that is not known. The distance to a peer is part of its measured latency. Peers for which tried returns true are left out.
+func (t *Table) Candidates(service string, serviceTime time.Duration, tried func(node string) bool, rand *random.Source) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Mono()
@@ -114,12 +108,10 @@
 		candidate := p.candidate(name, now)
 		inFlight, limit := p.expectedLoad(now)
 		if excess := inFlight + 1 - float64(limit); excess > 0 {
-			candidate.Free, candidate.Wait = false, p.expectedWait(excess/float64(limit), rank, serviceTime, now)
+			candidate.Free, candidate.Wait = false, p.expectedWait(excess/float64(limit), serviceTime, now)
+			candidate.Full = p.load.Full() && now-p.loadAt < loadDecayAge
 		}
 		candidate.score = p.expectedLatency(now)*(1+utilizationWeight*min(inFlight/float64(limit), 1)) + scoreJitter*rand.Float64() + float64(candidate.Wait)/float64(max(serviceTime, time.Millisecond))
-		if p.status.Zone != zone {
-			candidate.score += crossZonePenalty
-		}
 		if candidate.Avoided {
 			candidate.score += avoidedPenalty + (p.avoidUntil - now).Seconds()
 		}
@@ -132,7 +124,7 @@
 
 // candidate returns the fields of a candidate that do not depend on the request.
 func (p *peer) candidate(name string, now time.Duration) Candidate {
-	candidate := Candidate{Node: name, Address: p.status.Inward, Instance: p.status.Instance.Id, zone: p.status.Zone, Free: true, Avoided: now < p.avoidUntil}
+	candidate := Candidate{Node: name, Address: p.status.Inward, Instance: p.status.Instance.Id, Free: true, Avoided: now < p.avoidUntil}
 	if candidate.failureRate = float64(p.load.FailurePercent) / 100; now-p.loadAt > failureDecayAge {
 		candidate.failureRate *= float64(failureDecayAge) / float64(now-p.loadAt)
 	}
@@ -151,17 +143,14 @@
 // expectedWait estimates how long a request waits at a full upstream. slotFraction is the fraction of the
 // upstream's slots that must be released first. serviceTime is how long such requests usually occupy a slot; it applies
 // if the upstream has not reported its own.
-func (p *peer) expectedWait(slotFraction float64, rank int, serviceTime, now time.Duration) time.Duration {
+func (p *peer) expectedWait(slotFraction float64, serviceTime, now time.Duration) time.Duration {
 	slotTime := serviceTime
 	if p.load.ServiceTimeMs > 0 {
 		slotTime = time.Duration(p.load.ServiceTimeMs) * time.Millisecond
 	}
 	wait := time.Duration(slotFraction * float64(slotTime))
-	switch {
-	case rank <= admission.MaxUrgentRank:
-		return time.Duration(urgentWaitRatio * float64(wait))
-	case now-p.loadAt < loadDecayAge:
-		return max(wait, time.Duration(p.load.NormalWaitMs)*time.Millisecond)
+	if age := now - p.loadAt; age < loadDecayAge {
+		return max(wait, time.Duration(p.load.QueueWaitMs)*time.Millisecond-age)
 	}
 	return wait
 }
@@ -185,7 +174,7 @@
 	defer t.mu.Unlock()
 	for name, p := range t.eligible(service) {
 		if name == node {
-			return Candidate{Node: name, Address: p.status.Inward, Instance: p.status.Instance.Id, zone: p.status.Zone}, true
+			return Candidate{Node: name, Address: p.status.Inward, Instance: p.status.Instance.Id}, true
 		}
 	}
 	return Candidate{}, false
--- a/internal/dataplane/balancer/failure_rate_test.go
+++ b/internal/dataplane/balancer/failure_rate_test.go
@@ -21,7 +21,7 @@
 		return found
 	}
 	best := func(table *Table) (first string) {
-		candidates := table.Candidates("s", "z", 2, 100*time.Millisecond, func(string) bool { return false }, random.Seeded(1))
+		candidates := table.Candidates("s", 100*time.Millisecond, func(string) bool { return false }, random.Seeded(1))
 		gomega.Expect(candidates).To(gomega.HaveLen(2))
 		return candidates[0].Node
 	}
--- a/internal/dataplane/balancer/table_test.go
+++ b/internal/dataplane/balancer/table_test.go
@@ -28,7 +28,7 @@
 }
 
 func (t *Table) candidateNodes(service string) (names []string) {
-	for _, each := range t.Candidates(service, "a", 2, 100*time.Millisecond, func(string) bool { return false }, random.Seeded(1)) {
+	for _, each := range t.Candidates(service, 100*time.Millisecond, func(string) bool { return false }, random.Seeded(1)) {
 		names = append(names, each.Node)
 	}
 	return names
--- a/internal/dataplane/call_answer.go
+++ b/internal/dataplane/call_answer.go
@@ -35,7 +35,7 @@
 		return
 	}
 	answer.Abort()
-	c.node.reject(w, base.ResponseLost, "the upstream failed; the request may have run", 0, 0)
+	c.node.reject(w, base.ResponseLost, "the upstream failed; the request may have run", 0)
 }
 
 // abort aborts the handler without an answer. Returning normally would send the client an empty 200 response.
@@ -44,25 +44,20 @@
 	panic(http.ErrAbortHandler)
 }
 
-// giveUp answers with an error of this node: 504 or 502 if the request may have run, otherwise the fault, or an
-// overload with the longest Retry-After of the attempts.
+// giveUp answers with an error of this node: 504 or 502 if the request may have run, otherwise the fault, or that no
+// upstream could take the request.
 func (c *clientCall) giveUp(w http.ResponseWriter, fault *base.Fault) {
 	n := c.node
 	if c.ledger.MayHaveRun() {
 		if c.now() >= c.deadline {
-			n.reject(w, base.Expired, "no answer in time", 0, 0)
+			n.reject(w, base.Expired, "no answer in time", 0)
 			return
 		}
-		n.reject(w, base.ResponseLost, "the answer was lost; the request may have run", 0, 0)
+		n.reject(w, base.ResponseLost, "the answer was lost; the request may have run", 0)
 		return
 	}
 	if fault == nil {
-		fault = base.NewFault(base.Overloaded, "", "nobody could take it").WithRetryAfter(unavailableRetryAfter)
-		for _, attempt := range c.ledger.Attempts {
-			if attempt.Kind == base.Overloaded {
-				fault.RetryAfter = max(fault.RetryAfter, attempt.RetryAfter)
-			}
-		}
+		fault = c.overloadedFault(0)
 	}
-	n.reject(w, fault.Kind, fault.Reason, fault.RetryAfter, c.deadline-c.now())
+	n.reject(w, fault.Kind, fault.Reason, fault.RetryAfter)
 }
--- a/internal/dataplane/client_call.go
+++ b/internal/dataplane/client_call.go
@@ -14,32 +14,23 @@
 	"curlewreach/internal/dataplane/retry"
 )
 
-const (
-	// initialLatencyRatio, times the route's latency target, is the expected latency of a request until one has been
-	// measured.
-	initialLatencyRatio = 0.35
-	// hedgeRetryInterval is the delay before another try at a hedge that could not be started.
-	hedgeRetryInterval = 60 * time.Millisecond
-)
-
 // clientCall is a client request on its way to an upstream, in one or more attempts. Times are readings of the
 // monotonic clock.
 type clientCall struct {
-	node          *Node
-	metadata      forwarding.Metadata
-	route         *config.Route
-	id            string // the request ID, which the answer must carry
-	request       *connection.Request
-	startedAt     time.Duration
-	deadline      time.Duration // earlier of the client's deadline and the route's timeout
-	clientTimeout time.Duration // time left when the request arrived, as told by the client
-	timeoutShare  float64       // clientTimeout as a share of the longest seen on the route
-	usualLatency  time.Duration
-	ledger        *retry.Ledger
-	sent          []*sentAttempt
-	results       chan attemptResult
-	ctx           context.Context
-	cancel        context.CancelFunc
+	node         *Node
+	metadata     forwarding.Metadata
+	route        *config.Route
+	id           string // the request ID, which the answer must carry
+	request      *connection.Request
+	startedAt    time.Duration
+	deadline     time.Duration // earlier of the client's deadline and the route's timeout
+	usualLatency time.Duration // mean latency of the route; 0 until one has been measured
+	workTime     time.Duration // within which most attempts on the route are answered; 0 until one has been measured
+	ledger       *retry.Ledger
+	sent         []*sentAttempt
+	results      chan attemptResult
+	ctx          context.Context
+	cancel       context.CancelFunc
 }
 
 // attemptResult is a finished attempt and its outcome.
@@ -49,19 +40,19 @@
 }
 
 // newClientCall creates the call of a client request and credits the retry budget of its service. request is the
-// message to send upstream; timeoutShare is the client's timeout as a share of the longest seen on the route.
-func (n *Node) newClientCall(client *clientRequest, request *connection.Request, timeoutShare float64) *clientCall {
+// message to send upstream.
+func (n *Node) newClientCall(client *clientRequest, request *connection.Request) *clientCall {
 	route, deadline := client.route, client.startedAt+client.holdLimit()
 	service := route.PickService(n.scope.Rand.Float64())
 	call := &clientCall{
-		node: n, route: route, id: client.id, startedAt: client.startedAt, deadline: deadline, clientTimeout: client.timeout, timeoutShare: timeoutShare, request: request,
+		node: n, route: route, id: client.id, startedAt: client.startedAt, deadline: deadline, request: request,
 		metadata: forwarding.Metadata{
 			Service: service, Route: route.Name(), Rank: int(route.Raw.Rank), AtMostOnce: !route.Repeatable(), Serial: client.table.Serial(),
 			Sampled: true, Trace: n.parentTrace(route, client.startedAt, client.timeout),
 		},
-		usualLatency: n.latencies.Mean(route.Name(), time.Duration(float64(route.LatencyTarget())*initialLatencyRatio)),
-		ledger:       &retry.Ledger{Repeatable: route.Repeatable(), MaxTries: route.MaxAttempts(), Deadline: deadline},
-		results:      make(chan attemptResult, retry.MaxAttempts+1),
+		usualLatency: n.latencies.Mean(route.Name()), workTime: n.latencies.Sufficient(route.Name()),
+		ledger:  &retry.Ledger{Repeatable: route.Repeatable(), MaxTries: route.MaxAttempts(), Deadline: deadline},
+		results: make(chan attemptResult, retry.MaxAttempts+1),
 	}
 	n.retryBudget.Earn(service)
 	call.ctx, call.cancel = context.WithTimeout(n.scope.Context, deadline-call.now())
@@ -96,7 +87,7 @@
 // startAttempt sends an attempt to the candidate in a new goroutine, which updates the statistics of the peer and
 // the route and delivers the result to c.results.
 func (c *clientCall) startAttempt(candidate balancer.Candidate, metadata forwarding.Metadata) {
-	attempt := &retry.Attempt{Node: candidate.Node, StartedAt: c.now(), MayWait: metadata.MaxWait > 0}
+	attempt := &retry.Attempt{Node: candidate.Node, StartedAt: c.now(), MayWait: metadata.MayWait}
 	c.ledger.Attempts = append(c.ledger.Attempts, attempt)
 	n := c.node
 	metadata.Attempt = c.newReference(candidate, metadata)
@@ -131,7 +122,7 @@
 	if candidate.Node == n.params.Name {
 		return attempts.Reference{Entry: n.fences.Table.NewEntry()}
 	}
-	if !c.ledger.Repeatable || metadata.MaxWait > 0 || n.shutdown.hasBegun() || !n.retryBudget.CanSpend(c.metadata.Service) {
+	if !c.ledger.Repeatable || metadata.MayWait || n.shutdown.hasBegun() || !n.retryBudget.CanSpend(c.metadata.Service) {
 		return n.fences.NewReference(candidate.Node, n.peers.Incarnation)
 	}
 	return attempts.Reference{}
@@ -170,17 +161,17 @@
 			c.record(result)
 		case <-timers.hedge.C:
 			if c.mayHedge() && !c.hedge() {
-				timers.hedge.Reset(hedgeRetryInterval)
+				timers.hedge.Reset(c.usualLatency) // until then an upstream releases a slot
 			}
 		case <-timers.stopBegun:
-			timers.stopSeen(c.now(), c.usualLatency)
+			timers.stopSeen(c.now(), c.workTime)
 		case <-timers.withdraw:
 			c.withdrawAttempts()
 		case <-clientCtx.Done():
 			n.countOutcome("visitor-gone")
 			c.abort()
 		case <-timers.answer:
-			c.finishWithoutAttempt(w, stoppingFault())
+			c.finishWithoutAttempt(w, n.stoppingFault())
 			return
 		case <-timers.deadline.C:
 			c.giveUp(w, nil)
@@ -193,8 +184,8 @@
 // exhausted.
 func (c *clientCall) startNext() (started bool, fault *base.Fault) {
 	n := c.node
-	if !n.shutdown.leavesTimeFor(c.usualLatency) {
-		return false, stoppingFault()
+	if !n.shutdown.leavesTimeFor(c.workTime) {
+		return false, n.stoppingFault()
 	}
 	isRetry := c.ledger.UpstreamAttempts() > 0
 	if isRetry && !n.retryBudget.Spend(c.metadata.Service) {
@@ -215,7 +206,7 @@
 
 // hedge starts a second attempt beside a slow one, if an upstream has a free slot and the retry budget allows it.
 func (c *clientCall) hedge() (started bool) {
-	if !c.node.shutdown.leavesTimeFor(c.usualLatency) {
+	if !c.node.shutdown.leavesTimeFor(c.workTime) {
 		return false
 	}
 	candidate, metadata, fault := c.selectUpstream(true)
--- a/internal/dataplane/client_server.go
+++ b/internal/dataplane/client_server.go
@@ -17,24 +17,17 @@
 const (
 	// defaultClientTimeout applies to clients that send no timeout.
 	defaultClientTimeout = 10 * time.Second
-	// unavailableRetryAfter is the Retry-After while the node is starting or stopping, or knows no better one.
-	unavailableRetryAfter = 250 * time.Millisecond
-	// minRetryAfter is the shortest Retry-After. maxRetryAfterRatio, times the time left until the client's
-	// deadline, is the longest.
-	minRetryAfter      = 50 * time.Millisecond
-	maxRetryAfterRatio = 1.0 / 3
 )
 
-// reject answers a request with an error of this node. retryAfter is sent with status 503, within its bounds;
-// timeLeft is the time until the client's deadline, 0 if unknown.
-func (n *Node) reject(w http.ResponseWriter, kind base.Kind, reason string, retryAfter, timeLeft time.Duration) {
+// minRetryAfter is the shortest Retry-After, the resolution in which it is sent.
+const minRetryAfter = time.Millisecond
+
+// reject answers a request with an error of this node. With status 503 it tells the client after what time a request
+// like this is expected to be served.
+func (n *Node) reject(w http.ResponseWriter, kind base.Kind, reason string, retryAfter time.Duration) {
 	status := base.HTTPResponses[kind].Status
 	if status == http.StatusServiceUnavailable {
-		retryAfter = max(retryAfter, minRetryAfter)
-		if timeLeft > 0 {
-			retryAfter = min(retryAfter, time.Duration(float64(timeLeft)*maxRetryAfterRatio))
-		}
-		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
 	}
 	n.countOutcome(string(kind))
 	httpserver.ReplyJSON(w, status, map[string]string{"kind": string(kind), "reason": reason})
@@ -57,8 +50,7 @@
 type rejection struct {
 	kind       base.Kind
 	reason     string
-	retryAfter time.Duration // when the client may retry
-	timeLeft   time.Duration // until the client's deadline, 0 if unknown
+	retryAfter time.Duration // after which a request like this is expected to be served; 0 is at once
 }
 
 // readClientRequest reads the head of a request, or returns the reason for rejecting it.
@@ -68,7 +60,7 @@
 		c.timeout = time.Duration(ms * float64(time.Millisecond))
 	}
 	if c.table == nil || n.shutdown.isRejecting() {
-		return nil, &rejection{base.Stopping, "this node is starting or stopping", unavailableRetryAfter, c.timeout}
+		return nil, &rejection{base.Stopping, "this node is starting or stopping", n.unavailableRetryAfter()}
 	}
 	route, known := c.table.Find(r.Host, r.URL.Path)
 	switch {
@@ -79,7 +71,7 @@
 	}
 	c.route = route
 	if c.holdLimit() <= 0 {
-		return nil, &rejection{kind: base.Overloaded, reason: "no time was left", retryAfter: unavailableRetryAfter}
+		return nil, &rejection{kind: base.Overloaded, reason: "no time was left"}
 	}
 	return c, nil
 }
@@ -101,23 +93,22 @@
 	}
 	c, refused := n.readClientRequest(r)
 	if refused != nil {
-		n.reject(w, refused.kind, refused.reason, refused.retryAfter, refused.timeLeft)
+		n.reject(w, refused.kind, refused.reason, refused.retryAfter)
 		return
 	}
-	timeoutShare := n.latencies.TimeLeftRatio(c.route.Name(), c.timeout)
 	body, release, fault := n.bodyMemory.Read(r, c.bodyLimit())
 	defer release()
 	if fault == nil && n.shutdown.isRejecting() {
-		fault = stoppingFault()
+		fault = n.stoppingFault()
 	}
 	if fault != nil {
 		if fault.Kind == base.Malformed {
 			panic(http.ErrAbortHandler)
 		}
-		n.reject(w, fault.Kind, fault.Reason, fault.RetryAfter, c.timeout)
+		n.reject(w, fault.Kind, fault.Reason, fault.RetryAfter)
 		return
 	}
-	call := n.newClientCall(c, &connection.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: n.upstreamHeader(r.Header), Body: body}, timeoutShare)
+	call := n.newClientCall(c, &connection.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: n.upstreamHeader(r.Header), Body: body})
 	stop := context.AfterFunc(r.Context(), call.cancel)
 	defer stop()
 	defer call.finish()
--- a/internal/dataplane/config_change_test.go
+++ b/internal/dataplane/config_change_test.go
@@ -98,7 +98,7 @@
 	ginkgo.It("given a node that knows the newer configuration, when a peer that doesn't know it sends a retry, then it isn't run", func() {
 		changeRoute(f.peerNode, repeatable, makeOnce)
 		repeat := func(serial uint64) clientResponse {
-			metadata := forwarding.Metadata{Service: books, Route: repeatable, Serial: serial, Retry: true, SoftDeadlineIn: time.Second, HardDeadlineIn: time.Second}
+			metadata := forwarding.Metadata{Service: books, Route: repeatable, Serial: serial, Retry: true, WantedStartIn: time.Second, LatestStartIn: time.Second}
 			return f.sendAsPeer("case", repeatable, metadata)
 		}
 		Expect(repeat(1).status).To(Equal(http.StatusServiceUnavailable))
--- a/internal/dataplane/delivery.go
+++ b/internal/dataplane/delivery.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -28,7 +29,7 @@
 	case instance.Leaving:
 		return nil, queue, base.NewFault(base.NoInstance, "", "the upstream instance is leaving")
 	case n.shutdown.isRejecting():
-		return nil, queue, stoppingFault()
+		return nil, queue, n.stoppingFault()
 	}
 	return instance, queue, nil
 }
@@ -62,8 +63,7 @@
 	return d.exchange(ctx)
 }
 
-// enterQueue waits for a slot in the admission queue. It returns an outcome only if the request is rejected. Nested
-// calls are queued at least at the urgent rank, because their callers hold slots while they wait.
+// enterQueue waits for a slot in the admission queue. It returns an outcome only if the request is rejected.
 func (d *delivery) enterQueue(ctx context.Context) (refusal *forwarding.Outcome) {
 	n, metadata := d.node, d.metadata
 	_, queue, fault := n.instanceFor(metadata)
@@ -74,14 +74,14 @@
 		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "the route no longer allows retries"))
 	}
 	now := n.scope.Clock.Mono()
-	rank := metadata.Rank
 	if caller := d.request.Header.Get(n.headers.Caller); caller != "" {
-		if d.nested = n.nestedCallDetector.RecordCall(metadata.Route, caller, n.peers.NodesByService(n.params.Zone)); d.nested {
-			rank = min(rank, admission.MaxUrgentRank)
-		}
+		d.nested = n.nestedCallDetector.RecordCall(metadata.Route, caller, n.peers.NodesByService(n.params.Zone))
 	}
 	d.queue = queue
-	d.release, fault = queue.Acquire(ctx, admission.Request{Rank: rank, SoftDeadline: now + metadata.SoftDeadlineIn, HardDeadline: now + metadata.HardDeadlineIn, MaxWait: metadata.MaxWait})
+	d.release, fault = queue.Acquire(ctx, admission.Request{
+		Rank: metadata.Rank, WantedStart: now + metadata.WantedStartIn, LatestStart: now + metadata.LatestStartIn,
+		Work: n.serviceTimes.Mean(metadata.Route), MayWait: metadata.MayWait,
+	})
 	if fault != nil {
 		refusal = forwarding.RejectedOutcome(fault)
 		refusal.NestedCall = d.nested
@@ -99,8 +99,8 @@
 	if fault != nil {
 		return forwarding.RejectedOutcome(fault)
 	}
-	if n.shutdown.hasBegun() && !n.shutdown.leavesTimeFor(n.serviceTimes.Mean(d.metadata.Route, d.queue.ServiceTime())) {
-		return forwarding.RejectedOutcome(stoppingFault())
+	if n.shutdown.hasBegun() && !n.shutdown.leavesTimeFor(cmp.Or(n.serviceTimes.Sufficient(d.metadata.Route), d.queue.MeanWork())) {
+		return forwarding.RejectedOutcome(n.stoppingFault())
 	}
 	timeLeft := d.deadline - n.scope.Clock.Mono() - forwarding.DeadlineMargin
 	if timeLeft <= 0 || ctx.Err() != nil {
--- a/internal/dataplane/fencing_test.go
+++ b/internal/dataplane/fencing_test.go
@@ -253,6 +253,8 @@
 	itSimulated("given a request that a full queue rejects, when the rejection is lost, then the client still gets a retry time", func(s *testbed) {
 		f := s.newFencingFixture()
 		f.workTime = 1500 * time.Millisecond
+		// The peer measures the work, so that it expects no slot within the time left of the request that follows.
+		f.get(f.peerNode.params.Outward, "/lend/1", requestHeader("measured", 2*time.Second))
 		f.net.script = []connectionFault{noFault, lostAnswer}
 		s.Go(func() { f.requestOnce("first") })
 		time.Sleep(50 * time.Millisecond)
--- a/internal/dataplane/forwarding/load_report.go
+++ b/internal/dataplane/forwarding/load_report.go
@@ -31,7 +31,7 @@
 // String returns the report in the form in which it is sent.
 func (l LoadReport) String() string {
 	fields := make([]string, 0, loadReportFields)
-	for _, n := range []int{l.InFlight, l.Waiting, l.Limit, l.ServiceTimeMs, l.UrgentWaitMs, l.NormalWaitMs, l.WaitedMs, l.FailurePercent} {
+	for _, n := range []int{l.InFlight, l.Waiting, l.Limit, l.ServiceTimeMs, l.SlotWaitMs, l.QueueWaitMs, l.WaitedMs, l.FailurePercent} {
 		fields = append(fields, strconv.Itoa(n))
 	}
 	return strings.Join(append(fields, strconv.FormatUint(l.Serial, 10), flag(l.Leaving)+flag(l.NestedCall)), ",")
@@ -43,7 +43,7 @@
 	if len(fields) != loadReportFields || len(fields[9]) != loadReportFlags {
 		return l, false
 	}
-	for i, field := range []*int{&l.InFlight, &l.Waiting, &l.Limit, &l.ServiceTimeMs, &l.UrgentWaitMs, &l.NormalWaitMs, &l.WaitedMs, &l.FailurePercent} {
+	for i, field := range []*int{&l.InFlight, &l.Waiting, &l.Limit, &l.ServiceTimeMs, &l.SlotWaitMs, &l.QueueWaitMs, &l.WaitedMs, &l.FailurePercent} {
 		n, err := strconv.Atoi(fields[i])
 		if err != nil {
 			return l, false
--- a/internal/dataplane/forwarding/metadata.go
+++ b/internal/dataplane/forwarding/metadata.go
@@ -28,10 +28,11 @@
 	Rank int
 	// Retry is set for a retry, AtMostOnce for a request that must not run more than once.
 	Retry, AtMostOnce bool
-	// MaxWait is the longest acceptable wait in the queue. SoftDeadlineIn is the time within which the
-	// request must start to meet its latency target, HardDeadlineIn the time within which it must start at
-	// all.
-	MaxWait, SoftDeadlineIn, HardDeadlineIn time.Duration
+	// MayWait is set if the request may wait in the queue. WantedStartIn is the time within which it must start to
+	// meet its latency target, LatestStartIn the time within which it must start for its work to be done by its
+	// deadline. Either may be negative.
+	MayWait                      bool
+	WantedStartIn, LatestStartIn time.Duration
 	// Serial is the version of the configuration by which the request was routed.
 	Serial uint64
 	// Sampled is set if a span of the request may be recorded. Trace holds its trace and parent span.
@@ -45,7 +46,7 @@
 func (m Metadata) String() string {
 	return strings.Join([]string{
 		url.QueryEscape(m.Service), url.QueryEscape(m.Instance), url.QueryEscape(m.Route), strconv.Itoa(m.Rank), flag(m.Retry) + flag(m.Sampled) + flag(m.AtMostOnce),
-		FormatMillis(m.MaxWait), FormatMillis(m.SoftDeadlineIn), FormatMillis(m.HardDeadlineIn), strconv.FormatUint(m.Serial, 10), m.Trace,
+		flag(m.MayWait), FormatMillis(m.WantedStartIn), FormatMillis(m.LatestStartIn), strconv.FormatUint(m.Serial, 10), m.Trace,
 	}, ";")
 }
 
@@ -69,7 +70,7 @@
 	millis := func(i int) time.Duration { return time.Duration(number(i)) * time.Millisecond }
 	m = Metadata{
 		Service: str(0), Instance: str(1), Route: str(2), Rank: int(number(3)), Retry: fields[4][0] == '1', Sampled: fields[4][1] == '1', AtMostOnce: fields[4][2] == '1',
-		MaxWait: millis(5), SoftDeadlineIn: millis(6), HardDeadlineIn: millis(7), Serial: uint64(number(8)), Trace: fields[9],
+		MayWait: number(5) > 0, WantedStartIn: millis(6), LatestStartIn: millis(7), Serial: uint64(number(8)), Trace: fields[9],
 	}
 	return m, valid
 }
--- a/internal/dataplane/link_pacing_test.go
+++ b/internal/dataplane/link_pacing_test.go
@@ -50,7 +50,7 @@
 // peerRequestHeader returns the header of a request that a peer forwards.
 func peerRequestHeader(id string, route string, patience time.Duration) http.Header {
 	header := requestHeader(id, 5*time.Second)
-	header[forwarding.MetadataHeader] = []string{forwarding.Metadata{Service: books, Route: route, Serial: 1, MaxWait: patience, SoftDeadlineIn: patience, HardDeadlineIn: 4 * time.Second}.String()}
+	header[forwarding.MetadataHeader] = []string{forwarding.Metadata{Service: books, Route: route, Serial: 1, MayWait: true, WantedStartIn: patience, LatestStartIn: patience}.String()}
 	return header
 }
 
@@ -78,7 +78,7 @@
 		Expect(longest).To(BeNumerically("<", 6*largeTransferTime))
 	})
 
-	itSimulated("given a backlog that exceeds the latency target of a large request, when it arrives, then it is rejected at once with a retry time, and a small one is still served", func(s *testbed) {
+	itSimulated("given a backlog that exceeds the time within which a large request must start, when it arrives, then it is rejected at once with a retry time, and a small one is still served", func(s *testbed) {
 		n := s.startSlowLinkNode()
 		s.get(n.params.Inward, "/archive/first", peerRequestHeader("first", "archive", 4*time.Second))
 		for i := range 4 {
--- a/internal/dataplane/local_instance.go
+++ b/internal/dataplane/local_instance.go
@@ -14,8 +14,6 @@
 const (
 	// maxMissedHeartbeats is how many heartbeat intervals an instance may be silent before it is dropped.
 	maxMissedHeartbeats = 4
-	// initialServiceTime is how long a request is expected to hold a slot of a new instance, until some have been measured.
-	initialServiceTime = 150 * time.Millisecond
 	// takeBackIntervals is how many heartbeat intervals an instance must have been silent before the one that it
 	// replaced takes its place again: a live instance sends a heartbeat each interval.
 	takeBackIntervals = 1.5
@@ -38,7 +36,7 @@
 // NewLocalInstance returns a LocalInstance without an instance. heartbeat is the interval at which an instance
 // sends heartbeats; it is dropped after maxMissedHeartbeats intervals of silence.
 func NewLocalInstance(clock base.Clock, heartbeat time.Duration) *LocalInstance {
-	return &LocalInstance{clock: clock, heartbeatInterval: heartbeat, past: newPastInstances(), queue: admission.NewQueue(clock, 1, initialServiceTime)}
+	return &LocalInstance{clock: clock, heartbeatInterval: heartbeat, past: newPastInstances(), queue: admission.NewQueue(clock, 1)}
 }
 
 // Heartbeat records what the upstream reports about itself. Heartbeats that are out of sequence are ignored, and so
@@ -106,7 +104,7 @@
 			l.past.replace(previous.Id, previous.Sequence)
 		}
 		previousQueue := l.queue
-		l.queue = admission.NewQueue(l.clock, int(instance.Capacity), initialServiceTime)
+		l.queue = admission.NewQueue(l.clock, int(instance.Capacity))
 		previousQueue.Close(base.NewFault(base.NoInstance, "", "another instance has taken the place of the one waited for"))
 	} else if previous.Capacity != instance.Capacity {
 		l.queue.Resize(int(instance.Capacity))
--- a/internal/dataplane/local_instance_test.go
+++ b/internal/dataplane/local_instance_test.go
@@ -124,7 +124,7 @@
 	recorded(true)(l)
 	steady("a", 1)(l)
 	_, queue, _ := l.Current()
-	patient := admission.Request{SoftDeadline: clock.now + time.Hour, HardDeadline: clock.now + time.Hour, MaxWait: time.Hour}
+	patient := admission.Request{WantedStart: clock.now + time.Hour, LatestStart: clock.now + time.Hour, MayWait: true}
 	for range 4 {
 		if _, fault := queue.Acquire(context.Background(), patient); fault != nil {
 			t.Fatal(fault)
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -164,7 +164,7 @@
 		peerConnections:     connection.NewPool(s.Net, s.Clock, peerIdleTimeout, base.ScaleDuration(inForce, dialTimeoutRatio), base.ScaleDuration(inForce, ackTimeoutRatio)),
 		instanceConnections: connection.NewPool(s.Net, s.Clock, upstreamIdleTimeout, base.ScaleDuration(inForce, dialTimeoutRatio), base.ScaleDuration(inForce, ackTimeoutRatio)),
 		peers:               balancer.NewTable(s.Clock, p.Name, observationTTL), instance: NewLocalInstance(s.Clock, p.Beat.AsDuration()),
-		shutdown: newShutdown(s.Clock, p.Grace.AsDuration()), bodyMemory: admission.NewBodyMemory(p.MemoryMb), linkPacer: admission.NewLinkPacer(s.Clock, p.LinkMegabits), latencies: retry.NewLatencies(), serviceTimes: retry.NewLatencies(), sampler: tracing.NewSampler(s.Rand), nestedCallDetector: callgraph.NewNestedCallDetector(),
+		shutdown: newShutdown(s.Clock, p.Grace.AsDuration()), bodyMemory: admission.NewBodyMemory(s.Clock, p.MemoryMb), linkPacer: admission.NewLinkPacer(s.Clock, p.LinkMegabits), latencies: retry.NewLatencies(), serviceTimes: retry.NewLatencies(), sampler: tracing.NewSampler(s.Rand), nestedCallDetector: callgraph.NewNestedCallDetector(),
 	}
 	n.peers.LocalLoad = n.loadReport
 	n.fences = fencing.New(s, fencing.Settings{Incarnation: n.incarnation, InForce: inForce, MemoryMb: p.MemoryMb, RequestIDHeader: n.headers.RequestID}, n.countOutcome)
--- a/internal/dataplane/path_bench_test.go
+++ b/internal/dataplane/path_bench_test.go
@@ -110,7 +110,7 @@
 		b.Run(fmt.Sprintf("all=%d/fitting=%d", size.all, size.fitting), func(b *testing.B) {
 			defer reportCPUTime(b)()
 			for b.Loop() {
-				table.Candidates("service-0", "zone-1", admission.MaxUrgentRank, time.Millisecond, func(string) bool { return false }, rand)
+				table.Candidates("service-0", time.Millisecond, func(string) bool { return false }, rand)
 			}
 		})
 	}
@@ -130,10 +130,10 @@
 }
 
 func BenchmarkPathQueue(b *testing.B) {
-	queue := admission.NewQueue(base.RealClock(), 64, time.Millisecond)
+	queue := admission.NewQueue(base.RealClock(), 64)
 	defer reportCPUTime(b)()
 	for b.Loop() {
-		leave, fault := queue.Acquire(context.Background(), admission.Request{Rank: admission.MaxUrgentRank, SoftDeadline: time.Hour, HardDeadline: time.Hour, MaxWait: time.Second})
+		leave, fault := queue.Acquire(context.Background(), admission.Request{Rank: 1, WantedStart: time.Hour, LatestStart: time.Hour, MayWait: true})
 		if fault != nil {
 			b.Fatal(fault)
 		}
@@ -150,7 +150,7 @@
 }
 
 func BenchmarkPathMetadata(b *testing.B) {
-	metadata := forwarding.Metadata{Service: "service-0", Instance: "i-node-00001", Route: "route-0", Rank: 3, MaxWait: time.Second, HardDeadlineIn: time.Second, Serial: 4711, Sampled: true, Trace: "abcdef012345.abcdef012345"}
+	metadata := forwarding.Metadata{Service: "service-0", Instance: "i-node-00001", Route: "route-0", Rank: 3, MayWait: true, LatestStartIn: time.Second, Serial: 4711, Sampled: true, Trace: "abcdef012345.abcdef012345"}
 	defer reportCPUTime(b)()
 	for b.Loop() {
 		if _, ok := forwarding.ParseMetadata(metadata.String()); !ok {
--- a/internal/dataplane/peer_server.go
+++ b/internal/dataplane/peer_server.go
@@ -7,19 +7,14 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/internal/dataplane/admission"
 	"curlewreach/internal/dataplane/connection"
 	"curlewreach/internal/dataplane/fencing"
 	"curlewreach/internal/dataplane/forwarding"
 	"curlewreach/internal/httpserver"
 )
 
-const (
-	// estimatedHeaderBytes is the assumed size of an answer's header on the link.
-	estimatedHeaderBytes = 300
-	// toleratedBacklog is the backlog of the link up to which no request is rejected.
-	toleratedBacklog = 100 * time.Millisecond
-)
+// estimatedHeaderBytes is the assumed size of an answer's header on the link.
+const estimatedHeaderBytes = 300
 
 // peerRequest is a request that a peer forwards to the local upstream.
 type peerRequest struct {
@@ -84,14 +79,26 @@
 // wait too long for this machine's network link. It returns nil if there is capacity.
 func (n *Node) checkCapacity(metadata forwarding.Metadata, bodyFault *base.Fault) (refusal *forwarding.Outcome) {
 	if bodyFault != nil {
-		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "the body has no room now").WithRetryAfter(admission.MemoryRetryAfter))
+		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "the body has no room now").WithRetryAfter(n.bodyMemory.RetryAfter()))
+	}
+	if !n.linkPacer.IsPaced(metadata.Route) {
+		return nil
 	}
-	if backlog := n.linkPacer.Backlog(); n.linkPacer.IsPaced(metadata.Route) && backlog > max(metadata.SoftDeadlineIn, metadata.MaxWait, toleratedBacklog) {
-		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "this machine's link is taken").WithRetryAfter(backlog))
+	// By the time at which the answer is ready, that much of the backlog is left.
+	wait := n.linkPacer.Backlog() - n.serviceTimes.Mean(metadata.Route)
+	if wait > 0 && (!metadata.MayWait || wait > metadata.LatestStartIn || n.linkPacer.Waiting() >= n.slots()) {
+		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "this machine's link is taken").WithRetryAfter(wait))
 	}
 	return nil
 }
 
+// slots returns the number of requests that the local upstream works on at a time, at least 1. As many answers may wait
+// for the link: more would only make all later ones wait longer.
+func (n *Node) slots() int {
+	instance, _, _ := n.instance.Current()
+	return max(int(instance.GetCapacity()), 1)
+}
+
 // answerPeer sends the outcome of a request and the load of the local upstream to a peer. settle replaces the
 // answer's expected size in the link's backlog by its actual size, 0 if there is no answer.
 func (n *Node) answerPeer(ctx context.Context, w http.ResponseWriter, id string, outcome forwarding.Outcome, settle func(size int64)) {
--- a/internal/dataplane/requests_client_test.go
+++ b/internal/dataplane/requests_client_test.go
@@ -348,7 +348,7 @@
 		conn, err := net.Dial("tcp", f.peerNode.params.Inward)
 		Expect(err).NotTo(HaveOccurred())
 		c := &client{conn.(*net.TCPConn), bufio.NewReader(conn)}
-		metadata := forwarding.Metadata{Service: books, Route: once, Serial: 1, SoftDeadlineIn: time.Second, HardDeadlineIn: time.Second, AtMostOnce: true}
+		metadata := forwarding.Metadata{Service: books, Route: once, Serial: 1, WantedStartIn: time.Second, LatestStartIn: time.Second, AtMostOnce: true}
 		_, _ = io.WriteString(c.conn, strings.Replace(rawRequest("case", once, nil), "\r\n\r\n", "\r\n"+forwarding.MetadataHeader+": "+metadata.String()+"\r\n\r\n", 1))
 		Eventually(began).Should(BeClosed())
 		_ = c.conn.Close()
--- a/internal/dataplane/retry/latencies.go
+++ b/internal/dataplane/retry/latencies.go
@@ -23,14 +23,12 @@
 
 // routeLatency holds the statistics of a route; times are in seconds.
 type routeLatency struct {
-	mean        float64
-	deviation   float64 // mean deviation
-	samples     int
-	maxTimeLeft float64 // the longest time that a client allowed
+	mean      float64
+	deviation float64 // mean deviation
+	samples   int
 }
 
-// Latencies keeps statistics of how long requests of each route take and how long their clients allow. It is
-// safe for concurrent use.
+// Latencies keeps statistics of how long requests of each route take. It is safe for concurrent use.
 type Latencies struct {
 	mu     sync.Mutex
 	routes map[string]*routeLatency
@@ -64,14 +62,20 @@
 	stats.deviation += weight * (max(deviation, -deviation) - stats.deviation)
 }
 
-// Mean returns the average latency of a route, and fallback if there is no sample.
-func (l *Latencies) Mean(route string, fallback time.Duration) time.Duration {
+// Mean returns the average latency of a route; 0 if there is no sample.
+func (l *Latencies) Mean(route string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if stats := l.forRoute(route); stats.samples > 0 {
-		return time.Duration(stats.mean * float64(time.Second))
-	}
-	return fallback
+	return time.Duration(l.forRoute(route).mean * float64(time.Second))
+}
+
+// Sufficient returns a time within which most requests of a route end, the mean and one mean deviation; 0 if there is
+// no sample.
+func (l *Latencies) Sufficient(route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stats := l.forRoute(route)
+	return time.Duration((stats.mean + stats.deviation) * float64(time.Second))
 }
 
 // SlowThreshold returns a latency that few requests of the route reach; 0 if there are fewer than MinSamples
@@ -86,16 +90,6 @@
 	return time.Duration(max(stats.mean+slowDeviations*stats.deviation, 2*stats.mean) * float64(time.Second))
 }
 
-// TimeLeftRatio returns the time that a client allows, in proportion to the longest one seen on the route. A
-// client that retries has used up part of its time, so its ratio is below 1.
-func (l *Latencies) TimeLeftRatio(route string, timeLeft time.Duration) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	stats := l.forRoute(route)
-	stats.maxTimeLeft = max(stats.maxTimeLeft, timeLeft.Seconds())
-	return timeLeft.Seconds() / stats.maxTimeLeft
-}
-
 // View returns the statistics sorted by route, for operators.
 func (l *Latencies) View() (latencies []*wire.LatencyView) {
 	l.mu.Lock()
--- a/internal/dataplane/retry/ledger.go
+++ b/internal/dataplane/retry/ledger.go
@@ -20,6 +20,11 @@
 	RetryAfter      time.Duration // how long to wait before another attempt
 }
 
+// WasFull reports whether the node rejected the attempt because the upstream beside it was full.
+func (a *Attempt) WasFull() bool {
+	return a.State == forwarding.NotRun && a.Kind == base.Overloaded && !a.ReachedUpstream
+}
+
 // Decision is the next step of a request.
 type Decision int
 
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -72,8 +72,7 @@
 // latestStart returns the latest time at which an attempt may start whose upstream is expected to take the given time,
 // so that it can be answered in this stop. The stop must have begun.
 func (s *shutdown) latestStart(expected time.Duration) time.Duration {
-	margin := max(base.ScaleDuration(s.grace, withdrawalRatio), time.Duration(deadlineLatencyFactor*float64(expected)))
-	return s.at(answerRatio) - margin
+	return s.at(answerRatio) - max(base.ScaleDuration(s.grace, withdrawalRatio), expected)
 }
 
 // leavesTimeFor reports whether an attempt that takes the expected time may start now. It may always, unless the node
@@ -98,7 +97,7 @@
 	clientServer.CloseListener()
 	base.Await(n.scope, base.ScaleDuration(grace, peerDrainRatio))
 	n.shutdown.reject()
-	n.instance.CloseQueue(stoppingFault())
+	n.instance.CloseQueue(n.stoppingFault())
 	for idle := 0; idle < requiredIdleChecks && n.scope.Clock.Mono() < n.shutdown.at(stopDeadlineRatio); idle++ {
 		base.Await(n.scope, idleCheckInterval)
 		if n.inFlight.Load() > 0 || !n.clientConnections.Quiescent() {
@@ -110,6 +109,15 @@
 }
 
 // stoppingFault says that a request is rejected because this node is stopping.
-func stoppingFault() *base.Fault {
-	return base.NewFault(base.Stopping, "", "this node is stopping").WithRetryAfter(unavailableRetryAfter)
+func (n *Node) stoppingFault() *base.Fault {
+	return base.NewFault(base.Stopping, "", "this node is stopping").WithRetryAfter(n.unavailableRetryAfter())
+}
+
+// unavailableRetryAfter returns how long a client of a node that is not ready should wait: in a stop until the process
+// ends at the latest, otherwise for a heartbeat, after which a node in contact knows the upstreams.
+func (n *Node) unavailableRetryAfter() time.Duration {
+	if n.shutdown.hasBegun() {
+		return max(n.shutdown.at(stopDeadlineRatio)-n.scope.Clock.Mono(), minRetryAfter)
+	}
+	return n.params.Beat.AsDuration()
 }
--- a/internal/dataplane/shutdown_test.go
+++ b/internal/dataplane/shutdown_test.go
@@ -114,7 +114,7 @@
 // slot that is held for much longer for free.
 func (f *stopFixture) slowDown(node *Node, serviceTime time.Duration) {
 	_, queue, _ := node.instance.Current()
-	for queue.ServiceTime() < serviceTime {
+	for queue.MeanWork() < serviceTime {
 		Expect(f.roundTrip(f.third, seekRoute, "slow", stopGrace).status).To(Equal(http.StatusOK))
 	}
 }
@@ -411,7 +411,7 @@
 	})
 	itSimulated("given a route that takes longer than the time left, then it is answered 503 at once and never runs", func(s *testbed) {
 		f := s.newStopFixture()
-		for f.stopping.latencies.Mean(seekRoute, 0) < 4*time.Second {
+		for f.stopping.latencies.Mean(seekRoute) < 4*time.Second {
 			f.stopping.latencies.Record(seekRoute, stopGrace)
 		}
 		conn := f.open(f.stopping)
--- a/internal/dataplane/upstream_selection.go
+++ b/internal/dataplane/upstream_selection.go
@@ -4,81 +4,51 @@
 	"time"
 
 	"curlewreach/base"
-	"curlewreach/internal/dataplane/admission"
 	"curlewreach/internal/dataplane/balancer"
 	"curlewreach/internal/dataplane/forwarding"
 	"curlewreach/internal/dataplane/retry"
 )
 
-const (
-	// An attempt is started in time for the latency target only if targetLatencyFactor times the mean latency is
-	// left until the target, and in time for the deadline only if deadlineLatencyFactor times the mean latency is
-	// left until the deadline.
-	targetLatencyFactor   = 1.3
-	deadlineLatencyFactor = 1.5
-	// minFirstCallShare is the share of the route's usual client timeout that separates first calls from client
-	// retries: a call with less time left is taken for a retry by the client.
-	minFirstCallShare = 0.55
-	// firstCallStartRatio, times the client timeout, is how long a first call of a less urgent rank may wait before
-	// it starts.
-	firstCallStartRatio = 0.45
-	// clientRetryWaitRatio, times the time left to start, is how long a client retry may wait in a queue.
-	clientRetryWaitRatio = 0.5
-	// minRejections is how many attempts must have been rejected for overload before a call whose expected wait is
-	// too long is rejected.
-	minRejections = 2
-	// minRetryAfterRatio, times the latency target, is the shortest Retry-After if all upstreams are full.
-	// retryAfterJitter is the total width of the random spread around it, as a share, so that rejected clients don't
-	// retry all at once.
-	minRetryAfterRatio = 0.5
-	retryAfterJitter   = 0.5
-)
+// minRejections is how many nodes must have rejected a call for overload before this node rejects it for what it knows
+// of the others: reports of their load are older than the queues that they describe. A second one finds a slot almost
+// as surely as all would, and each costs an overloaded service time.
+const minRejections = 2
 
-// waitLimits returns the longest acceptable wait in a queue, the time left to start in time for the latency target,
-// and the time left to start at all. None is negative. Nested calls and client retries accept longer waits than
-// first calls: a nested call holds a slot of its caller while it waits.
-func (c *clientCall) waitLimits() (maxWait, targetSlack, deadlineSlack time.Duration) {
+// startLimits returns the time within which an attempt must start to meet the latency target, and the time within which
+// it must start for most of its like to be answered before the deadline. Either may be negative.
+func (c *clientCall) startLimits() (wantedStartIn, latestStartIn time.Duration) {
 	now := c.now()
-	targetSlack = c.startedAt + c.route.LatencyTarget() - now - time.Duration(targetLatencyFactor*float64(c.usualLatency))
-	deadlineSlack = c.deadline - now - time.Duration(deadlineLatencyFactor*float64(c.usualLatency))
+	latestStart := c.deadline - c.workTime
 	if shutdown := c.node.shutdown; shutdown.hasBegun() {
-		deadlineSlack = min(deadlineSlack, shutdown.latestStart(c.usualLatency)-now)
-	}
-	if c.route.Raw.Rank > admission.MaxUrgentRank && c.timeoutShare >= minFirstCallShare {
-		deadlineSlack = min(deadlineSlack, c.startedAt+time.Duration(firstCallStartRatio*float64(c.clientTimeout))-now)
-	}
-	maxWait = targetSlack
-	if nested, _ := c.node.nestedRoutes.Get(c.route.Name()); nested {
-		maxWait = deadlineSlack
-	} else if c.timeoutShare < minFirstCallShare {
-		maxWait = max(targetSlack, time.Duration(clientRetryWaitRatio*float64(deadlineSlack)))
+		latestStart = min(latestStart, shutdown.latestStart(c.workTime))
 	}
-	return max(maxWait, 0), max(targetSlack, 0), max(deadlineSlack, 0)
+	return c.startedAt + c.route.LatencyTarget() - c.workTime - now, latestStart - now
 }
 
-// selectUpstream picks the candidate for the next attempt and fills in the attempt's wait limits. A hedge goes only
-// to a candidate with a free slot. If there is no suitable candidate, the fault says why and when to retry.
+// selectUpstream picks the candidate for the next attempt and fills in when the attempt must start. An attempt at a
+// candidate that has a free slot may not wait there, since another one may have a free slot if that one has none. A
+// hedge goes only to a candidate with a free slot. If there is no suitable candidate, the fault says why and when to
+// retry.
 func (c *clientCall) selectUpstream(hedging bool) (candidate balancer.Candidate, metadata forwarding.Metadata, fault *base.Fault) {
 	n := c.node
 	metadata = c.metadata
-	candidates := n.peers.Candidates(c.metadata.Service, n.params.Zone, c.metadata.Rank, c.usualLatency, c.ledger.Tried, n.scope.Rand)
+	metadata.WantedStartIn, metadata.LatestStartIn = c.startLimits()
+	candidates := n.peers.Candidates(c.metadata.Service, c.usualLatency, c.ledger.Tried, n.scope.Rand)
 	if free, found := firstFree(candidates, hedging); found {
-		_, metadata.SoftDeadlineIn, metadata.HardDeadlineIn = c.waitLimits()
 		return free, metadata, nil
 	}
 	if hedging {
 		return candidate, metadata, base.NewFault(base.Overloaded, "", "no upstream has a free slot")
 	}
-	metadata.MaxWait, metadata.SoftDeadlineIn, metadata.HardDeadlineIn = c.waitLimits()
-	candidate, wait, known := c.shortestWait(candidates)
+	candidate, known := c.shortestWait(candidates)
 	if !known {
-		return candidate, metadata, base.NewFault(base.NoInstance, "", "no upstream of %s is known here", c.metadata.Service).WithRetryAfter(unavailableRetryAfter)
+		return candidate, metadata, c.nobodyFault()
 	}
-	if wait > metadata.MaxWait && (metadata.MaxWait <= 0 || c.countOverloaded() >= minRejections) {
-		wait = max(wait, time.Duration(minRetryAfterRatio*float64(c.route.LatencyTarget())))
-		wait = time.Duration(float64(wait) * (1 + retryAfterJitter*(n.scope.Rand.Float64()-0.5)))
-		return candidate, metadata, base.NewFault(base.Overloaded, "", "every upstream of %s is taken", c.metadata.Service).WithRetryAfter(wait)
+	hopeless := candidate.Full || candidate.Wait > metadata.LatestStartIn
+	if metadata.LatestStartIn <= 0 || hopeless && c.countOverloaded() >= minRejections {
+		return candidate, metadata, c.overloadedFault(candidate.Wait)
 	}
+	metadata.MayWait = true
 	return candidate, metadata, nil
 }
 
@@ -99,23 +69,49 @@
 
 // shortestWait returns the candidate with the shortest expected wait: the best one not tried yet, or a node that
 // rejected an attempt because it was full and at which no attempt of this call has waited.
-func (c *clientCall) shortestWait(candidates []balancer.Candidate) (candidate balancer.Candidate, wait time.Duration, known bool) {
+func (c *clientCall) shortestWait(candidates []balancer.Candidate) (shortest balancer.Candidate, known bool) {
 	if known = len(candidates) > 0; known {
-		candidate, wait = candidates[0], candidates[0].Wait
+		shortest = candidates[0]
 	}
 	for _, attempt := range c.ledger.Attempts {
-		full := attempt.State == forwarding.NotRun && attempt.Kind == base.Overloaded && !attempt.ReachedUpstream
-		if !full || c.ledger.MayHaveWaitedAt(attempt.Node) || known && attempt.RetryAfter >= wait {
+		if !attempt.WasFull() || c.ledger.MayHaveWaitedAt(attempt.Node) || known && attempt.RetryAfter >= shortest.Wait {
 			continue
 		}
 		if peer, found := c.node.peers.Candidate(attempt.Node, c.metadata.Service); found {
-			candidate, wait, known = peer, attempt.RetryAfter, true
+			shortest, known = peer, true
+			shortest.Wait = attempt.RetryAfter
 		}
 	}
-	return candidate, wait, known
+	return shortest, known
 }
 
 // countOverloaded returns the number of attempts that were rejected for overload.
 func (c *clientCall) countOverloaded() int {
 	return c.ledger.Count(func(a *retry.Attempt) bool { return a.Kind == base.Overloaded })
 }
+
+// overloadedFault says that every upstream is taken. It tells when the first of them is expected to have a slot: after
+// the given wait, or earlier if a node that rejected an attempt said so. If neither is known, more is known of the
+// upstreams after their next heartbeat. Clients that were rejected together are told to come back at different times,
+// spread over the time in which each slot is usually released once.
+func (c *clientCall) overloadedFault(wait time.Duration) *base.Fault {
+	for _, attempt := range c.ledger.Attempts {
+		if attempt.Kind == base.Overloaded && attempt.RetryAfter > 0 && (wait <= 0 || attempt.RetryAfter < wait) {
+			wait = attempt.RetryAfter
+		}
+	}
+	if wait <= 0 {
+		wait = c.node.unavailableRetryAfter()
+	}
+	wait += time.Duration(c.node.scope.Rand.Float64() * float64(c.usualLatency))
+	return base.NewFault(base.Overloaded, "", "every upstream of %s is taken", c.metadata.Service).WithRetryAfter(wait)
+}
+
+// nobodyFault says that no upstream could be asked any more: those that there are are taken, or none is known, which may
+// have changed after a heartbeat.
+func (c *clientCall) nobodyFault() *base.Fault {
+	if c.countOverloaded() > 0 {
+		return c.overloadedFault(0)
+	}
+	return base.NewFault(base.NoInstance, "", "no upstream of %s is known here", c.metadata.Service).WithRetryAfter(c.node.unavailableRetryAfter())
+}
--- a/internal/dataplane/views.go
+++ b/internal/dataplane/views.go
@@ -46,7 +46,7 @@
 		Node: p.Name, Zone: p.Zone, Service: p.Service, Incarnation: n.incarnation, Serial: n.controlClient.Serial(), Ready: n.Ready(), Stopping: n.shutdown.hasBegun(),
 		Instance: instance, InstanceSilenceMs: base.Milliseconds(n.instance.SinceHeartbeat()), BacklogMs: base.Milliseconds(n.linkPacer.Backlog()), Odds: n.sampler.Serial(), Inside: n.inFlight.Load(),
 		UpMs:      base.Milliseconds(n.scope.Clock.Mono() - n.startedAt),
-		Gate:      &wire.GateView{Flying: uint32(load.InFlight), Waiting: uint32(load.Waiting), Limit: uint32(load.Limit), HoldMs: uint64(load.ServiceTimeMs), TopMs: uint64(load.UrgentWaitMs), RestMs: uint64(load.NormalWaitMs)},
+		Gate:      &wire.GateView{Flying: uint32(load.InFlight), Waiting: uint32(load.Waiting), Limit: uint32(load.Limit), HoldMs: uint64(load.ServiceTimeMs), TopMs: uint64(load.SlotWaitMs), RestMs: uint64(load.QueueWaitMs)},
 		Latencies: n.latencies.View(), RetryBudgets: n.retryBudget.View(), Counts: map[string]uint64{},
 	}
 	view.Peers, view.Controllers = n.peers.View()
