Whether a request may wait is independent of its target; properties of the queue

The turn by the target could decide who was refused: a request with much time left could be refused, since others with shorter targets went ahead, where the same one with a shorter target was not. Acceptance now asks whether all can start in time in the best order of the rank (by latest start); the turns go by the target as far as that makes nobody late. Those of lower ranks that a newcomer keeps from their start are refused at once. Slots that are overdue count as free at any moment for that decision, and as overdue for as long again for Retry-After.

Properties (rapid): same time left, work, rank and queue get the same treatment whatever came before; the target decides nothing but turns; refused only if there is no room or no slot in time, by a plain oracle; accepted only if it can be served and nobody of its rank or above pays; turns by rank, everybody is told.

--- a/internal/dataplane/admission/estimate.go
+++ b/internal/dataplane/admission/estimate.go
@@ -13,21 +13,21 @@
 	work time.Duration
 }
 
-// expectedRelease returns when a request is expected to release its slot. One that takes longer than expected is
-// expected to take as long again as it is overdue.
-func (a active) expectedRelease(now, meanWork time.Duration) time.Duration {
-	end := a.since + cmp.Or(a.work, meanWork)
-	if end < now {
-		return now + (now - end)
-	}
-	return end
-}
+// overdue says when a request that takes longer than expected is thought to release its slot.
+type overdue func(end, now time.Duration) time.Duration
+
+// atAnyMoment serves the decision whether a request may wait: nothing says that the slot will not be free in time.
+func atAnyMoment(_, now time.Duration) time.Duration { return now }
 
-// expectedStarts returns when each of the given requests is expected to start, if they are admitted in their order as
-// slots are released. The caller must hold q.mu.
-func (q *Queue) expectedStarts(waiters []*waiter, now time.Duration) []time.Duration {
+// asLongAgain serves to tell a request when to come back: a slot that is overdue is expected to stay so for as long
+// again, which makes the delays longer from try to try.
+func asLongAgain(end, now time.Duration) time.Duration { return now + (now - end) }
+
+// starts returns when each of the given requests starts if they are admitted in their order as slots are released. The
+// caller must hold q.mu.
+func (q *Queue) starts(waiters []*waiter, now time.Duration, late overdue) []time.Duration {
 	meanWork := q.expectedWork(now)
-	releases := q.expectedReleases(now)
+	releases := q.releases(now, late)
 	starts := make([]time.Duration, len(waiters))
 	for i, each := range waiters {
 		starts[i] = releases[0]
@@ -39,13 +39,18 @@
 	return starts
 }
 
-// expectedReleases returns, in order, when each slot is expected to be free. The caller must hold q.mu.
-func (q *Queue) expectedReleases(now time.Duration) []time.Duration {
+// releases returns, in order, when each slot is expected to be free. The caller must hold q.mu.
+func (q *Queue) releases(now time.Duration, late overdue) []time.Duration {
 	releases := make([]time.Duration, 0, max(q.limit, len(q.active)))
 	for _, each := range q.active {
-		if !q.isStale(each, now) {
-			releases = append(releases, each.expectedRelease(now, q.meanWork))
+		if q.isStale(each, now) {
+			continue
+		}
+		end := each.since + cmp.Or(each.work, q.meanWork)
+		if end <= now {
+			end = late(end, now)
 		}
+		releases = append(releases, end)
 	}
 	for len(releases) < q.limit {
 		releases = append(releases, now)
@@ -73,3 +78,21 @@
 	work := cmp.Or(a.work, q.meanWork)
 	return work > 0 && now-a.since > staleWorkTimes*work
 }
+
+// lateWaiters returns the waiters that can't start in time in the present order, however soon overdue slots are
+// released. The caller must hold q.mu.
+func (q *Queue) lateWaiters(now time.Duration) (late []*waiter) {
+	for i, start := range q.starts(q.waiters, now, atAnyMoment) {
+		if start > q.waiters[i].LatestStart {
+			late = append(late, q.waiters[i])
+		}
+	}
+	return late
+}
+
+// waitBehind returns the expected time until a request that comes behind the given ones has a slot. The caller must
+// hold q.mu.
+func (q *Queue) waitBehind(ahead []*waiter, w *waiter, now time.Duration) time.Duration {
+	starts := q.starts(append(slices.Clone(ahead), w), now, asLongAgain)
+	return max(starts[len(starts)-1]-now, minRetryAfter)
+}
--- a/internal/dataplane/admission/queue.go
+++ b/internal/dataplane/admission/queue.go
@@ -24,8 +24,9 @@
 )
 
 // Queue limits the number of requests at an upstream. Further requests wait, one for each slot, as long as a slot is
-// expected in time for them. They are admitted by rank, then by the time by which they should start. It is safe for
-// concurrent use.
+// expected in time for them. They are admitted by rank, then by the time by which they should start. What becomes of a
+// request depends on nothing but that: requests with the same time left, work and rank that find the same queue are
+// treated alike. It is safe for concurrent use.
 type Queue struct {
 	clock base.Clock
 	mu    sync.Mutex
@@ -51,7 +52,10 @@
 	defer q.mu.Unlock()
 	q.limit = max(limit, 1)
 	q.admitWaiters()
-	q.rejectLate(q.clock.Mono())
+	now := q.clock.Mono()
+	for _, late := range q.lateWaiters(now) {
+		q.reject(late, "no turn is expected in time", now)
+	}
 }
 
 // Close rejects all waiters, and all requests that ask for admission from now on, with the given fault. Requests that
@@ -112,9 +116,8 @@
 	now := q.clock.Mono()
 	load := Load{InFlight: q.inFlight(), Waiting: len(q.waiters), Limit: q.limit, ServiceTimeMs: int(q.expectedWork(now).Milliseconds())}
 	if load.InFlight >= q.limit {
-		starts := q.expectedStarts(append(slices.Clone(q.waiters), &waiter{}), now)
-		load.SlotWaitMs = int((starts[0] - now).Milliseconds())
-		load.QueueWaitMs = int((starts[len(starts)-1] - now).Milliseconds())
+		load.SlotWaitMs = int((q.releases(now, asLongAgain)[0] - now).Milliseconds())
+		load.QueueWaitMs = int(q.waitBehind(q.waiters, &waiter{}, now).Milliseconds())
 	}
 	return load
 }
@@ -156,21 +159,45 @@
 	if len(q.waiters) == 0 && q.inFlight() < q.limit {
 		return nil, q.admit(w), nil
 	}
-	start := q.insert(w, now)
-	if !request.MayWait || start > request.LatestStart || len(q.waiters) > waitersPerSlot*q.limit && !q.evictBehind(w, now) {
-		q.remove(w)
-		return nil, nil, overloaded("every slot is taken", start-now)
+	if wait, accepted := q.offer(w, now); !accepted {
+		return nil, nil, overloaded("every slot is taken", wait)
 	}
-	q.rejectLate(now)
 	q.admitWaiters()
 	return w, nil, nil
 }
 
-// insert adds a waiter at its turn and returns when it is expected to start. The caller must hold q.mu.
-func (q *Queue) insert(w *waiter, now time.Duration) (start time.Duration) {
-	position, _ := slices.BinarySearchFunc(q.waiters, w, (*waiter).compare)
+// offer adds a request to the waiters if it may wait, can start in time, keeps no other one of its rank or a higher one
+// from that, and there is room for it or one of a lower rank makes it. Those of lower ranks that it keeps from that are
+// rejected. If the request is not accepted, wait is the expected time until there is a slot for it. The caller must hold
+// q.mu.
+func (q *Queue) offer(w *waiter, now time.Duration) (wait time.Duration, accepted bool) {
+	slices.SortFunc(q.waiters, byLatestStart)
+	defer q.arrange(now)
+	lateBefore := q.lateWaiters(now)
+	position, _ := slices.BinarySearchFunc(q.waiters, w, byLatestStart)
+	wait = q.waitBehind(q.waiters[:position], w, now)
+	if !w.MayWait {
+		return wait, false
+	}
 	q.waiters = slices.Insert(q.waiters, position, w)
-	return q.expectedStarts(q.waiters[:position+1], now)[position]
+	made := slices.DeleteFunc(q.lateWaiters(now), func(each *waiter) bool { return slices.Contains(lateBefore, each) })
+	if len(made) > 0 && made[0].Rank <= w.Rank || len(q.waiters) > waitersPerSlot*q.limit && !q.evictBehind(w, now) {
+		q.remove(w)
+		return wait, false
+	}
+	for _, each := range made {
+		q.reject(each, "no turn is expected in time", now)
+	}
+	return 0, true
+}
+
+// arrange puts the waiters in the order of their turns: those of a rank as soon as each wants to start, unless that
+// makes one start too late. The caller must hold q.mu.
+func (q *Queue) arrange(now time.Duration) {
+	slices.SortFunc(q.waiters, byWantedStart)
+	if len(q.lateWaiters(now)) > 0 {
+		slices.SortFunc(q.waiters, byLatestStart)
+	}
 }
 
 // remove removes a waiter and reports whether it was in the queue. The caller must hold q.mu.
@@ -189,10 +216,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.remove(w) {
-		now := q.clock.Mono()
-		start := q.insert(w, now)
-		q.remove(w)
-		return nil, fault.WithRetryAfter(max(start-now, minRetryAfter))
+		return nil, fault.WithRetryAfter(q.waitBehind(q.waiters, w, q.clock.Mono()))
 	}
 	if decided := <-w.decision; decided != nil {
 		return nil, decided
@@ -216,34 +240,12 @@
 	return true
 }
 
-// rejectLate rejects the waiters that are not expected to start in time any more, because others go ahead of them. The
-// caller must hold q.mu.
-func (q *Queue) rejectLate(now time.Duration) {
-	for {
-		late := q.firstLate(now)
-		if late == nil {
-			return
-		}
-		q.reject(late, "no turn is expected in time", now)
-	}
-}
-
-// firstLate returns the first waiter that is expected to start too late; nil if there is none. The caller must hold
-// q.mu.
-func (q *Queue) firstLate(now time.Duration) *waiter {
-	for i, start := range q.expectedStarts(q.waiters, now) {
-		if start > q.waiters[i].LatestStart {
-			return q.waiters[i]
-		}
-	}
-	return nil
-}
-
-// reject removes a waiter and tells it when a slot is expected for one behind all others. The caller must hold q.mu.
+// reject removes a waiter and tells it when a slot is expected for one behind all others. It does nothing if the waiter
+// has been removed already. The caller must hold q.mu.
 func (q *Queue) reject(w *waiter, reason string, now time.Duration) {
-	q.remove(w)
-	starts := q.expectedStarts(append(slices.Clone(q.waiters), w), now)
-	w.decision <- overloaded(reason, starts[len(starts)-1]-now)
+	if q.remove(w) {
+		w.decision <- overloaded(reason, q.waitBehind(q.waiters, w, now))
+	}
 }
 
 // overloaded returns the fault of a request for which a slot is expected after the given wait.
--- /dev/null
+++ b/internal/dataplane/admission/queue_property_test.go
@@ -0,0 +1,218 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"curlewreach/base"
+	"curlewreach/internal/testing/simulation"
+)
+
+// queueState draws requests for a queue and plays them on a clock of its own.
+type queueState struct {
+	*Queue
+	clock    *simulation.ManualClock
+	releases []func()
+	waiting  []*waiter
+}
+
+func newQueueState(limit int) *queueState {
+	clock := &simulation.ManualClock{Now: time.Hour}
+	return &queueState{Queue: NewQueue(clock, limit), clock: clock}
+}
+
+// decision is what became of a request at once. The wait is 0 unless it was rejected.
+type decision string
+
+const (
+	admitted decision = "admitted"
+	waits    decision = "waits"
+	rejected decision = "rejected"
+)
+
+// ask offers a request to the queue.
+func (s *queueState) ask(request Request) (result decision, retryAfter time.Duration) {
+	w, release, fault := s.enter(request)
+	switch {
+	case fault != nil:
+		return rejected, fault.RetryAfter
+	case w != nil:
+		s.waiting = append(s.waiting, w)
+		return waits, 0
+	}
+	s.releases = append(s.releases, release)
+	return admitted, 0
+}
+
+// measure lets one request after the other hold a slot for the given work.
+func (s *queueState) measure(count int, request Request) {
+	for range count {
+		_, release, _ := s.enter(request)
+		s.clock.Now += request.Work
+		release()
+	}
+}
+
+// drawRequest draws a request that arrives now; times are whole milliseconds.
+func (s *queueState) drawRequest(t *rapid.T, work time.Duration) Request {
+	millis := func(label string, low, high int) time.Duration {
+		return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
+	}
+	return Request{
+		Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Work: work, MayWait: rapid.IntRange(0, 4).Draw(t, "mayWait") > 0,
+		WantedStart: s.clock.Now + millis("wanted", -200, 2000), LatestStart: s.clock.Now + millis("latest", -50, 1500),
+	}
+}
+
+const propertyWork = 100 * time.Millisecond
+
+// Requests with the same time left, work and rank that find the same queue are treated alike, whatever came before.
+func TestTreatmentDependsOnTheQueueOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(t, "limit")
+		busy, fresh := newQueueState(limit), newQueueState(limit)
+		for range rapid.IntRange(1, 30).Draw(t, "before") {
+			request := busy.drawRequest(t, propertyWork)
+			request.LatestStart += time.Duration(rapid.IntRange(0, 1).Draw(t, "patient")) * time.Minute
+			busy.measure(1, request)
+		}
+		fresh.measure(1, Request{Work: propertyWork})
+		fresh.clock.Now = busy.clock.Now
+		for range rapid.IntRange(1, 20).Draw(t, "requests") {
+			request := busy.drawRequest(t, propertyWork)
+			result, retryAfter := busy.ask(request)
+			freshResult, freshRetryAfter := fresh.ask(request)
+			if result != freshResult || retryAfter != freshRetryAfter {
+				t.Fatalf("%+v: %s, %s after requests of others, %s, %s without", request, result, retryAfter, freshResult, freshRetryAfter)
+			}
+			step := time.Duration(rapid.IntRange(0, 40).Draw(t, "step")) * time.Millisecond
+			busy.clock.Now, fresh.clock.Now = busy.clock.Now+step, fresh.clock.Now+step
+		}
+	})
+}
+
+// Whether a request may wait does not depend on its latency target.
+func TestTargetDecidesNothingButTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(t, "limit")
+		short, long := newQueueState(limit), newQueueState(limit)
+		for _, each := range []*queueState{short, long} {
+			each.measure(1, Request{Work: propertyWork})
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "requests") {
+			request := short.drawRequest(t, propertyWork)
+			other := request
+			other.WantedStart += time.Duration(rapid.IntRange(0, 5000).Draw(t, "later")) * time.Millisecond
+			result, retryAfter := short.ask(request)
+			otherResult, otherRetryAfter := long.ask(other)
+			if result != otherResult || retryAfter != otherRetryAfter {
+				t.Fatalf("%+v: %s, %s; with a later target %s, %s", request, result, retryAfter, otherResult, otherRetryAfter)
+			}
+		}
+	})
+}
+
+// oracle tells in the plainest way when the requests start that wait for limit slots, if they go in their order.
+func oracle(releases []time.Duration, waiters []*waiter) (starts []time.Duration) {
+	slots := slices.Clone(releases)
+	for _, each := range waiters {
+		next := 0
+		for i := range slots {
+			if slots[i] < slots[next] {
+				next = i
+			}
+		}
+		starts = append(starts, slots[next])
+		slots[next] += each.Work
+	}
+	return starts
+}
+
+// A request that may wait is rejected only if there is no room that its rank gives it, or if a slot would come too late
+// for it or for one of no lower rank. One that is rejected is told when a slot is expected. One that waits can be served,
+// and nobody of its rank or a higher one is rejected in its favor.
+func TestRejectedOnlyIfItCannotBeServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newQueueState(rapid.IntRange(1, 6).Draw(t, "limit"))
+		s.measure(1, Request{Work: propertyWork})
+		for range rapid.IntRange(1, 25).Draw(t, "requests") {
+			request := s.drawRequest(t, propertyWork)
+			before := slices.Clone(s.waiters)
+			releases := s.Queue.releases(s.clock.Now, atAnyMoment)
+			result, retryAfter := s.ask(request)
+			if result == waits {
+				if !canServeAll(releases, before, &waiter{Request: request, sequence: s.lastSequence}) {
+					t.Fatalf("%+v waits, though it can't be served", request)
+				}
+				for _, each := range before {
+					if each.Rank <= request.Rank && len(each.decision) > 0 {
+						t.Fatalf("%+v was rejected in favor of %+v", each.Request, request)
+					}
+				}
+			}
+			if result != rejected {
+				s.clock.Now += time.Duration(rapid.IntRange(0, 15).Draw(t, "step")) * time.Millisecond
+				continue
+			}
+			if retryAfter < time.Millisecond {
+				t.Fatalf("%+v was rejected without a Retry-After", request)
+			}
+			w := &waiter{Request: request, sequence: s.lastSequence}
+			full := len(before) == waitersPerSlot*s.limit && !slices.ContainsFunc(before, func(each *waiter) bool { return each.Rank > request.Rank })
+			if request.MayWait && !full && canServeAll(releases, before, w) {
+				t.Fatalf("%+v was rejected, though it could have been served", request)
+			}
+		}
+	})
+}
+
+// canServeAll reports whether a request and those waiting that are not of a lower rank can start in time.
+func canServeAll(releases []time.Duration, waiting []*waiter, w *waiter) bool {
+	order := append(slices.Clone(waiting), w)
+	slices.SortFunc(order, byLatestStart)
+	for i, start := range oracle(releases, order) {
+		if order[i].Rank <= w.Rank && start > order[i].LatestStart {
+			return false
+		}
+	}
+	return true
+}
+
+// Turns go by rank; those that wait longest in the queue are told at once if they can't be served any more, and nobody
+// is left waiting.
+func TestTurnsGoByRankAndEverybodyIsTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newQueueState(rapid.IntRange(1, 4).Draw(t, "limit"))
+		s.measure(1, Request{Work: propertyWork})
+		for range rapid.IntRange(5, 25).Draw(t, "requests") {
+			request := s.drawRequest(t, propertyWork)
+			request.MayWait = true
+			s.ask(request)
+			if !slices.IsSortedFunc(s.waiters, func(a, b *waiter) int { return a.Rank - b.Rank }) {
+				t.Fatalf("the waiters are not in the order of their ranks")
+			}
+			if len(s.waiters) > waitersPerSlot*s.limit {
+				t.Fatalf("%d wait for %d slots", len(s.waiters), s.limit)
+			}
+		}
+		for len(s.releases) > 0 {
+			s.clock.Now += propertyWork / 3
+			s.releases[0]()
+			s.releases = s.releases[1:]
+			for _, w := range s.waiting {
+				if len(w.decision) > 0 && slices.Contains(s.waiters, w) {
+					t.Fatalf("a request that was told its fate still waits")
+				}
+			}
+		}
+		s.Close(base.NewFault(base.Stopping, "", "the end"))
+		for _, w := range s.waiting {
+			if len(w.decision) != 1 {
+				t.Fatalf("a request was left waiting")
+			}
+		}
+	})
+}
--- a/internal/dataplane/admission/request.go
+++ b/internal/dataplane/admission/request.go
@@ -31,11 +31,15 @@
 	decision chan *base.Fault
 }
 
-// wantedBy returns when the request should start: in time for its latency target, or earlier if its caller's time
-// ends before.
-func (w *waiter) wantedBy() time.Duration { return min(w.WantedStart, w.LatestStart) }
+// byLatestStart orders waiters by rank, then by their latest start, then by arrival. Within a rank no other order lets
+// more of them start in time.
+func byLatestStart(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.LatestStart, b.LatestStart), cmp.Compare(a.sequence, b.sequence))
+}
 
-// compare orders waiters by their turn: by rank, then by the time by which they should start, then by arrival.
-func (w *waiter) compare(other *waiter) int {
-	return cmp.Or(cmp.Compare(w.Rank, other.Rank), cmp.Compare(w.wantedBy(), other.wantedBy()), cmp.Compare(w.sequence, other.sequence))
+// byWantedStart orders waiters by rank, then by when they should start, in time for the latency target or, if their
+// caller's time ends before, at their latest start, then by arrival.
+func byWantedStart(a, b *waiter) int {
+	wantedA, wantedB := min(a.WantedStart, a.LatestStart), min(b.WantedStart, b.LatestStart)
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(wantedA, wantedB), cmp.Compare(a.sequence, b.sequence))
 }
