--- a/internal/testing/openfleet/stats.go
+++ b/internal/testing/openfleet/stats.go
@@ -8,20 +8,17 @@
 	"time"
 )
 
-// JobStats counts jobs by how they ended. OnTime jobs succeeded within their route's latency target.
-// OnTimeAfterRejection jobs exceeded it, but were first rejected early and then succeeded with an attempt that took no
-// longer than the target. Rejected jobs failed with their last attempt rejected as not run; RejectedEarly jobs had
-// their first attempt rejected as not run within a quarter of the latency target. Failures counts failed jobs by
-// reason.
+// JobStats counts jobs by how they ended. OnTime jobs succeeded within their route's latency target, counted from their
+// first attempt; for AnsweredInTime jobs the attempt that succeeded, which is a request of its own, was answered within
+// it. Rejected jobs failed with their last attempt rejected as not run. Failures counts failed jobs by reason.
 type JobStats struct {
-	Jobs                 int
-	Succeeded            int
-	OnTime               int
-	OnTimeAfterRejection int
-	Rejected             int
-	RejectedEarly        int
-	Attempts             int
-	Failures             map[string]int
+	Jobs           int
+	Succeeded      int
+	OnTime         int
+	AnsweredInTime int
+	Rejected       int
+	Attempts       int
+	Failures       map[string]int
 }
 
 // JobStats counts the jobs that started at or after from and before until, as readings of the History's clock. An until
@@ -44,9 +41,8 @@
 func (s *JobStats) add(job *Job, outcome *Outcome) {
 	s.Jobs++
 	s.Attempts += job.Attempts
-	early := job.RejectedAfter > 0 && job.RejectedAfter <= job.LatencyTarget/4
-	if early {
-		s.RejectedEarly++
+	if job.Succeeded && job.SuccessLatency <= job.LatencyTarget {
+		s.AnsweredInTime++
 	}
 	switch {
 	case !job.Succeeded:
@@ -57,9 +53,6 @@
 	case job.EndedAt-job.StartedAt <= job.LatencyTarget:
 		s.Succeeded++
 		s.OnTime++
-	case early && job.SuccessLatency <= job.LatencyTarget:
-		s.Succeeded++
-		s.OnTimeAfterRejection++
 	default:
 		s.Succeeded++
 	}
@@ -87,7 +80,7 @@
 	for _, reason := range sortedKeys(s.Failures) {
 		failures = append(failures, fmt.Sprintf("%d× %s", s.Failures[reason], reason))
 	}
-	return fmt.Sprintf("%d jobs, %d attempts, succeeded %.4f, on time %.4f, on time after an early rejection %.4f, rejected %d, rejected early %d; %s", s.Jobs, s.Attempts, s.SuccessRate(), s.OnTimeRate(), float64(s.OnTimeAfterRejection)/float64(max(s.Jobs, 1)), s.Rejected, s.RejectedEarly, strings.Join(failures, ", "))
+	return fmt.Sprintf("%d jobs, %d attempts, succeeded %.4f, on time %.4f, answered in time %d, rejected %d; %s", s.Jobs, s.Attempts, s.SuccessRate(), s.OnTimeRate(), s.AnsweredInTime, s.Rejected, strings.Join(failures, ", "))
 }
 
 // LatencyQuantile returns a quantile, from 0 to 1, of the latencies of the jobs that succeeded, or zero if none did.
--- a/internal/testing/openfleet/workload.go
+++ b/internal/testing/openfleet/workload.go
@@ -196,10 +196,6 @@
 	j.Status, j.EndedAt = outcome.Status, now
 	if outcome.TransportError == "" && outcome.Status == http.StatusOK && outcome.Mismatch == "" {
 		j.Succeeded, j.SuccessLatency = true, now-attempt.SentAt
-		return
-	}
-	if j.Attempts == 1 && rejectedBeforeExecution(outcome) {
-		j.RejectedAfter = now - j.StartedAt
 	}
 }
 
