Listed fleets: time for the work, measured distance, and a Retry-After on every refusal

A request waited until half an average service time was left, which served nobody late but used a slot for work that can't end in time; instances of another zone cost half as much again whatever their latency; two refusals of the queue told no time. Now the wait must leave the average service time, at the entry and at its turn; the latency of each instance's answers counts in proportion to that of the route; each refusal carries the expected wait. Specs fail before: the wait is refused at once, the evicted request is told, alike instances of two zones cost the same.

--- a/internal/listednode/admission_queue.go
+++ b/internal/listednode/admission_queue.go
@@ -9,13 +9,8 @@
 	"curlewreach/base"
 )
 
-const (
-	// serviceTimeSmoothing is the weight of the newest request in the average service time.
-	serviceTimeSmoothing = 0.1
-	// minTimeLeftRatio is the time left to its deadline that a waiting request needs in order to be
-	// admitted, as a ratio of the average service time.
-	minTimeLeftRatio = 0.5
-)
+// serviceTimeSmoothing is the weight of the newest request in the average service time.
+const serviceTimeSmoothing = 0.1
 
 // waiter is a request that waits for admission.
 type waiter struct {
@@ -80,8 +75,8 @@
 }
 
 // Acquire waits for admission until the deadline. The caller calls release when its request has ended. The
-// fault is of kind Overloaded if the queue is full or the wait would exceed the deadline, and Expired if
-// the deadline has passed.
+// fault is of kind Overloaded, with the expected time until a request like this is admitted, if the queue is full or the
+// wait would leave less than the average service time until the deadline, and Expired if the deadline has passed.
 func (q *AdmissionQueue) Acquire(s base.Scope, group string, weight float64, deadline time.Duration) (release func(), fault *base.Fault) {
 	q.mu.Lock()
 	queue := q.groups[group]
@@ -95,12 +90,11 @@
 		q.mu.Unlock()
 		return q.releaseFunc(), nil
 	}
-	timeLeft := (deadline - q.clock.Mono()).Seconds()
-	wait := q.serviceTime * q.turnsAhead(queue) / float64(q.limit)
-	retryAfter := time.Duration(wait * float64(time.Second))
-	if q.serviceTime > 0 && wait > timeLeft {
+	timeLeft := deadline - q.clock.Mono()
+	retryAfter := q.expectedWait(queue)
+	if retryAfter > 0 && retryAfter+seconds(q.serviceTime) > timeLeft {
 		q.mu.Unlock()
-		return nil, base.NewFault(base.Overloaded, "", "the wait would outlast the deadline").WithRetryAfter(retryAfter)
+		return nil, base.NewFault(base.Overloaded, "", "the wait would leave no time for the work").WithRetryAfter(retryAfter)
 	}
 	if q.waiting >= q.maxWaiting && !q.evict(queue) {
 		q.mu.Unlock()
@@ -114,7 +108,7 @@
 	q.waiting++
 	q.mu.Unlock()
 
-	timer := time.NewTimer(time.Duration(timeLeft * float64(time.Second)))
+	timer := time.NewTimer(timeLeft)
 	defer timer.Stop()
 	select {
 	case fault := <-w.grant:
@@ -140,6 +134,15 @@
 	return nil, base.NewFault(base.Expired, "", "the deadline passed in the queue")
 }
 
+// seconds converts a number of seconds.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// expectedWait returns how long a request that is added to the queue now is expected to wait; 0 until a service time has
+// been measured. q.mu must be held.
+func (q *AdmissionQueue) expectedWait(queue *groupQueue) time.Duration {
+	return seconds(q.serviceTime * q.turnsAhead(queue) / float64(q.limit))
+}
+
 // turnsAhead estimates the number of admissions until a request that is added to the queue now is admitted.
 // q.mu must be held.
 func (q *AdmissionQueue) turnsAhead(queue *groupQueue) float64 {
@@ -167,7 +170,7 @@
 	last := fullest.waiting.PopBack()
 	if !last.abandoned {
 		q.waiting--
-		last.grant <- base.NewFault(base.Overloaded, "", "the queue is full and another group is owed its place")
+		last.grant <- base.NewFault(base.Overloaded, "", "the queue is full and another group is owed its place").WithRetryAfter(q.expectedWait(fullest))
 	}
 	return true
 }
@@ -206,7 +209,7 @@
 // dropLate rejects the requests at the head of a queue that have too little time left, and drops abandoned
 // ones. q.mu must be held.
 func (q *AdmissionQueue) dropLate(queue *groupQueue) {
-	minDeadline := q.clock.Mono() + time.Duration(minTimeLeftRatio*q.serviceTime*float64(time.Second))
+	minDeadline := q.clock.Mono() + seconds(q.serviceTime)
 	for queue.waiting.Len() > 0 {
 		first := queue.waiting.Front()
 		if !first.abandoned && first.deadline > minDeadline {
@@ -215,7 +218,7 @@
 		queue.waiting.PopFront()
 		if !first.abandoned {
 			q.waiting--
-			first.grant <- base.NewFault(base.Overloaded, "", "too little time was left when its turn came")
+			first.grant <- base.NewFault(base.Overloaded, "", "too little time was left when its turn came").WithRetryAfter(q.expectedWait(queue))
 		}
 	}
 }
--- a/internal/listednode/admission_queue_test.go
+++ b/internal/listednode/admission_queue_test.go
@@ -87,4 +87,56 @@
 			releaseAgain()
 		})
 	})
+
+	ginkgo.It("given requests that take 100 ms, when one comes whose time is over before it is answered, then it is rejected at once and told when there is a slot; one with enough time is served", func() {
+		runInBubble(func(s base.Scope) {
+			const work = 100 * time.Millisecond
+			q := NewAdmissionQueue(s.Clock, 1, 5)
+			hold := func(timeLeft time.Duration) *base.Fault {
+				release, fault := q.Acquire(s, "a", 1, s.Clock.Mono()+timeLeft)
+				if fault == nil {
+					time.Sleep(work)
+					release()
+				}
+				return fault
+			}
+			Expect(hold(time.Second)).To(BeNil())
+			go hold(time.Second)
+			time.Sleep(time.Millisecond)
+			askedAt := s.Clock.Mono()
+			fault := hold(work + work/2)
+			Expect(fault).NotTo(BeNil())
+			Expect(fault.Kind).To(Equal(base.Overloaded))
+			Expect(fault.RetryAfter).To(Equal(work))
+			Expect(s.Clock.Mono()).To(Equal(askedAt))
+			Expect(hold(2*work + time.Millisecond)).To(BeNil())
+			Expect(s.Clock.Mono() - askedAt).To(BeNumerically("<=", 2*work))
+		})
+	})
+
+	ginkgo.It("given a queue full of one group, when another group is owed a place, then the request that makes it is told when there is a slot", func() {
+		runInBubble(func(s base.Scope) {
+			q := NewAdmissionQueue(s.Clock, 1, 2)
+			release, _ := q.Acquire(s, "many", 1, s.Clock.Mono()+time.Second)
+			time.Sleep(50 * time.Millisecond)
+			release()
+			release, _ = q.Acquire(s, "many", 1, s.Clock.Mono()+time.Minute)
+			faults := make(chan *base.Fault, 3)
+			for _, group := range []string{"many", "many", "few"} {
+				go func() {
+					release, fault := q.Acquire(s, group, 1, s.Clock.Mono()+time.Minute)
+					if fault == nil {
+						release()
+					}
+					faults <- fault
+				}()
+				time.Sleep(time.Millisecond)
+			}
+			Expect(faults).To(HaveLen(1))
+			Expect((<-faults).RetryAfter).To(BeNumerically(">=", 50*time.Millisecond))
+			release()
+			time.Sleep(time.Second)
+			Expect(faults).To(HaveLen(2))
+		})
+	})
 })
--- a/internal/listednode/client_server.go
+++ b/internal/listednode/client_server.go
@@ -200,7 +200,7 @@
 		ledger.Add(attempt)
 		response = n.runAttempt(s, incoming, signed, picked, attempt, ledger.Match, ledger.Deadline, body, trail, len(ledger.Attempts)-1, ledger.MayWait)
 		attempt.EndedAt = s.Clock.Mono()
-		n.recordOutcome(picked, attempt)
+		n.recordOutcome(picked, attempt, ledger.Match.Identifier())
 	}
 }
 
--- a/internal/listednode/node.go
+++ b/internal/listednode/node.go
@@ -105,6 +105,7 @@
 	bundleAdopted        base.Broadcast             // wakes requests that wait for a bundle
 	pickMu               sync.Mutex                 // guards stats
 	stats                map[string]*candidateStats // by node and address of the instance
+	routeLatencies       map[string]time.Duration   // averages, by route; guarded by pickMu
 }
 
 // NewNode returns a node; Run starts its background work.
@@ -118,7 +119,7 @@
 		upstreamTransport: newUpstreamTransport(s.Net),
 		fences:            NewFences(s.Clock, 2*bounds.Grace.AsDuration()), callTracker: NewCallTracker(s.Clock),
 		admission: NewAdmissionQueue(s.Clock, int(params.Flights), int(params.Queue)), retryBudget: NewRetryBudget(), spanBudget: NewSpanBudget(s.Clock),
-		sampler: tracing.NewSampler(s.Rand), exporter: tracing.NewExporter(s, httpClient, tracing.StaticTargets(params.Seeds), int(params.Queue)), stats: map[string]*candidateStats{},
+		sampler: tracing.NewSampler(s.Rand), exporter: tracing.NewExporter(s, httpClient, tracing.StaticTargets(params.Seeds), int(params.Queue)), stats: map[string]*candidateStats{}, routeLatencies: map[string]time.Duration{},
 	}
 	n.confirmations = NewConfirmations(s.Clock, params.Name, len(params.Seeds), time.Duration(float64(bounds.SlideBack.AsDuration())*validityRatio), bounds.InForce.AsDuration(), bounds.Alone.AsDuration())
 	n.tunables.Store(&Tunables{MaxBufferedBytes: int(params.Held), MaxBodyBytes: int(params.Longest), Trust: trust})
--- a/internal/listednode/pick.go
+++ b/internal/listednode/pick.go
@@ -11,12 +11,16 @@
 )
 
 const (
-	// otherZonePenalty is the increase in cost of an instance in another zone, as a ratio of its cost.
-	otherZonePenalty = 0.5
-	// failurePenalty is the increase in cost of an instance with a recent failure.
+	// failurePenalty is the increase in cost of an instance with a recent failure: a further one costs the caller
+	// another attempt, or its answer where there may be no other.
 	failurePenalty = 4.0
-	// notAliveFactor multiplies failurePenalty for the instances of a node that is not reported alive.
+	// notAliveFactor multiplies failurePenalty for the instances of a node that is not reported alive, which are
+	// the last resort.
 	notAliveFactor = 2.0
+	// latencySmoothing is the weight of the newest response in the average latencies.
+	latencySmoothing = 0.15
+	// maxLatencyRatio and its inverse bound a single relative latency before it is averaged.
+	maxLatencyRatio = 5
 )
 
 // candidate is an instance that a request may be sent to.
@@ -35,6 +39,9 @@
 	lastUsed   time.Duration
 	inFlight   int // attempts of this node
 	avoidUntil time.Duration
+	// relativeLatency is the average latency in proportion to that of the route, distance and queue included; 1 is
+	// usual.
+	relativeLatency float64
 }
 
 // candidates iterates over the instances of a service: first the local ones, then those of other nodes in
@@ -100,22 +107,19 @@
 	key := c.node + " " + c.instance.Address
 	stats := n.stats[key]
 	if stats == nil {
-		stats = &candidateStats{}
+		stats = &candidateStats{relativeLatency: 1}
 		n.stats[key] = stats
 	}
 	stats.lastUsed = n.scope.Clock.Mono()
 	return stats
 }
 
-// score returns the cost of a candidate, mainly its attempts in flight in proportion to its capacity.
+// score returns the cost of a candidate, mainly its attempts in flight in proportion to its capacity, and its latency.
 // n.pickMu must be held.
 func (n *Node) score(c candidate) float64 {
 	stats := n.statsOf(c)
 	score := (float64(stats.inFlight) + 1) / float64(max(c.instance.Capacity, 1))
-	score *= 1 + c.instance.Weight
-	if c.instance.Zone != n.zone {
-		score *= 1 + otherZonePenalty
-	}
+	score *= (1 + c.instance.Weight) * stats.relativeLatency
 	if c.standing != membership.Alive {
 		score *= 1 + failurePenalty*notAliveFactor
 	}
@@ -126,13 +130,28 @@
 }
 
 // recordOutcome ends an attempt in flight. After a failure the instance is avoided for a while; rejections
-// that say nothing about its health don't count.
-func (n *Node) recordOutcome(picked candidate, attempt *Attempt) {
+// that say nothing about its health don't count. An answer on a route adds to the average latencies.
+func (n *Node) recordOutcome(picked candidate, attempt *Attempt, route string) {
 	n.pickMu.Lock()
 	defer n.pickMu.Unlock()
 	stats := n.statsOf(picked)
 	stats.inFlight--
+	if attempt.State == Answered {
+		n.recordLatency(stats, route, attempt.EndedAt-attempt.StartedAt)
+	}
 	if attempt.State != Answered && attempt.Fault.Kind != base.Overloaded && attempt.Fault.Kind != base.StaleSerial && attempt.Fault.Kind != base.Contended {
 		stats.avoidUntil = n.scope.Clock.Mono() + n.peerTimeout
 	}
 }
+
+// recordLatency adds the latency of an answer to the averages of the candidate and of the route. n.pickMu must be held.
+func (n *Node) recordLatency(stats *candidateStats, route string, took time.Duration) {
+	usual := n.routeLatencies[route]
+	if usual <= 0 {
+		n.routeLatencies[route] = max(took, time.Microsecond)
+		return
+	}
+	ratio := min(max(float64(took)/float64(usual), 1.0/maxLatencyRatio), maxLatencyRatio)
+	stats.relativeLatency += latencySmoothing * (ratio - stats.relativeLatency)
+	n.routeLatencies[route] += time.Duration(latencySmoothing * float64(took-usual))
+}
--- a/internal/listednode/sweep.go
+++ b/internal/listednode/sweep.go
@@ -21,6 +21,7 @@
 	oldest := n.scope.Clock.Mono() - retentionRatio*n.inForceBound
 	n.pickMu.Lock()
 	maps.DeleteFunc(n.stats, func(_ string, stats *candidateStats) bool { return stats.inFlight == 0 && stats.lastUsed < oldest })
+	maps.DeleteFunc(n.routeLatencies, func(route string, _ time.Duration) bool { return !signed.HasRoute(route) })
 	n.pickMu.Unlock()
 	known := map[string]bool{}
 	for machine := range signed.Machines() {
