An upstream that is only slow gets no more than one request for each slot beyond its slots

Now the longer of the route's work and the average counts, and at most as many as there are slots are taken for lost.

--- a/internal/dataplane/admission/estimate.go
+++ b/internal/dataplane/admission/estimate.go
@@ -75,7 +75,7 @@
 // isStale reports whether a request has held its slot for so much longer than expected that its response must be lost.
 // The caller must hold q.mu.
 func (q *Queue) isStale(a active, now time.Duration) bool {
-	work := cmp.Or(a.work, q.meanWork)
+	work := max(a.work, q.meanWork)
 	return work > 0 && now-a.since > staleWorkTimes*work
 }
 
--- a/internal/dataplane/admission/queue.go
+++ b/internal/dataplane/admission/queue.go
@@ -80,7 +80,8 @@
 	return q.meanWork
 }
 
-// inFlight counts the occupied slots. Once all are taken, stale requests are left out. The caller must hold q.mu.
+// inFlight counts the occupied slots. Once all are taken, stale requests are left out, as many as there are slots at
+// most: an upstream that is only slow gets no more than that beyond its slots. The caller must hold q.mu.
 func (q *Queue) inFlight() int {
 	if len(q.active) < q.limit {
 		return len(q.active)
@@ -91,7 +92,7 @@
 			count++
 		}
 	}
-	return count
+	return max(count, len(q.active)-q.limit)
 }
 
 // Load describes how full a queue is.
--- a/internal/dataplane/admission/queue_test.go
+++ b/internal/dataplane/admission/queue_test.go
@@ -131,3 +131,24 @@
 		}
 	})
 })
+
+// Guards against an upstream that is only slow and gets ever more requests, as if their answers had been lost.
+var _ = ginkgo.Describe("an upstream that is much slower than usual", func() {
+	ginkgo.It("given requests that hold their slots for longer than any did, when more come, then one for each slot is admitted beside them and no other", func() {
+		const limit = 3
+		s := newQueueState(limit)
+		s.measure(5, Request{Work: propertyWork})
+		counts := map[decision]int{}
+		for range 10 * limit {
+			for range limit {
+				result, _ := s.ask(Request{Work: propertyWork, LatestStart: s.clock.Now + time.Hour})
+				counts[result]++
+			}
+			s.clock.Now += 2 * staleWorkTimes * propertyWork
+		}
+		Expect(counts[admitted]).To(Equal(2 * limit))
+		s.releases[0]()
+		result, _ := s.ask(Request{Work: propertyWork, LatestStart: s.clock.Now + time.Hour})
+		Expect(result).To(Equal(admitted))
+	})
+})
