--- a/internal/listednode/call_tracker.go
+++ b/internal/listednode/call_tracker.go
@@ -279,11 +279,11 @@
 	queue, ahead, averageHold := t.join(key, routeID)
 	if ahead > 0 && !mayWait {
 		t.leave(key)
-		return nil, base.NewFault(base.Contended, "", "another such request has the turn here")
+		return nil, base.NewFault(base.Contended, "", "another such request has the turn here").WithRetryAfter(time.Duration(ahead) * averageHold)
 	}
 	if t.clock.Mono()+time.Duration(ahead)*averageHold > deadline {
 		t.leave(key)
-		return nil, base.NewFault(base.Contended, "", "its turn would come after the deadline")
+		return nil, base.NewFault(base.Contended, "", "its turn would come after the deadline").WithRetryAfter(time.Duration(ahead) * averageHold)
 	}
 	if !queue.mutex.Lock(s) {
 		t.leave(key)
