After two refusals a call may wait at an upstream with a free slot

Large answers: where every link was busy beyond what may be kept waiting, each upstream with a free slot refused, up to eight, and the call was given up with seconds left. The first two attempts may still not wait beyond the target at a busy link, since another link may be free; then one waits.

--- a/internal/dataplane/link_pacing_test.go
+++ b/internal/dataplane/link_pacing_test.go
@@ -14,6 +14,7 @@
 	"curlewreach/internal/dataplane/admission"
 	"curlewreach/internal/dataplane/forwarding"
 	"curlewreach/internal/testing/simulation"
+	"curlewreach/proto/wire"
 )
 
 const (
@@ -114,3 +115,33 @@
 		Expect(backlog).To(BeNumerically("<=", 5*largeTransferTime))
 	})
 })
+
+// Guards against an answer that no upstream is asked to give in time, because each is asked not to keep it waiting.
+var _ = ginkgo.Describe("a request for a large answer while every link is busy", func() {
+	itSimulated("given upstreams with free slots whose links are all taken beyond the target, when there is time enough, then it waits for one of them and is served", func(s *testbed) {
+		const count = 9
+		client := s.startNode(count+1, unreachableControllers)
+		client.controlClient.Adopt(testConfiguration(1), true)
+		var statuses []*wire.Observation
+		for i := range count {
+			n := s.startNode(i+1, unreachableControllers)
+			n.linkPacer = admission.NewLinkPacer(s.Clock, slowLinkMegabits)
+			n.controlClient.Adopt(testConfiguration(1), true)
+			s.addUpstream(n, 32, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, largeAnswerSize)) })
+			s.get(n.params.Inward, "/archive/first", peerRequestHeader("first", "archive", 4*time.Second))
+			for j := range 6 {
+				s.Go(func() {
+					s.get(n.params.Inward, "/archive/x", peerRequestHeader(fmt.Sprint("large-", j), "archive", 4*time.Second))
+				})
+			}
+			statuses = append(statuses, &wire.Observation{NodeStatus: n.nodeStatus()})
+		}
+		client.peers.ApplyObservations("core-1", true, statuses)
+		time.Sleep(time.Millisecond)
+		Expect(backlogAfter(6*largeAnswerSize)).To(BeNumerically(">", time.Second), "the target")
+		reply := s.get(client.params.Outward, "/archive/late", requestHeader("late", 5*time.Second))
+		Expect(reply.status).To(Equal(http.StatusOK))
+		Expect(reply.size).To(Equal(largeAnswerSize))
+		s.Wait()
+	})
+})
--- a/internal/dataplane/peer_server.go
+++ b/internal/dataplane/peer_server.go
@@ -86,7 +86,11 @@
 	}
 	// By the time at which the answer is ready, that much of the backlog is left.
 	wait := n.linkPacer.Backlog() - n.serviceTimes.Mean(metadata.Route)
-	if wait > 0 && (!metadata.MayWait || wait > metadata.LatestStartIn || n.linkPacer.Waiting() >= n.slots()) {
+	longest := metadata.LatestStartIn
+	if !metadata.MayWait {
+		longest = metadata.WantedStartIn // the link of another upstream may let it meet its target
+	}
+	if wait > 0 && (wait > longest || n.linkPacer.Waiting() >= n.slots()) {
 		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "this machine's link is taken").WithRetryAfter(wait))
 	}
 	return nil
--- a/internal/dataplane/upstream_selection.go
+++ b/internal/dataplane/upstream_selection.go
@@ -25,8 +25,8 @@
 	return c.startedAt + c.route.LatencyTarget() - c.workTime - now, latestStart - now
 }
 
-// selectUpstream picks the candidate for the next attempt and fills in when the attempt must start. An attempt at a
-// candidate that has a free slot may not wait there, since another one may have a free slot if that one has none. A
+// selectUpstream picks the candidate for the next attempt and fills in when the attempt must start. The first attempts at
+// candidates that seem to have a free slot may not wait there, since another one may have one if that one has none. A
 // hedge goes only to a candidate with a free slot. If there is no suitable candidate, the fault says why and when to
 // retry.
 func (c *clientCall) selectUpstream(hedging bool) (candidate balancer.Candidate, metadata forwarding.Metadata, fault *base.Fault) {
@@ -35,6 +35,7 @@
 	metadata.WantedStartIn, metadata.LatestStartIn = c.startLimits()
 	candidates := n.peers.Candidates(c.metadata.Service, c.usualLatency, c.ledger.Tried, n.scope.Rand)
 	if free, found := firstFree(candidates, hedging); found {
+		metadata.MayWait = !hedging && c.countOverloaded() >= minRejections
 		return free, metadata, nil
 	}
 	if hedging {
