One large answer waits for a link while one is sent; two nodes are asked whether a call may wait

Now a request is refused if its answer would wait for longer than one other answer takes, and told when the link is free. A call that may wait and was refused by two nodes is refused, so that a refusal takes four questions at most. The spec of the link's backlog sets it up directly, since requests no longer pile up there; same assertions.

--- a/internal/dataplane/admission/link_pacer.go
+++ b/internal/dataplane/admission/link_pacer.go
@@ -32,8 +32,6 @@
 	busyUntil time.Duration
 	// pendingBytes is the expected total size of the responses reserved and not settled.
 	pendingBytes float64
-	// waiting counts the responses in Wait.
-	waiting int
 	// averageSizes holds the average response size in bytes by route.
 	averageSizes map[string]float64
 }
@@ -58,17 +56,17 @@
 	return max(p.busyUntil-p.clock.Mono(), 0) + p.transmitTime(p.pendingBytes)
 }
 
-// Waiting returns the number of responses that wait until they may be written.
-func (p *LinkPacer) Waiting() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waiting
-}
-
-func (p *LinkPacer) countWaiting(change int) {
+// ExpectedWait returns how long a response of the route, which is ready after the given work, would wait for the link,
+// and the longest wait that makes sense: while one response is sent, one other keeps the link in use, and more would only
+// make all later ones wait longer. Both are 0 for responses that are not paced.
+func (p *LinkPacer) ExpectedWait(route string, work time.Duration) (wait, longest time.Duration) {
+	if !p.IsPaced(route) {
+		return 0, 0
+	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiting += change
+	size := p.averageSizes[route]
+	p.mu.Unlock()
+	return max(p.Backlog()-work, 0), p.transmitTime(size)
 }
 
 // Reserve accounts for a response of the route's average size until settle is called with its actual size, or
@@ -118,8 +116,6 @@
 	if bytes <= maxUnpacedBytes || wait <= 0 {
 		return
 	}
-	p.countWaiting(1)
-	defer p.countWaiting(-1)
 	wakeup := time.NewTimer(wait)
 	defer wakeup.Stop()
 	select {
--- a/internal/dataplane/callgraph/nested_calls.go
+++ b/internal/dataplane/callgraph/nested_calls.go
@@ -26,7 +26,8 @@
 
 // NestedCallDetector detects the routes that only some of the services in this zone call. Calls of such a
 // route are nested: they are made while serving another request, which occupies a slot while it waits for
-// them. It is safe for concurrent use.
+// them. That serves the attribution of spans only: how long a request waits does not depend on it. It is safe for
+// concurrent use.
 type NestedCallDetector struct {
 	mu     sync.Mutex
 	routes map[string]*routeCalls
--- a/internal/dataplane/link_pacing_test.go
+++ b/internal/dataplane/link_pacing_test.go
@@ -82,10 +82,8 @@
 	itSimulated("given a backlog that exceeds the time within which a large request must start, when it arrives, then it is rejected at once with a retry time, and a small one is still served", func(s *testbed) {
 		n := s.startSlowLinkNode()
 		s.get(n.params.Inward, "/archive/first", peerRequestHeader("first", "archive", 4*time.Second))
-		for i := range 4 {
-			s.Go(func() {
-				s.get(n.params.Inward, fmt.Sprint("/archive/", i), peerRequestHeader(fmt.Sprint("large-", i), "archive", 4*time.Second))
-			})
+		for range 4 {
+			s.Go(func() { n.linkPacer.Wait(context.Background(), largeAnswerSize) })
 		}
 		time.Sleep(100 * time.Millisecond)
 		reply := s.get(n.params.Inward, "/archive/late", peerRequestHeader("late", "archive", 300*time.Millisecond))
@@ -116,11 +114,11 @@
 	})
 })
 
-// Guards against an answer that no upstream is asked to give in time, because each is asked not to keep it waiting.
 var _ = ginkgo.Describe("a request for a large answer while every link is busy", func() {
-	itSimulated("given upstreams with free slots whose links are all taken beyond the target, when there is time enough, then it waits for one of them and is served", func(s *testbed) {
-		const count = 9
-		client := s.startNode(count+1, unreachableControllers)
+	const count = 9
+	// startBusy starts nodes, each of which sends a number of large answers, and one that knows them as peers.
+	startBusy := func(s *testbed, answers int) (client *Node) {
+		client = s.startNode(count+1, unreachableControllers)
 		client.controlClient.Adopt(testConfiguration(1), true)
 		var statuses []*wire.Observation
 		for i := range count {
@@ -128,20 +126,33 @@
 			n.linkPacer = admission.NewLinkPacer(s.Clock, slowLinkMegabits)
 			n.controlClient.Adopt(testConfiguration(1), true)
 			s.addUpstream(n, 32, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, largeAnswerSize)) })
-			s.get(n.params.Inward, "/archive/first", peerRequestHeader("first", "archive", 4*time.Second))
-			for j := range 6 {
-				s.Go(func() {
-					s.get(n.params.Inward, "/archive/x", peerRequestHeader(fmt.Sprint("large-", j), "archive", 4*time.Second))
-				})
+			n.linkPacer.Reserve("archive")(largeAnswerSize)
+			for range answers {
+				s.Go(func() { n.linkPacer.Wait(context.Background(), largeAnswerSize) })
 			}
 			statuses = append(statuses, &wire.Observation{NodeStatus: n.nodeStatus()})
 		}
 		client.peers.ApplyObservations("core-1", true, statuses)
 		time.Sleep(time.Millisecond)
-		Expect(backlogAfter(6*largeAnswerSize)).To(BeNumerically(">", time.Second), "the target")
+		return client
+	}
+
+	// Guards against a call that is given up because no upstream's link is free at once.
+	itSimulated("given links that each send one answer, then it waits for one of them and is served", func(s *testbed) {
+		client := startBusy(s, 1)
 		reply := s.get(client.params.Outward, "/archive/late", requestHeader("late", 5*time.Second))
 		Expect(reply.status).To(Equal(http.StatusOK))
 		Expect(reply.size).To(Equal(largeAnswerSize))
 		s.Wait()
 	})
+
+	// Guards against a link in front of which everybody waits until the deadline.
+	itSimulated("given links in front of which answers wait, then it is rejected at once and told when there is a link, although it has time left", func(s *testbed) {
+		client := startBusy(s, 4)
+		reply := s.get(client.params.Outward, "/archive/late", requestHeader("late", 5*time.Second))
+		Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(reply.elapsed).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(reply.retryAfter).To(BeNumerically("~", 4*largeTransferTime, largeTransferTime))
+		s.Wait()
+	})
 })
--- a/internal/dataplane/peer_server.go
+++ b/internal/dataplane/peer_server.go
@@ -81,28 +81,13 @@
 	if bodyFault != nil {
 		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "the body has no room now").WithRetryAfter(n.bodyMemory.RetryAfter()))
 	}
-	if !n.linkPacer.IsPaced(metadata.Route) {
-		return nil
-	}
-	// By the time at which the answer is ready, that much of the backlog is left.
-	wait := n.linkPacer.Backlog() - n.serviceTimes.Mean(metadata.Route)
-	longest := metadata.LatestStartIn
-	if !metadata.MayWait {
-		longest = metadata.WantedStartIn // the link of another upstream may let it meet its target
-	}
-	if wait > 0 && (wait > longest || n.linkPacer.Waiting() >= n.slots()) {
+	wait, longest := n.linkPacer.ExpectedWait(metadata.Route, n.serviceTimes.Mean(metadata.Route))
+	if wait > 0 && (!metadata.MayWait || wait > min(longest, metadata.LatestStartIn)) {
 		return forwarding.RejectedOutcome(base.NewFault(base.Overloaded, "", "this machine's link is taken").WithRetryAfter(wait))
 	}
 	return nil
 }
 
-// slots returns the number of requests that the local upstream works on at a time, at least 1. As many answers may wait
-// for the link: more would only make all later ones wait longer.
-func (n *Node) slots() int {
-	instance, _, _ := n.instance.Current()
-	return max(int(instance.GetCapacity()), 1)
-}
-
 // answerPeer sends the outcome of a request and the load of the local upstream to a peer. settle replaces the
 // answer's expected size in the link's backlog by its actual size, 0 if there is no answer.
 func (n *Node) answerPeer(ctx context.Context, w http.ResponseWriter, id string, outcome forwarding.Outcome, settle func(size int64)) {
--- a/internal/dataplane/upstream_selection.go
+++ b/internal/dataplane/upstream_selection.go
@@ -10,8 +10,9 @@
 )
 
 // minRejections is how many nodes must have rejected a call for overload before this node rejects it for what it knows
-// of the others: reports of their load are older than the queues that they describe. A second one finds a slot almost
-// as surely as all would, and each costs an overloaded service time.
+// of the others: reports of their load are older than the queues that they describe. It is also how many are asked
+// whether the call may wait. A second one finds a place almost as surely as all would, and each costs an overloaded
+// service time.
 const minRejections = 2
 
 // startLimits returns the time within which an attempt must start to meet the latency target, and the time within which
@@ -34,6 +35,9 @@
 	metadata = c.metadata
 	metadata.WantedStartIn, metadata.LatestStartIn = c.startLimits()
 	candidates := n.peers.Candidates(c.metadata.Service, c.usualLatency, c.ledger.Tried, n.scope.Rand)
+	if !hedging && c.countRefusedWaiting() >= minRejections {
+		return candidate, metadata, c.overloadedFault(0)
+	}
 	if free, found := firstFree(candidates, hedging); found {
 		metadata.MayWait = !hedging && c.countOverloaded() >= minRejections
 		return free, metadata, nil
@@ -91,6 +95,11 @@
 	return c.ledger.Count(func(a *retry.Attempt) bool { return a.Kind == base.Overloaded })
 }
 
+// countRefusedWaiting returns the number of attempts that were rejected for overload although they could have waited.
+func (c *clientCall) countRefusedWaiting() int {
+	return c.ledger.Count(func(a *retry.Attempt) bool { return a.MayWait && a.WasFull() })
+}
+
 // overloadedFault says that every upstream is taken. It tells when the first of them is expected to have a slot: after
 // the given wait, or earlier if a node that rejected an attempt said so. If neither is known, more is known of the
 // upstreams after their next heartbeat. Clients that were rejected together are told to come back at different times,
