In a full queue room goes to whoever can't come back

With everybody of a rank alike, a call of an upstream found no room as often as a client's request did; the upstream answers 500 then, its work is lost, and nobody repeats the call. Clients stay away for a third of their time left at most when they are told to come back. One for which the wait is longer than that now takes the place of one of its rank for which it is shorter. This follows from the time left alone.

The property of the queue says who may be rejected in whose favor.

--- a/internal/dataplane/admission/queue.go
+++ b/internal/dataplane/admission/queue.go
@@ -124,7 +124,7 @@
 }
 
 // Acquire takes a slot. If none is free, it waits for one, if the request may wait, a slot is expected by its latest
-// start, and there is room for it in the queue, which a waiter of a lower priority makes. release returns the slot. A
+// start, and there is room for it in the queue or is made. release returns the slot. A
 // fault of kind Overloaded carries the expected time until there is a slot for the request.
 func (q *Queue) Acquire(ctx context.Context, request Request) (release func(), fault *base.Fault) {
 	w, release, fault := q.enter(request)
@@ -168,7 +168,7 @@
 }
 
 // offer adds a request to the waiters if it may wait, can start in time, keeps no other one of its rank or a higher one
-// from that, and there is room for it or one of a lower rank makes it. Those of lower ranks that it keeps from that are
+// from that, and there is room for it or is made (see makeRoom). Those of lower ranks that it keeps from that are
 // rejected. If the request is not accepted, wait is the expected time until there is a slot for it. The caller must hold
 // q.mu.
 func (q *Queue) offer(w *waiter, now time.Duration) (wait time.Duration, accepted bool) {
@@ -182,7 +182,7 @@
 	}
 	q.waiters = slices.Insert(q.waiters, position, w)
 	made := slices.DeleteFunc(q.lateWaiters(now), func(each *waiter) bool { return slices.Contains(lateBefore, each) })
-	if len(made) > 0 && made[0].Rank <= w.Rank || len(q.waiters) > waitersPerSlot*q.limit && !q.evictBehind(w, now) {
+	if len(made) > 0 && made[0].Rank <= w.Rank || len(q.waiters) > waitersPerSlot*q.limit && !q.makeRoom(w, now) {
 		q.remove(w)
 		return wait, false
 	}
@@ -230,15 +230,25 @@
 	return nil, fault
 }
 
-// evictBehind rejects the last waiter if its priority is lower than that of w, and reports whether it did. The caller
-// must hold q.mu.
-func (q *Queue) evictBehind(w *waiter, now time.Duration) bool {
+// makeRoom rejects a waiter to make room for w in a full queue, and reports whether it did: the last one, if it is of a
+// lower rank, or else one of the same rank that can come back in time, if w can't. The caller must hold q.mu.
+func (q *Queue) makeRoom(w *waiter, now time.Duration) bool {
 	last := q.waiters[len(q.waiters)-1]
-	if last.Rank <= w.Rank {
+	if last.Rank > w.Rank {
+		q.reject(last, "one of a higher priority took its place", now)
+		return true
+	}
+	wait := q.waitBehind(slices.DeleteFunc(slices.Clone(q.waiters), func(each *waiter) bool { return each == w }), w, now)
+	if w.canComeBack(now, wait) {
 		return false
 	}
-	q.reject(last, "one of a higher priority took its place", now)
-	return true
+	for _, each := range slices.Backward(q.waiters) {
+		if each.Rank == w.Rank && each.canComeBack(now, wait) {
+			q.reject(each, "one that can't come back in time took its place", now)
+			return true
+		}
+	}
+	return false
 }
 
 // reject removes a waiter and tells it when a slot is expected for one behind all others. It does nothing if the waiter
--- a/internal/dataplane/admission/request.go
+++ b/internal/dataplane/admission/request.go
@@ -31,6 +31,15 @@
 	decision chan *base.Fault
 }
 
+// maxReturnRatio is the part of its time left for which a client stays away at most when it is told to.
+const maxReturnRatio = 1.0 / 3
+
+// canComeBack reports whether a client that is told to come back after the given wait is back by then, with time left
+// to start.
+func (w *waiter) canComeBack(now, wait time.Duration) bool {
+	return wait <= time.Duration(maxReturnRatio*float64(w.LatestStart-now))
+}
+
 // byLatestStart orders waiters by rank, then by their latest start, then by arrival. Within a rank no other order lets
 // more of them start in time.
 func byLatestStart(a, b *waiter) int {
--- a/internal/testing/openfleet/waiting_test.go
+++ b/internal/testing/openfleet/waiting_test.go
@@ -284,3 +284,24 @@
 		})
 	}
 })
+
+var _ = ginkgo.Describe("callers with little time beside callers with much", func() {
+	// A call of an upstream ends with its parent's deadline, and nobody repeats it.
+	waitingSpec("given twice what a service can take from callers with 2.5 s left, when upstreams call it for callers with 0.5 s left, then these are served, and the others make up for it by coming back", func(f *Fleet) {
+		waitingFleet(
+			f, time.Second,
+			waitingRoute{"lend", "loans", 150 * time.Millisecond, 2, []string{"GET " + waitingHost + " /browse/x"}},
+			waitingRoute{"browse", "books", 150 * time.Millisecond, 2, nil}, waitingRoute{"search", "books", time.Second, 2, nil},
+		)
+		f.warmUp("lend", f.NodesOf("loans"), 2*time.Second)
+		f.warmUp("search", f.Nodes, 2*time.Second)
+		length, direct, called := 8*time.Second, &crowd{}, &crowd{}
+		var callers base.Group
+		f.crowdAt(direct, &callers, "search", f.NodesOf("books"), 2*serviceRate, length, 2500*time.Millisecond)
+		f.Sleep(time.Second)
+		f.crowdAt(called, &callers, "lend", f.NodesOf("loans"), 0.2*serviceRate, length-2*time.Second, 500*time.Millisecond)
+		callers.Wait()
+		Expect(float64(called.served)/float64(called.sent)).To(BeNumerically(">", 0.9), f.Description)
+		Expect(float64(direct.served)).To(BeNumerically(">", 0.8*serviceRate*length.Seconds()), f.Description)
+	})
+})
