--- a/internal/dataplane/admission/body_memory.go
+++ b/internal/dataplane/admission/body_memory.go
@@ -126,7 +126,6 @@
 		return nil, noRelease, base.NewFault(base.TooLarge, "", "a body of %d bytes; at most %d may come", r.ContentLength, limit)
 	}
 	reservation := &reservation{memory: m, since: m.clock.Mono()}
-	m.holds.begin(reservation.since)
 	if r.ContentLength > 0 {
 		body, fault = reservation.readKnown(r.Body, r.ContentLength)
 	} else {
@@ -145,6 +144,7 @@
 	memory *BodyMemory
 	bytes  int64
 	since  time.Duration
+	begun  bool // some bytes have been reserved
 }
 
 // grow reserves between least and wanted bytes more, and returns how many; 0 if least aren't there.
@@ -160,6 +160,7 @@
 			return 0
 		}
 		if r.memory.reserved.CompareAndSwap(reserved, reserved+granted) {
+			r.recordBegin()
 			r.bytes += granted
 			return granted
 		}
@@ -172,10 +173,20 @@
 	r.bytes = bytes
 }
 
+// recordBegin records the first bytes that are reserved.
+func (r *reservation) recordBegin() {
+	if !r.begun {
+		r.begun = true
+		r.memory.holds.begin(r.since)
+	}
+}
+
 // end returns all that is reserved. read is unset if the body was rejected.
 func (r *reservation) end(read bool) {
 	r.shrink(0)
-	r.memory.holds.end(r.since, r.memory.clock.Mono(), read)
+	if r.begun {
+		r.memory.holds.end(r.since, r.memory.clock.Mono(), read)
+	}
 }
 
 // noMemory says that there is no memory for the body now.
--- a/internal/dataplane/admission/body_memory_test.go
+++ b/internal/dataplane/admission/body_memory_test.go
@@ -55,6 +55,21 @@
 		gomega.Expect(fault).To(gomega.BeNil())
 	})
 
+	ginkgo.It("given bodies that hold their memory for a time, when one finds none, then it is told to come back after that time; while none has released its memory, after as long as it has been held", func() {
+		clock := &simulation.ManualClock{Now: time.Hour}
+		memory := NewBodyMemory(clock, 16)
+		_, release, _ := read(memory, 3<<20, false, 64<<20)
+		clock.Now += 120 * time.Millisecond
+		_, _, fault := read(memory, 3<<20, false, 64<<20)
+		gomega.Expect(fault.RetryAfter).To(gomega.Equal(120 * time.Millisecond))
+		clock.Now += 180 * time.Millisecond
+		release()
+		_, _, fault = read(memory, 3<<20, false, 64<<20)
+		gomega.Expect(fault).To(gomega.BeNil())
+		_, _, fault = read(memory, 3<<20, false, 64<<20)
+		gomega.Expect(fault.RetryAfter).To(gomega.Equal(300 * time.Millisecond))
+	})
+
 	// Guards against a node killed for its memory by bodies in chunks, which took theirs before it was reserved: issue 45.
 	ginkgo.It("given bodies of unknown length that don't fit together, when they are read at the same time, then no more than the limit is ever reserved or taken, and the rest is rejected early", func() {
 		memory := NewBodyMemory(&simulation.ManualClock{}, 64)
--- a/internal/dataplane/shutdown_test.go
+++ b/internal/dataplane/shutdown_test.go
@@ -421,6 +421,20 @@
 	})
 })
 
+var _ = ginkgo.Describe("a client that a stopping node rejects", func() {
+	itSimulated("given a node that is about to end, then the client is told to come back when the process has ended at the latest, and not before", func(s *testbed) {
+		f := s.newStopFixture()
+		conn := f.open(f.stopping)
+		f.stop(f.stopping)
+		f.sleepUntil(base.ScaleDuration(stopGrace, clientDrainRatio+peerDrainRatio) + 10*time.Millisecond)
+		reply := f.exchange(conn, seekRoute, "a", shortWork)
+		Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
+		retryAfter, err := strconv.ParseFloat(reply.retryAfter, 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.at + time.Duration(retryAfter*float64(time.Second))).To(BeNumerically("~", base.ScaleDuration(stopGrace, stopDeadlineRatio), 20*time.Millisecond))
+	})
+})
+
 var _ = ginkgo.Describe("a request between two attempts in a stop", func() {
 	itSimulated("given that the time for attempts is over, then no other one starts and it is answered 503", func(s *testbed) {
 		f := s.newStopFixture()
