--- a/internal/dataplane/admission/body_memory.go
+++ b/internal/dataplane/admission/body_memory.go
@@ -100,7 +100,7 @@
 
 // RetryAfter returns the time within which memory that is taken now is expected to be released.
 func (m *BodyMemory) RetryAfter() time.Duration {
-	return max(m.holds.expected(m.clock.Mono()), minRetryAfter)
+	return max(m.holds.expected(m.clock.Mono()), MinRetryAfter)
 }
 
 // Body is a request body in blocks of memory.
--- a/internal/dataplane/admission/estimate.go
+++ b/internal/dataplane/admission/estimate.go
@@ -79,12 +79,12 @@
 	return work > 0 && now-a.since > staleWorkTimes*work
 }
 
-// lateWaiters returns the waiters that can't start in time in the present order, however soon overdue slots are
+// lateOf returns those of the given requests that can't start in time in their order, however soon overdue slots are
 // released. The caller must hold q.mu.
-func (q *Queue) lateWaiters(now time.Duration) (late []*waiter) {
-	for i, start := range q.starts(q.waiters, now, atAnyMoment) {
-		if start > q.waiters[i].LatestStart {
-			late = append(late, q.waiters[i])
+func (q *Queue) lateOf(waiters []*waiter, now time.Duration) (late []*waiter) {
+	for i, start := range q.starts(waiters, now, atAnyMoment) {
+		if start > waiters[i].LatestStart {
+			late = append(late, waiters[i])
 		}
 	}
 	return late
@@ -94,5 +94,5 @@
 // hold q.mu.
 func (q *Queue) waitBehind(ahead []*waiter, w *waiter, now time.Duration) time.Duration {
 	starts := q.starts(append(slices.Clone(ahead), w), now, asLongAgain)
-	return max(starts[len(starts)-1]-now, minRetryAfter)
+	return max(starts[len(starts)-1]-now, MinRetryAfter)
 }
--- a/internal/dataplane/admission/queue.go
+++ b/internal/dataplane/admission/queue.go
@@ -19,8 +19,8 @@
 	// waitersPerSlot is how many requests may wait for each slot. One keeps every slot in use, even if all are
 	// released at once; any more would only make all later callers wait longer.
 	waitersPerSlot = 1
-	// minRetryAfter is the shortest delay that a rejected request is told, the resolution of the header.
-	minRetryAfter = time.Millisecond
+	// MinRetryAfter is the shortest Retry-After, the resolution in which it is sent.
+	MinRetryAfter = time.Millisecond
 )
 
 // Queue limits the number of requests at an upstream. Further requests wait, one for each slot, as long as a slot is
@@ -53,7 +53,7 @@
 	q.limit = max(limit, 1)
 	q.admitWaiters()
 	now := q.clock.Mono()
-	for _, late := range q.lateWaiters(now) {
+	for _, late := range q.lateOf(q.waiters, now) {
 		q.reject(late, "no turn is expected in time", now)
 	}
 }
@@ -117,15 +117,16 @@
 	now := q.clock.Mono()
 	load := Load{InFlight: q.inFlight(), Waiting: len(q.waiters), Limit: q.limit, ServiceTimeMs: int(q.expectedWork(now).Milliseconds())}
 	if load.InFlight >= q.limit {
-		load.SlotWaitMs = int((q.releases(now, asLongAgain)[0] - now).Milliseconds())
-		load.QueueWaitMs = int(q.waitBehind(q.waiters, &waiter{}, now).Milliseconds())
+		starts := q.starts(append(slices.Clone(q.waiters), &waiter{}), now, asLongAgain)
+		load.SlotWaitMs = int((starts[0] - now).Milliseconds())
+		load.QueueWaitMs = int((starts[len(starts)-1] - now).Milliseconds())
 	}
 	return load
 }
 
 // Acquire takes a slot. If none is free, it waits for one, if the request may wait, a slot is expected by its latest
-// start, and there is room for it in the queue or is made. release returns the slot. A
-// fault of kind Overloaded carries the expected time until there is a slot for the request.
+// start, and there is room for it in the queue or is made. release returns the slot. A fault of kind Overloaded carries
+// the expected time until there is a slot for the request.
 func (q *Queue) Acquire(ctx context.Context, request Request) (release func(), fault *base.Fault) {
 	w, release, fault := q.enter(request)
 	if w == nil {
@@ -169,26 +170,31 @@
 
 // offer adds a request to the waiters if it may wait, can start in time, keeps no other one of its rank or a higher one
 // from that, and there is room for it or is made (see makeRoom). Those of lower ranks that it keeps from that are
-// rejected. If the request is not accepted, wait is the expected time until there is a slot for it. The caller must hold
-// q.mu.
+// rejected. If the request is not accepted, the waiters stay as they are, and wait is the expected time until there is a
+// slot for it. The caller must hold q.mu.
 func (q *Queue) offer(w *waiter, now time.Duration) (wait time.Duration, accepted bool) {
-	slices.SortFunc(q.waiters, byLatestStart)
-	defer q.arrange(now)
-	lateBefore := q.lateWaiters(now)
-	position, _ := slices.BinarySearchFunc(q.waiters, w, byLatestStart)
-	wait = q.waitBehind(q.waiters[:position], w, now)
+	before := q.waiters
+	order := slices.SortedFunc(slices.Values(before), byLatestStart)
+	position, _ := slices.BinarySearchFunc(order, w, byLatestStart)
+	wait = q.waitBehind(order[:position], w, now)
 	if !w.MayWait {
 		return wait, false
 	}
-	q.waiters = slices.Insert(q.waiters, position, w)
-	made := slices.DeleteFunc(q.lateWaiters(now), func(each *waiter) bool { return slices.Contains(lateBefore, each) })
-	if len(made) > 0 && made[0].Rank <= w.Rank || len(q.waiters) > waitersPerSlot*q.limit && !q.makeRoom(w, now) {
-		q.remove(w)
+	lateBefore := q.lateOf(order, now)
+	q.waiters = slices.Insert(order, position, w)
+	made := slices.DeleteFunc(q.lateOf(q.waiters, now), func(each *waiter) bool { return slices.Contains(lateBefore, each) })
+	if len(made) > 0 && made[0].Rank <= w.Rank {
+		q.waiters = before
 		return wait, false
 	}
 	for _, each := range made {
 		q.reject(each, "no turn is expected in time", now)
 	}
+	if len(q.waiters) > waitersPerSlot*q.limit && !q.makeRoom(w, now) {
+		q.waiters = before
+		return wait, false
+	}
+	q.arrange(now)
 	return 0, true
 }
 
@@ -196,7 +202,7 @@
 // makes one start too late. The caller must hold q.mu.
 func (q *Queue) arrange(now time.Duration) {
 	slices.SortFunc(q.waiters, byWantedStart)
-	if len(q.lateWaiters(now)) > 0 {
+	if len(q.lateOf(q.waiters, now)) > 0 {
 		slices.SortFunc(q.waiters, byLatestStart)
 	}
 }
@@ -251,17 +257,15 @@
 	return false
 }
 
-// reject removes a waiter and tells it when a slot is expected for one behind all others. It does nothing if the waiter
-// has been removed already. The caller must hold q.mu.
+// reject removes a waiter and tells it when a slot is expected for one behind all others. The caller must hold q.mu.
 func (q *Queue) reject(w *waiter, reason string, now time.Duration) {
-	if q.remove(w) {
-		w.decision <- overloaded(reason, q.waitBehind(q.waiters, w, now))
-	}
+	q.remove(w)
+	w.decision <- overloaded(reason, q.waitBehind(q.waiters, w, now))
 }
 
 // overloaded returns the fault of a request for which a slot is expected after the given wait.
 func overloaded(reason string, wait time.Duration) *base.Fault {
-	return base.NewFault(base.Overloaded, "", "%s", reason).WithRetryAfter(max(wait, minRetryAfter))
+	return base.NewFault(base.Overloaded, "", "%s", reason).WithRetryAfter(wait)
 }
 
 // admit gives a slot to a request and returns its release function. The caller must hold q.mu.
--- a/internal/dataplane/admission/queue_test.go
+++ b/internal/dataplane/admission/queue_test.go
@@ -152,3 +152,22 @@
 		Expect(result).To(Equal(admitted))
 	})
 })
+
+// Guards against a second waiter that is rejected for room that is there already.
+var _ = ginkgo.Describe("a full queue of a lower rank, one of which can only just start in time", func() {
+	ginkgo.It("given an urgent request that makes it late, when it is rejected for that, then nobody else has to make room", func() {
+		const limit = 2
+		s := newQueueState(limit)
+		s.measure(1, Request{Work: propertyWork})
+		now := s.clock.Now
+		s.ask(Request{Work: propertyWork, LatestStart: now + time.Hour})
+		s.ask(Request{Work: 3 * propertyWork, LatestStart: now + time.Hour})
+		s.ask(Request{Rank: 2, Work: propertyWork, LatestStart: now + time.Hour, MayWait: true})
+		s.ask(Request{Rank: 1, Work: propertyWork, LatestStart: now + propertyWork, MayWait: true})
+		s.ask(Request{Work: propertyWork, LatestStart: now + propertyWork, MayWait: true})
+		Expect(s.waiting).To(HaveLen(3))
+		patient, tight := s.waiting[0], s.waiting[1]
+		Expect(tight.decision).To(HaveLen(1))
+		Expect(patient.decision).To(BeEmpty())
+	})
+})
--- a/internal/dataplane/client_server.go
+++ b/internal/dataplane/client_server.go
@@ -19,15 +19,12 @@
 	defaultClientTimeout = 10 * time.Second
 )
 
-// minRetryAfter is the shortest Retry-After, the resolution in which it is sent.
-const minRetryAfter = time.Millisecond
-
 // reject answers a request with an error of this node. With status 503 it tells the client after what time a request
 // like this is expected to be served.
 func (n *Node) reject(w http.ResponseWriter, kind base.Kind, reason string, retryAfter time.Duration) {
 	status := base.HTTPResponses[kind].Status
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, admission.MinRetryAfter).Seconds(), 'f', 3, 64))
 	}
 	n.countOutcome(string(kind))
 	httpserver.ReplyJSON(w, status, map[string]string{"kind": string(kind), "reason": reason})
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"curlewreach/base"
+	"curlewreach/internal/dataplane/admission"
 )
 
 // Phases of a graceful stop. The ratios are of the grace period (params.Grace) and count from the start of the stop,
@@ -117,7 +118,7 @@
 // ends at the latest, otherwise for a heartbeat, after which a node in contact knows the upstreams.
 func (n *Node) unavailableRetryAfter() time.Duration {
 	if n.shutdown.hasBegun() {
-		return max(n.shutdown.at(stopDeadlineRatio)-n.scope.Clock.Mono(), minRetryAfter)
+		return max(n.shutdown.at(stopDeadlineRatio)-n.scope.Clock.Mono(), admission.MinRetryAfter)
 	}
 	return n.params.Beat.AsDuration()
 }
--- a/internal/dataplane/upstream_selection.go
+++ b/internal/dataplane/upstream_selection.go
@@ -34,10 +34,10 @@
 	n := c.node
 	metadata = c.metadata
 	metadata.WantedStartIn, metadata.LatestStartIn = c.startLimits()
-	candidates := n.peers.Candidates(c.metadata.Service, c.usualLatency, c.ledger.Tried, n.scope.Rand)
 	if !hedging && c.countRefusedWaiting() >= minRejections {
 		return candidate, metadata, c.overloadedFault(0)
 	}
+	candidates := n.peers.Candidates(c.metadata.Service, c.usualLatency, c.ledger.Tried, n.scope.Rand)
 	if free, found := firstFree(candidates, hedging); found {
 		metadata.MayWait = !hedging && c.countOverloaded() >= minRejections
 		return free, metadata, nil
