A measured latency fades, so that an upstream that was slow once gets requests again

Callers saw: an upstream that answered slowly for a while, or by chance later than its like, got no more requests while others had free slots, for good.

Cause: its average latency raises its cost, and only answers change that average; without requests there are none.

Now a latency counts in full for 3 s and then half as much every 3 s, down to the usual one, in both fleets; in listed fleets chance adds a tenth of the cost in place of a hundredth, as in open ones, since averages of instances alike differ.

--- a/internal/dataplane/balancer/candidates.go
+++ b/internal/dataplane/balancer/candidates.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"curlewreach/base"
 	"curlewreach/internal/random"
 )
 
@@ -15,6 +16,9 @@
 	// is the same for its reported failure rate.
 	loadDecayAge    = 400 * time.Millisecond
 	failureDecayAge = 3 * time.Second
+	// latencyHalfLife is the time in which a measured latency counts half as much: a peer that was slow gets a request
+	// again in time, which shows whether it still is.
+	latencyHalfLife = 3 * time.Second
 )
 
 // Terms of a candidate's score; the lowest score is the best. A score of 1 is an idle peer with the usual
@@ -91,8 +95,9 @@
 	return others + float64(p.inFlight), limit
 }
 
-// Candidates returns the peers that may serve a request, the best first. serviceTime is how long such
-// requests usually take; 0 if that is not known. The distance to a peer is part of its measured latency. Peers for which tried returns true are left out.
+// Candidates returns the peers that may serve a request, the best first. serviceTime is how long such requests usually
+// take; 0 if that is not known. The distance to a peer is part of its measured latency. Peers for which tried returns
+// true are left out.
 func (t *Table) Candidates(service string, serviceTime time.Duration, tried func(node string) bool, rand *random.Source) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,9 +140,14 @@
 // warms up.
 func (p *peer) expectedLatency(now time.Duration) float64 {
 	if now < p.heardAt+time.Duration(p.status.Instance.WarmMs)*time.Millisecond {
-		return p.relativeLatency * warmUpFactor
+		return p.recentLatency(now) * warmUpFactor
 	}
-	return p.relativeLatency
+	return p.recentLatency(now)
+}
+
+// recentLatency returns the average relative latency, which returns to the usual one while no answer confirms it.
+func (p *peer) recentLatency(now time.Duration) float64 {
+	return usualLatency + base.Faded(p.relativeLatency-usualLatency, now-p.latencyAt, latencyHalfLife)
 }
 
 // expectedWait estimates how long a request waits at a full upstream. slotFraction is the fraction of the
--- a/internal/dataplane/balancer/table.go
+++ b/internal/dataplane/balancer/table.go
@@ -15,6 +15,8 @@
 	// minAvoidance and maxAvoidance bound how long a peer is avoided after it could not be reached.
 	minAvoidance = 150 * time.Millisecond
 	maxAvoidance = 2 * time.Second
+	// usualLatency is the relative latency of a peer that answers as fast as is usual.
+	usualLatency = 1
 	// latencySmoothing is the weight of the newest response in a peer's average relative latency.
 	latencySmoothing = 0.15
 	// minLatencySample and maxLatencySample bound a single relative latency before it is averaged;
@@ -44,9 +46,10 @@
 	load           forwarding.LoadReport
 	loadAt         time.Duration
 	inFlightAtLoad int
-	// relativeLatency is the average latency in proportion to the latency that is usual for the request; 1 is
-	// usual.
+	// relativeLatency is the average latency in proportion to the latency that is usual for the request, and latencyAt
+	// the time of the last answer in it.
 	relativeLatency float64
+	latencyAt       time.Duration
 	// avoidUntil is the end of the current avoidance, avoidance its length.
 	avoidUntil time.Duration
 	avoidance  time.Duration
@@ -112,7 +115,7 @@
 func (t *Table) peer(node string) *peer {
 	p := t.peers[node]
 	if p == nil {
-		p = &peer{relativeLatency: 1, observations: map[string]observation{}}
+		p = &peer{relativeLatency: usualLatency, observations: map[string]observation{}}
 		t.peers[node] = p
 	}
 	return p
@@ -133,7 +136,7 @@
 func (t *Table) replaceStatus(p *peer, nodeStatus *wire.NodeStatus, newIncarnation bool) {
 	if newIncarnation || p.status.GetInstance().GetId() != nodeStatus.GetInstance().GetId() {
 		p.load, p.loadAt, p.avoidUntil, p.avoidance, p.goneInstance, p.reachedAt = forwarding.LoadReport{}, 0, 0, 0, "", 0
-		p.relativeLatency = 1
+		p.relativeLatency = usualLatency
 	}
 	if p.status.GetInstance().GetService() != nodeStatus.GetInstance().GetService() {
 		t.nodesByService = nil
@@ -242,18 +245,25 @@
 	if p == nil {
 		return
 	}
+	now := t.clock.Mono()
 	p.inFlight = max(p.inFlight-1, 0)
 	if load != nil {
-		p.load, p.loadAt, p.inFlightAtLoad = *load, t.clock.Mono(), p.inFlight
-		p.avoidUntil, p.avoidance, p.reachedAt = 0, 0, t.clock.Mono()
+		p.load, p.loadAt, p.inFlightAtLoad = *load, now, p.inFlight
+		p.avoidUntil, p.avoidance, p.reachedAt = 0, 0, now
 	}
 	if succeeded && expected > 0 {
-		ratio := min(max(took.Seconds()/expected.Seconds(), minLatencySample), maxLatencySample)
-		p.relativeLatency += latencySmoothing * (ratio - p.relativeLatency)
-		p.relativeLatency = min(max(p.relativeLatency, minRelativeLatency), maxRelativeLatency)
+		p.recordLatency(took.Seconds()/expected.Seconds(), now)
 	}
 }
 
+// recordLatency adds the relative latency of an answer to the average.
+func (p *peer) recordLatency(sample float64, now time.Duration) {
+	sample = min(max(sample, minLatencySample), maxLatencySample)
+	average := p.recentLatency(now)
+	average += latencySmoothing * (sample - average)
+	p.relativeLatency, p.latencyAt = min(max(average, minRelativeLatency), maxRelativeLatency), now
+}
+
 // MarkUnreachable makes the balancer avoid a peer that could not be reached. The time doubles with each call,
 // from minAvoidance to maxAvoidance, until an attempt reaches the peer again.
 func (t *Table) MarkUnreachable(node string) {
@@ -305,7 +315,7 @@
 		instance := p.status.GetInstance()
 		peers = append(peers, &wire.PeerView{
 			Node: name, Zone: p.status.GetZone(), Service: p.status.GetService(), Instance: instance.GetId(), Absent: t.absent(p), AvoidedMs: base.Milliseconds(p.avoidUntil - now),
-			Barred: p.goneInstance, Leaving: instance.GetLeaving(), Stopping: p.status.GetStopping(), Speed: p.relativeLatency, Flying: uint32(max(p.inFlight, 0)), SilenceMs: base.Milliseconds(now - p.heardAt),
+			Barred: p.goneInstance, Leaving: instance.GetLeaving(), Stopping: p.status.GetStopping(), Speed: p.recentLatency(now), Flying: uint32(max(p.inFlight, 0)), SilenceMs: base.Milliseconds(now - p.heardAt),
 		})
 	}
 	controllers = map[string]uint64{}
--- a/internal/listednode/pick.go
+++ b/internal/listednode/pick.go
@@ -17,6 +17,14 @@
 	// notAliveFactor multiplies failurePenalty for the instances of a node that is not reported alive, which are
 	// the last resort.
 	notAliveFactor = 2.0
+	// latencyHalfLife is the time in which a measured latency counts half as much: an instance that was slow gets a
+	// request again in time, which shows whether it still is.
+	latencyHalfLife = 3 * time.Second
+	// scoreJitter bounds the relative increase of a score by chance: the average latencies of instances that are alike
+	// differ by chance as well, which must not send every request to the same one.
+	scoreJitter = 0.1
+	// usualLatency is the relative latency of an instance that answers as fast as is usual.
+	usualLatency = 1
 	// latencySmoothing is the weight of the newest response in the average latencies.
 	latencySmoothing = 0.15
 	// maxLatencyRatio and its inverse bound a single relative latency before it is averaged.
@@ -39,9 +47,15 @@
 	lastUsed   time.Duration
 	inFlight   int // attempts of this node
 	avoidUntil time.Duration
-	// relativeLatency is the average latency in proportion to that of the route, distance and queue included; 1 is
-	// usual.
+	// relativeLatency is the average latency in proportion to that of the route, distance and queue included, and
+	// latencyAt the time of the last answer in it.
 	relativeLatency float64
+	latencyAt       time.Duration
+}
+
+// recentLatency returns the average relative latency, which returns to the usual one while no answer confirms it.
+func (c *candidateStats) recentLatency(now time.Duration) float64 {
+	return usualLatency + base.Faded(c.relativeLatency-usualLatency, now-c.latencyAt, latencyHalfLife)
 }
 
 // candidates iterates over the instances of a service: first the local ones, then those of other nodes in
@@ -80,8 +94,7 @@
 }
 
 // pick returns the candidate with the lowest score that the ledger has not tried, and counts an attempt in
-// flight there, which recordOutcome ends. A random factor of up to 1% spreads the choice among equal
-// scores.
+// flight there, which recordOutcome ends.
 func (n *Node) pick(signed *bundle.Bundle, match bundle.RouteMatch, ledger *Ledger) (candidate, bool) {
 	var best candidate
 	lowest, found := 0.0, false
@@ -91,7 +104,7 @@
 		if ledger.Tried(each.instance.Address) || (each.node != n.self && signed.Machine(each.node) == nil) {
 			continue
 		}
-		score := n.score(each) * (1 + 0.01*n.scope.Rand.Float64())
+		score := n.jitteredScore(each)
 		if !found || score < lowest {
 			best, lowest, found = each, score, true
 		}
@@ -107,19 +120,24 @@
 	key := c.node + " " + c.instance.Address
 	stats := n.stats[key]
 	if stats == nil {
-		stats = &candidateStats{relativeLatency: 1}
+		stats = &candidateStats{relativeLatency: usualLatency}
 		n.stats[key] = stats
 	}
 	stats.lastUsed = n.scope.Clock.Mono()
 	return stats
 }
 
+// jitteredScore returns the score of a candidate, increased by chance. n.pickMu must be held.
+func (n *Node) jitteredScore(c candidate) float64 {
+	return n.score(c) * (1 + scoreJitter*n.scope.Rand.Float64())
+}
+
 // score returns the cost of a candidate, mainly its attempts in flight in proportion to its capacity, and its latency.
 // n.pickMu must be held.
 func (n *Node) score(c candidate) float64 {
 	stats := n.statsOf(c)
 	score := (float64(stats.inFlight) + 1) / float64(max(c.instance.Capacity, 1))
-	score *= (1 + c.instance.Weight) * stats.relativeLatency
+	score *= (1 + c.instance.Weight) * stats.recentLatency(n.scope.Clock.Mono())
 	if c.standing != membership.Alive {
 		score *= 1 + failurePenalty*notAliveFactor
 	}
@@ -151,7 +169,9 @@
 		n.routeLatencies[route] = max(took, time.Microsecond)
 		return
 	}
+	now := n.scope.Clock.Mono()
+	average := stats.recentLatency(now)
 	ratio := min(max(float64(took)/float64(usual), 1.0/maxLatencyRatio), maxLatencyRatio)
-	stats.relativeLatency += latencySmoothing * (ratio - stats.relativeLatency)
+	stats.relativeLatency, stats.latencyAt = average+latencySmoothing*(ratio-average), now
 	n.routeLatencies[route] += time.Duration(latencySmoothing * float64(took-usual))
 }
