--- a/internal/testing/listedfleet/memory_growth_test.go
+++ b/internal/testing/listedfleet/memory_growth_test.go
@@ -39,6 +39,35 @@
 	return largest
 }
 
+const (
+	// journalSuffix ends the names of the sizes of journals, which are full after a while and then stay so.
+	journalSuffix = "journal"
+	// sizeSnapshots is the number of snapshots that are compared: a request may be under way at any of them, and
+	// attempts are remembered for a while, now more at one node, now at another. What leaks is in all of them.
+	sizeSnapshots    = 18
+	snapshotInterval = 5 * time.Second
+)
+
+// usualSizes returns the median of each of the largestSizes over some time, and of each journal the largest.
+func (f *Fleet) usualSizes() map[string]int {
+	snapshots := map[string][]int{}
+	for range sizeSnapshots {
+		f.Sleep(snapshotInterval)
+		for name, size := range f.largestSizes() {
+			snapshots[name] = append(snapshots[name], size)
+		}
+	}
+	usual := map[string]int{}
+	for name, sizes := range snapshots {
+		slices.Sort(sizes)
+		usual[name] = sizes[len(sizes)/2]
+		if strings.HasSuffix(name, journalSuffix) {
+			usual[name] = slices.Max(sizes)
+		}
+	}
+	return usual
+}
+
 var _ = ginkgo.Describe("long-running processes", func() {
 	ginkgo.It("given many bundles, added services, killed upstreams and restarts, when sizes are compared, then none grows", func() {
 		if os.Getenv("SEEDS") != "" {
@@ -79,7 +108,7 @@
 					f.Sleep(3 * time.Second)
 				}
 				f.Sleep(62 * time.Second)
-				return f.largestSizes()
+				return f.usualSizes()
 			}
 			rounds := 8
 			if os.Getenv("MEASURE") != "" {
@@ -89,7 +118,7 @@
 			late := runRounds(2 * rounds)
 			for _, name := range slices.Sorted(maps.Keys(late)) {
 				ginkgo.GinkgoWriter.Printf("MEASURE memory growth, %s: %d, then %d\n", name, early[name], late[name])
-				if strings.HasSuffix(name, "journal") {
+				if strings.HasSuffix(name, journalSuffix) {
 					Expect(late[name]).To(BeNumerically("<", journalLimit+200))
 					continue
 				}
