One average of relative latencies for both fleets

The same lines stood in the choice of an upstream of open fleets and of listed ones. internal/latency keeps them with their bounds and specs; the zero value is a peer that has not answered yet. In listed fleets the average is bounded by 0.3 and 4 now as well. The suites of balancer, listednode and latency pass.

--- a/internal/dataplane/balancer/candidates.go
+++ b/internal/dataplane/balancer/candidates.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"curlewreach/base"
 	"curlewreach/internal/random"
 )
 
@@ -16,9 +15,6 @@
 	// is the same for its reported failure rate.
 	loadDecayAge    = 400 * time.Millisecond
 	failureDecayAge = 3 * time.Second
-	// latencyHalfLife is the time in which a measured latency counts half as much: a peer that was slow gets a request
-	// again in time, which shows whether it still is.
-	latencyHalfLife = 3 * time.Second
 )
 
 // Terms of a candidate's score; the lowest score is the best. A score of 1 is an idle peer with the usual
@@ -140,14 +136,9 @@
 // warms up.
 func (p *peer) expectedLatency(now time.Duration) float64 {
 	if now < p.heardAt+time.Duration(p.status.Instance.WarmMs)*time.Millisecond {
-		return p.recentLatency(now) * warmUpFactor
+		return p.latency.Average(now) * warmUpFactor
 	}
-	return p.recentLatency(now)
-}
-
-// recentLatency returns the average relative latency, which returns to the usual one while no answer confirms it.
-func (p *peer) recentLatency(now time.Duration) float64 {
-	return usualLatency + base.Faded(p.relativeLatency-usualLatency, now-p.latencyAt, latencyHalfLife)
+	return p.latency.Average(now)
 }
 
 // expectedWait estimates how long a request waits at a full upstream. slotFraction is the fraction of the
--- a/internal/dataplane/balancer/selection_test.go
+++ b/internal/dataplane/balancer/selection_test.go
@@ -206,7 +206,7 @@
 		candidates := s.candidates()
 		best := s.expectedAnswer(candidates[0])
 		for _, other := range candidates[1:] {
-			slack := utilizationWeight*s.peers[other.Node].relativeLatency + scoreJitter
+			slack := utilizationWeight*s.peers[other.Node].latency.Average(s.clock.Now) + scoreJitter
 			if earliest := s.expectedAnswer(other); best > earliest+slack {
 				t.Fatalf("%s is picked, expected to answer after %.2f works, though %s would after %.2f", candidates[0].Node, best, other.Node, earliest)
 			}
@@ -216,5 +216,5 @@
 
 // expectedAnswer returns when a candidate is expected to answer, in usual latencies.
 func (s *selection) expectedAnswer(c Candidate) float64 {
-	return s.peers[c.Node].relativeLatency + float64(c.Wait)/float64(work)
+	return s.peers[c.Node].latency.Average(s.clock.Now) + float64(c.Wait)/float64(work)
 }
--- a/internal/dataplane/balancer/table.go
+++ b/internal/dataplane/balancer/table.go
@@ -8,6 +8,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/dataplane/forwarding"
+	"curlewreach/internal/latency"
 	"curlewreach/proto/wire"
 )
 
@@ -15,14 +16,6 @@
 	// minAvoidance and maxAvoidance bound how long a peer is avoided after it could not be reached.
 	minAvoidance = 150 * time.Millisecond
 	maxAvoidance = 2 * time.Second
-	// usualLatency is the relative latency of a peer that answers as fast as is usual.
-	usualLatency = 1
-	// latencySmoothing is the weight of the newest response in a peer's average relative latency.
-	latencySmoothing = 0.15
-	// minLatencySample and maxLatencySample bound a single relative latency before it is averaged;
-	// minRelativeLatency and maxRelativeLatency bound the average.
-	maxLatencySample, minLatencySample     = 5, 0.2
-	maxRelativeLatency, minRelativeLatency = 4, 0.3
 	// countTTL is how long a count of the nodes is cached.
 	countTTL = 250 * time.Millisecond
 )
@@ -46,10 +39,8 @@
 	load           forwarding.LoadReport
 	loadAt         time.Duration
 	inFlightAtLoad int
-	// relativeLatency is the average latency in proportion to the latency that is usual for the request, and latencyAt
-	// the time of the last answer in it.
-	relativeLatency float64
-	latencyAt       time.Duration
+	// latency is the average of its answers to this node, distance included.
+	latency latency.Relative
 	// avoidUntil is the end of the current avoidance, avoidance its length.
 	avoidUntil time.Duration
 	avoidance  time.Duration
@@ -115,7 +106,7 @@
 func (t *Table) peer(node string) *peer {
 	p := t.peers[node]
 	if p == nil {
-		p = &peer{relativeLatency: usualLatency, observations: map[string]observation{}}
+		p = &peer{observations: map[string]observation{}}
 		t.peers[node] = p
 	}
 	return p
@@ -136,7 +127,7 @@
 func (t *Table) replaceStatus(p *peer, nodeStatus *wire.NodeStatus, newIncarnation bool) {
 	if newIncarnation || p.status.GetInstance().GetId() != nodeStatus.GetInstance().GetId() {
 		p.load, p.loadAt, p.avoidUntil, p.avoidance, p.goneInstance, p.reachedAt = forwarding.LoadReport{}, 0, 0, 0, "", 0
-		p.relativeLatency = usualLatency
+		p.latency = latency.Relative{}
 	}
 	if p.status.GetInstance().GetService() != nodeStatus.GetInstance().GetService() {
 		t.nodesByService = nil
@@ -252,18 +243,10 @@
 		p.avoidUntil, p.avoidance, p.reachedAt = 0, 0, now
 	}
 	if succeeded && expected > 0 {
-		p.recordLatency(took.Seconds()/expected.Seconds(), now)
+		p.latency.Record(took, expected, now)
 	}
 }
 
-// recordLatency adds the relative latency of an answer to the average.
-func (p *peer) recordLatency(sample float64, now time.Duration) {
-	sample = min(max(sample, minLatencySample), maxLatencySample)
-	average := p.recentLatency(now)
-	average += latencySmoothing * (sample - average)
-	p.relativeLatency, p.latencyAt = min(max(average, minRelativeLatency), maxRelativeLatency), now
-}
-
 // MarkUnreachable makes the balancer avoid a peer that could not be reached. The time doubles with each call,
 // from minAvoidance to maxAvoidance, until an attempt reaches the peer again.
 func (t *Table) MarkUnreachable(node string) {
@@ -315,7 +298,7 @@
 		instance := p.status.GetInstance()
 		peers = append(peers, &wire.PeerView{
 			Node: name, Zone: p.status.GetZone(), Service: p.status.GetService(), Instance: instance.GetId(), Absent: t.absent(p), AvoidedMs: base.Milliseconds(p.avoidUntil - now),
-			Barred: p.goneInstance, Leaving: instance.GetLeaving(), Stopping: p.status.GetStopping(), Speed: p.recentLatency(now), Flying: uint32(max(p.inFlight, 0)), SilenceMs: base.Milliseconds(now - p.heardAt),
+			Barred: p.goneInstance, Leaving: instance.GetLeaving(), Stopping: p.status.GetStopping(), Speed: p.latency.Average(now), Flying: uint32(max(p.inFlight, 0)), SilenceMs: base.Milliseconds(now - p.heardAt),
 		})
 	}
 	controllers = map[string]uint64{}
--- a/internal/listednode/pick.go
+++ b/internal/listednode/pick.go
@@ -6,6 +6,7 @@
 
 	"curlewreach/base"
 	"curlewreach/internal/bundle"
+	"curlewreach/internal/latency"
 	"curlewreach/internal/membership"
 	"curlewreach/proto/wire"
 )
@@ -17,18 +18,11 @@
 	// notAliveFactor multiplies failurePenalty for the instances of a node that is not reported alive, which are
 	// the last resort.
 	notAliveFactor = 2.0
-	// latencyHalfLife is the time in which a measured latency counts half as much: an instance that was slow gets a
-	// request again in time, which shows whether it still is.
-	latencyHalfLife = 3 * time.Second
 	// scoreJitter bounds the relative increase of a score by chance: the average latencies of instances that are alike
 	// differ by chance as well, which must not send every request to the same one.
 	scoreJitter = 0.1
-	// usualLatency is the relative latency of an instance that answers as fast as is usual.
-	usualLatency = 1
-	// latencySmoothing is the weight of the newest response in the average latencies.
+	// latencySmoothing is the weight of the newest response in the average latency of a route.
 	latencySmoothing = 0.15
-	// maxLatencyRatio and its inverse bound a single relative latency before it is averaged.
-	maxLatencyRatio = 5
 )
 
 // candidate is an instance that a request may be sent to.
@@ -47,15 +41,8 @@
 	lastUsed   time.Duration
 	inFlight   int // attempts of this node
 	avoidUntil time.Duration
-	// relativeLatency is the average latency in proportion to that of the route, distance and queue included, and
-	// latencyAt the time of the last answer in it.
-	relativeLatency float64
-	latencyAt       time.Duration
-}
-
-// recentLatency returns the average relative latency, which returns to the usual one while no answer confirms it.
-func (c *candidateStats) recentLatency(now time.Duration) float64 {
-	return usualLatency + base.Faded(c.relativeLatency-usualLatency, now-c.latencyAt, latencyHalfLife)
+	// latency is the average of its answers in proportion to those on their routes, distance and queue included.
+	latency latency.Relative
 }
 
 // candidates iterates over the instances of a service: first the local ones, then those of other nodes in
@@ -120,7 +107,7 @@
 	key := c.node + " " + c.instance.Address
 	stats := n.stats[key]
 	if stats == nil {
-		stats = &candidateStats{relativeLatency: usualLatency}
+		stats = &candidateStats{}
 		n.stats[key] = stats
 	}
 	stats.lastUsed = n.scope.Clock.Mono()
@@ -137,7 +124,7 @@
 func (n *Node) score(c candidate) float64 {
 	stats := n.statsOf(c)
 	score := (float64(stats.inFlight) + 1) / float64(max(c.instance.Capacity, 1))
-	score *= (1 + c.instance.Weight) * stats.recentLatency(n.scope.Clock.Mono())
+	score *= (1 + c.instance.Weight) * stats.latency.Average(n.scope.Clock.Mono())
 	if c.standing != membership.Alive {
 		score *= 1 + failurePenalty*notAliveFactor
 	}
@@ -169,9 +156,6 @@
 		n.routeLatencies[route] = max(took, time.Microsecond)
 		return
 	}
-	now := n.scope.Clock.Mono()
-	average := stats.recentLatency(now)
-	ratio := min(max(float64(took)/float64(usual), 1.0/maxLatencyRatio), maxLatencyRatio)
-	stats.relativeLatency, stats.latencyAt = average+latencySmoothing*(ratio-average), now
+	stats.latency.Record(took, usual, n.scope.Clock.Mono())
 	n.routeLatencies[route] += time.Duration(latencySmoothing * float64(took-usual))
 }
