--- a/internal/testing/listedfleet/memory_growth_test.go
+++ b/internal/testing/listedfleet/memory_growth_test.go
@@ -10,13 +10,37 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	"curlewreach/internal/testing/simnet"
 	"curlewreach/internal/testing/standin"
 	"curlewreach/proto/wire"
 )
 
-// largestSizes returns the largest size of each table, of the journal and of the disk (in files and bytes) over all
-// nodes and over all controllers.
+// traceFolder is where a controller keeps files of spans. There are as many spans in them as were sampled in a number of
+// intervals, so their size follows from the load.
+const traceFolder = "traces/"
+
+// diskSizes returns the size of a disk without its files of spans, and how much each span takes in those.
+func diskSizes(disk *simnet.Disk) (bytes, bytesPerSpan int) {
+	bytes = disk.Bytes()
+	traceBytes, spans := 0, 0
+	for _, name := range disk.Names() {
+		if !strings.HasPrefix(name, traceFolder) {
+			continue
+		}
+		raw, err := disk.Read(name)
+		Expect(err).NotTo(HaveOccurred())
+		batch := &wire.Batch{}
+		Expect(proto.Unmarshal(raw, batch)).To(Succeed())
+		traceBytes += len(raw)
+		spans += len(batch.Spans)
+	}
+	return bytes - traceBytes, traceBytes / max(spans, 1)
+}
+
+// largestSizes returns the largest size of each table, of the journal and of the disk (in files and bytes, and in bytes
+// for each span) over all nodes and over all controllers.
 func (f *Fleet) largestSizes() map[string]int {
 	largest := map[string]int{}
 	add := func(name string, size int) { largest[name] = max(largest[name], size) }
@@ -34,7 +58,9 @@
 			}
 		}
 		add(kind+"files", len(m.Disk.Names()))
-		add(kind+"bytes", m.Disk.Bytes())
+		bytes, bytesPerSpan := diskSizes(m.Disk)
+		add(kind+"bytes", bytes)
+		add(kind+"bytes per span", bytesPerSpan)
 	}
 	return largest
 }
