--- a/internal/dataplane/admission/queue_property_test.go
+++ b/internal/dataplane/admission/queue_property_test.go
@@ -24,6 +24,13 @@
 	return &queueState{Queue: NewQueue(clock, limit), clock: clock}
 }
 
+// newMeasuredState returns a queue that has measured requests of propertyWork.
+func newMeasuredState(limit int) *queueState {
+	s := newQueueState(limit)
+	s.measure(1, Request{Work: propertyWork})
+	return s
+}
+
 // decision is what became of a request at once. The wait is 0 unless it was rejected.
 type decision string
 
@@ -98,10 +105,7 @@
 func TestTargetDecidesNothingButTurns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 6).Draw(t, "limit")
-		short, long := newQueueState(limit), newQueueState(limit)
-		for _, each := range []*queueState{short, long} {
-			each.measure(1, Request{Work: propertyWork})
-		}
+		short, long := newMeasuredState(limit), newMeasuredState(limit)
 		for range rapid.IntRange(1, 20).Draw(t, "requests") {
 			request := short.drawRequest(t, propertyWork)
 			other := request
@@ -136,8 +140,7 @@
 // and nobody of a higher rank is rejected in its favor, nor of its own rank unless that one can come back and it can't.
 func TestRejectedOnlyIfItCannotBeServed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newQueueState(rapid.IntRange(1, 6).Draw(t, "limit"))
-		s.measure(1, Request{Work: propertyWork})
+		s := newMeasuredState(rapid.IntRange(1, 6).Draw(t, "limit"))
 		for range rapid.IntRange(1, 25).Draw(t, "requests") {
 			request := s.drawRequest(t, propertyWork)
 			before := slices.Clone(s.waiters)
@@ -212,8 +215,7 @@
 // Turns go by rank, no more wait than there is room for, and everybody is told once what becomes of it.
 func TestTurnsGoByRankAndEverybodyIsTold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newQueueState(rapid.IntRange(1, 4).Draw(t, "limit"))
-		s.measure(1, Request{Work: propertyWork})
+		s := newMeasuredState(rapid.IntRange(1, 4).Draw(t, "limit"))
 		for range rapid.IntRange(5, 25).Draw(t, "requests") {
 			request := s.drawRequest(t, propertyWork)
 			request.MayWait = true
--- a/internal/dataplane/admission/request.go
+++ b/internal/dataplane/admission/request.go
@@ -37,7 +37,7 @@
 // canComeBack reports whether a client that is told to come back after the given wait is back by then, with time left
 // to start.
 func (w *waiter) canComeBack(now, wait time.Duration) bool {
-	return wait <= time.Duration(maxReturnRatio*float64(w.LatestStart-now))
+	return wait <= base.ScaleDuration(w.LatestStart-now, maxReturnRatio)
 }
 
 // byLatestStart orders waiters by rank, then by their latest start, then by arrival. Within a rank no other order lets
--- a/internal/dataplane/upstream_selection.go
+++ b/internal/dataplane/upstream_selection.go
@@ -113,7 +113,7 @@
 	if wait <= 0 {
 		wait = c.node.unavailableRetryAfter()
 	}
-	wait += time.Duration(c.node.scope.Rand.Float64() * float64(c.usualLatency))
+	wait += base.ScaleDuration(c.usualLatency, c.node.scope.Rand.Float64())
 	return base.NewFault(base.Overloaded, "", "every upstream of %s is taken", c.metadata.Service).WithRetryAfter(wait)
 }
 
--- a/internal/latency/suite_test.go
+++ b/internal/latency/suite_test.go
@@ -3,11 +3,7 @@
 import (
 	"testing"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
+	"curlewreach/internal/testing/simulation"
 )
 
-func TestLatency(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "latency")
-}
+func TestLatency(t *testing.T) { simulation.RunSpecs(t, "latency") }
--- a/internal/listednode/admission_queue.go
+++ b/internal/listednode/admission_queue.go
@@ -92,7 +92,7 @@
 	}
 	timeLeft := deadline - q.clock.Mono()
 	retryAfter := q.expectedWait(queue)
-	if retryAfter > 0 && retryAfter+seconds(q.serviceTime) > timeLeft {
+	if retryAfter > 0 && retryAfter+base.ScaleDuration(time.Second, q.serviceTime) > timeLeft {
 		q.mu.Unlock()
 		return nil, base.NewFault(base.Overloaded, "", "the wait would leave no time for the work").WithRetryAfter(retryAfter)
 	}
@@ -134,13 +134,10 @@
 	return nil, base.NewFault(base.Expired, "", "the deadline passed in the queue")
 }
 
-// seconds converts a number of seconds.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // expectedWait returns how long a request that is added to the queue now is expected to wait; 0 until a service time has
 // been measured. q.mu must be held.
 func (q *AdmissionQueue) expectedWait(queue *groupQueue) time.Duration {
-	return seconds(q.serviceTime * q.turnsAhead(queue) / float64(q.limit))
+	return base.ScaleDuration(time.Second, q.serviceTime*q.turnsAhead(queue)/float64(q.limit))
 }
 
 // turnsAhead estimates the number of admissions until a request that is added to the queue now is admitted.
@@ -209,7 +206,7 @@
 // dropLate rejects the requests at the head of a queue that have too little time left, and drops abandoned
 // ones. q.mu must be held.
 func (q *AdmissionQueue) dropLate(queue *groupQueue) {
-	minDeadline := q.clock.Mono() + seconds(q.serviceTime)
+	minDeadline := q.clock.Mono() + base.ScaleDuration(time.Second, q.serviceTime)
 	for queue.waiting.Len() > 0 {
 		first := queue.waiting.Front()
 		if !first.abandoned && first.deadline > minDeadline {
--- a/internal/listednode/node.go
+++ b/internal/listednode/node.go
@@ -73,7 +73,6 @@
 type Node struct {
 	scope                base.Scope
 	self                 string
-	zone                 string
 	tunables             atomic.Pointer[Tunables]
 	peerTimeout          time.Duration
 	inForceBound         time.Duration // within which a new bundle is in force on all nodes
@@ -114,7 +113,7 @@
 	leaving := bounds.Leaving.AsDuration()
 	n := &Node{
 		memory: bodyMemory{limit: int64(params.Room)},
-		scope:  s, self: params.Name, zone: params.Zone,
+		scope:  s, self: params.Name,
 		peerTimeout: time.Duration(float64(leaving) * peerTimeoutRatio), inForceBound: bounds.InForce.AsDuration(), httpClient: httpClient,
 		upstreamTransport: newUpstreamTransport(s.Net),
 		fences:            NewFences(s.Clock, 2*bounds.Grace.AsDuration()), callTracker: NewCallTracker(s.Clock),
--- a/internal/listednode/pick.go
+++ b/internal/listednode/pick.go
@@ -122,13 +122,13 @@
 // score returns the cost of a candidate, mainly its attempts in flight in proportion to its capacity, and its latency.
 // n.pickMu must be held.
 func (n *Node) score(c candidate) float64 {
-	stats := n.statsOf(c)
+	stats, now := n.statsOf(c), n.scope.Clock.Mono()
 	score := (float64(stats.inFlight) + 1) / float64(max(c.instance.Capacity, 1))
-	score *= (1 + c.instance.Weight) * stats.latency.Average(n.scope.Clock.Mono())
+	score *= (1 + c.instance.Weight) * stats.latency.Average(now)
 	if c.standing != membership.Alive {
 		score *= 1 + failurePenalty*notAliveFactor
 	}
-	if stats.avoidUntil > n.scope.Clock.Mono() {
+	if stats.avoidUntil > now {
 		score *= 1 + failurePenalty
 	}
 	return score
--- a/internal/listednode/pick_test.go
+++ b/internal/listednode/pick_test.go
@@ -35,7 +35,7 @@
 }
 
 func newPickingNode(s base.Scope) *Node {
-	return &Node{scope: s, zone: "near", stats: map[string]*candidateStats{}, routeLatencies: map[string]time.Duration{}}
+	return &Node{scope: s, stats: map[string]*candidateStats{}, routeLatencies: map[string]time.Duration{}}
 }
 
 var _ = ginkgo.Describe("the choice of an instance", func() {
